--- /dev/null
+++ b/agent/agent_process.ts
@@ -0,0 +1,209 @@
+/**
+ * Runs an agent's core on sockets and timers.
+ *
+ * @module
+ */
+import { createHash, randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import {
+    AgentCore,
+    type AgentEffect,
+    type AgentEvent,
+    type GatewayToAgent,
+    type PeerMessage,
+} from "../core/agent/mod.ts";
+import type { Clock } from "../core/clock/mod.ts";
+import { type FrameClient, FrameServer, PeerLinks } from "../network/mod.ts";
+import { HttpPlatform, type PlatformClient } from "../platform/mod.ts";
+import { type ChangeLogger, openAdminServer, systemClock } from "../telemetry/mod.ts";
+import type { AgentSettings } from "./agent_settings.ts";
+import { requestLoad } from "./load_poller.ts";
+
+/** Options of an {@linkcode AgentProcess}. */
+export interface AgentProcessOptions {
+    /** Checked settings. */
+    settings: AgentSettings;
+    /** Logs changes of state. */
+    logger: ChangeLogger;
+    /** Source of time. Defaults to the machine's clock. */
+    clock?: Clock;
+}
+
+const TICK_MILLISECONDS = 50;
+const DRAIN_POLL_MILLISECONDS = 100;
+/** Time in which the last messages leave before the process ends, in milliseconds. */
+const FAREWELL_MILLISECONDS = 300;
+
+/** An agent that runs in this process. */
+export class AgentProcess {
+    readonly #settings: AgentSettings;
+    readonly #logger: ChangeLogger;
+    readonly #core: AgentCore;
+    readonly #clock: Clock;
+    readonly #links: PeerLinks;
+    readonly #platform: PlatformClient;
+    readonly #peerServer: FrameServer;
+    readonly #gatewayServer: FrameServer;
+    readonly #gateways = new Map<string, FrameClient>();
+    #adminServer: Server | undefined;
+    #timer: NodeJS.Timeout | undefined;
+
+    constructor(options: AgentProcessOptions) {
+        const { settings, logger, clock = systemClock } = options;
+        this.#settings = settings;
+        this.#logger = logger;
+        this.#clock = clock;
+        this.#links = new PeerLinks({ self: settings.instance });
+        this.#platform = new HttpPlatform({ address: settings.platform });
+        this.#core = createCore(settings, clock);
+        this.#peerServer = new FrameServer({
+            onMessage: (client, message) => {
+                this.#handle({ kind: "peer-message", from: client.from, message: message as PeerMessage });
+            },
+        });
+        this.#gatewayServer = new FrameServer({
+            onOpen: client => this.#handleGatewayOpen(client),
+            onMessage: (client, message) => {
+                this.#handle({ kind: "gateway-message", connection: client.id, message: message as GatewayToAgent });
+            },
+            onClose: client => this.#handleGatewayClose(client),
+        });
+    }
+
+    /** Opens the sockets and starts the timers. */
+    async start(): Promise<void> {
+        const { peerAddress, gatewayAddress, adminAddress } = this.#settings;
+        await this.#peerServer.open(peerAddress);
+        await this.#gatewayServer.open(gatewayAddress);
+        this.#adminServer = await openAdminServer({
+            address: adminAddress,
+            registry: this.#createRegistry(),
+            dumpState: () => this.#core.dumpState(),
+            describeReadiness: () => (this.#core.isServing ? "" : "not serving"),
+        });
+        this.#timer = setInterval(() => this.#handle({ kind: "tick" }), TICK_MILLISECONDS);
+        this.#logger.logChange("agent started", { instance: this.#settings.instance, zone: this.#settings.zone });
+    }
+
+    /** Says that the instance is leaving, waits until nothing more is owed, and closes. */
+    async drain(): Promise<void> {
+        this.#handle({ kind: "leave" });
+        const deadline = this.#clock.getMonotonic() + this.#settings.drainSeconds * 1000;
+        while (!this.#core.isDrained && this.#clock.getMonotonic() < deadline) {
+            await waitMilliseconds(DRAIN_POLL_MILLISECONDS);
+        }
+        await waitMilliseconds(FAREWELL_MILLISECONDS);
+        this.close();
+    }
+
+    /** Closes everything at once. */
+    close(): void {
+        clearInterval(this.#timer);
+        this.#links.close();
+        this.#peerServer.close();
+        this.#gatewayServer.close();
+        this.#adminServer?.close();
+        this.#adminServer?.closeAllConnections();
+    }
+
+    #handle(event: AgentEvent): void {
+        for (const effect of this.#core.handle(event)) {
+            this.#apply(effect);
+        }
+    }
+
+    #apply(effect: AgentEffect): void {
+        switch (effect.kind) {
+            case "send-peer":
+                this.#links.send(effect.address, effect.message);
+                return;
+            case "send-gateway":
+                this.#gateways.get(effect.connection)?.connection.send(effect.message);
+                return;
+            case "call-platform":
+                void this.#platform.call(effect.request).then(reply => {
+                    this.#handle({ kind: "platform-reply", callId: effect.callId, reply });
+                });
+                return;
+            case "poll-target":
+                void requestLoad(effect.address).then(report => {
+                    this.#handle({ kind: "target-report", callId: effect.callId, report });
+                });
+                return;
+            case "log":
+                this.#logger.logChange(effect.message, effect.fields);
+                return;
+        }
+    }
+
+    #handleGatewayOpen(client: FrameClient): void {
+        this.#gateways.set(client.id, client);
+        this.#handle({ kind: "gateway-opened", connection: client.id });
+    }
+
+    #handleGatewayClose(client: FrameClient): void {
+        this.#gateways.delete(client.id);
+        this.#handle({ kind: "gateway-closed", connection: client.id });
+    }
+
+    #createRegistry(): Registry {
+        const registry = new Registry();
+        collectDefaultMetrics({ register: registry });
+        const core = this.#core;
+        new Gauge({
+            name: "knapweed_agent_events_total",
+            help: "Messages sent and platform calls made, by name.",
+            labelNames: ["event"],
+            registers: [registry],
+            collect() {
+                for (const [event, count] of core.getCounts()) {
+                    this.set({ event }, count);
+                }
+            },
+        });
+        new Gauge({
+            name: "knapweed_agent_generation",
+            help: "Generation of the configuration in force.",
+            registers: [registry],
+            collect() {
+                this.set(core.generation);
+            },
+        });
+        new Gauge({
+            name: "knapweed_agent_owned_targets",
+            help: "Targets that this instance owns.",
+            registers: [registry],
+            collect() {
+                this.set(core.listOwned().length);
+            },
+        });
+        return registry;
+    }
+}
+
+function createCore(settings: AgentSettings, clock: Clock): AgentCore {
+    const { host, port } = settings.peerAddress;
+    return new AgentCore({
+        self: {
+            id: settings.instance,
+            address: `${host}:${port}`,
+            zone: settings.zone,
+            incarnation: clock.getWallTime(),
+            isLeaving: false,
+        },
+        clock,
+        random: Math.random,
+        createId: randomUUID,
+        hashContent: text => createHash("sha256").update(text).digest("hex"),
+        gossipMilliseconds: settings.gossipMilliseconds,
+        pollMilliseconds: settings.pollMilliseconds,
+        settleMilliseconds: settings.settleMilliseconds,
+        claimShards: settings.claimShards,
+        claimHorizon: settings.claimHorizonSeconds * 1000,
+    });
+}
+
+function waitMilliseconds(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/control/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * The operators' command.
+ *
+ * @module
+ */
+export * from "./build_command.ts";
+export * from "./configuration_store.ts";
+export * from "./diff_inventory.ts";
+export * from "./document_file.ts";
+export * from "./rule_edits.ts";
--- /dev/null
+++ b/core/agent/agent_messages.ts
@@ -0,0 +1,174 @@
+/**
+ * The messages between agents, and between an agent and its gateways.
+ *
+ * @module
+ */
+import type { Headroom, Permit, PermitRequest, RefusalReason, WorkOutcome } from "../admission/mod.ts";
+import type { ClaimOutcome, ClaimRequest, ClaimResult } from "../claims/mod.ts";
+import type { Manifest } from "../configuration/mod.ts";
+import type { GossipMessage } from "../membership/mod.ts";
+
+/** Asks for a permit. */
+export interface AcquireMessage {
+    kind: "acquire";
+    request: PermitRequest;
+}
+
+/** Gives a permit. */
+export interface GrantedMessage {
+    kind: "granted";
+    permitId: string;
+    headroom: Headroom;
+}
+
+/** Refuses a permit. */
+export interface RefusedMessage {
+    kind: "refused";
+    permitId: string;
+    reason: RefusalReason;
+    headroom?: Headroom;
+}
+
+/** Gives a permit back, or withdraws the request for it. */
+export interface ReleaseMessage {
+    kind: "release";
+    permitId: string;
+    target: string;
+    outcome: WorkOutcome;
+}
+
+/** Renews permits, or tells a new owner of them. */
+export interface AnnounceMessage {
+    kind: "announce";
+    permits: Permit[];
+}
+
+/** Passes the permits of one target to its new owner. */
+export interface HandoverMessage {
+    kind: "handover";
+    target: string;
+    permits: Permit[];
+    /** True where the sender could account for all that ran. */
+    isSettled: boolean;
+}
+
+/** Tells gateways how much more targets can take. */
+export interface HeadroomMessage {
+    kind: "headroom";
+    items: Headroom[];
+}
+
+/** Asks for a claim. */
+export interface ClaimMessage {
+    kind: "claim";
+    request: ClaimRequest;
+}
+
+/** Answers a {@linkcode ClaimMessage}. */
+export interface ClaimResultMessage {
+    kind: "claim-result";
+    holder: string;
+    result: ClaimResult;
+}
+
+/** Tells how a claimed request ended; without an outcome it did not run. */
+export interface SettleMessage {
+    kind: "settle";
+    key: string;
+    holder: string;
+    outcome?: ClaimOutcome;
+}
+
+/** Confirms that a {@linkcode SettleMessage} is durable. */
+export interface SettledMessage {
+    kind: "settled";
+    holder: string;
+}
+
+/** Offers a manifest to a peer. */
+export interface ManifestMessage {
+    kind: "manifest";
+    manifest: Manifest;
+}
+
+/** Asks a peer for its manifest and for parts of it. */
+export interface PullMessage {
+    kind: "pull";
+    hashes: string[];
+}
+
+/** Parts of the configuration. */
+export interface PartsMessage {
+    kind: "parts";
+    texts: string[];
+}
+
+/** Names of targets and instances that the platform is taking away. */
+export interface LeavingMessage {
+    kind: "leaving";
+    names: string[];
+}
+
+/** Any message between two agents. */
+export type PeerMessage =
+    | GossipMessage
+    | AcquireMessage
+    | GrantedMessage
+    | RefusedMessage
+    | ReleaseMessage
+    | AnnounceMessage
+    | HandoverMessage
+    | HeadroomMessage
+    | ClaimMessage
+    | ClaimResultMessage
+    | SettleMessage
+    | SettledMessage
+    | ManifestMessage
+    | PullMessage
+    | PartsMessage;
+
+/** Tells an agent how many tokens its gateway's running work has produced. */
+export interface ProgressMessage {
+    kind: "progress";
+    permits: { permitId: string; produced: number; }[];
+}
+
+/** Tells an agent which permits its gateway holds, after their link was opened again. */
+export interface HoldMessage {
+    kind: "hold";
+    permits: Permit[];
+}
+
+/** Any message from a gateway to its agent. */
+export type GatewayToAgent =
+    | AcquireMessage
+    | ReleaseMessage
+    | ProgressMessage
+    | HoldMessage
+    | ClaimMessage
+    | SettleMessage;
+
+/** Gives a gateway the configuration in force. */
+export interface ConfigurationMessage {
+    kind: "configuration";
+    generation: number;
+    texts: string[];
+}
+
+/** Tells a gateway whether it may start new work, and why not. */
+export interface ServingMessage {
+    kind: "serving";
+    isServing: boolean;
+    reason: string;
+}
+
+/** Any message from an agent to a gateway. */
+export type AgentToGateway =
+    | ConfigurationMessage
+    | ServingMessage
+    | LeavingMessage
+    | GrantedMessage
+    | RefusedMessage
+    | HeadroomMessage
+    | ClaimResultMessage
+    | SettledMessage;
--- /dev/null
+++ b/core/configuration/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Configuration: one generation in force, which never reverts.
+ *
+ * @module
+ */
+export * from "./configuration_state.ts";
+export * from "./manifest.ts";
--- /dev/null
+++ b/core/hashing/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Hashing: rendezvous choice of owners, and content addresses.
+ *
+ * @module
+ */
+export * from "./rendezvous.ts";
--- /dev/null
+++ b/core/inventory/inventory_schema.ts
@@ -0,0 +1,109 @@
+/**
+ * The schema of the documents that operators write.
+ *
+ * @module
+ */
+import * as v from "valibot";
+
+const Name = v.pipe(v.string(), v.regex(/^[A-Za-z0-9][\w.-]{0,63}$/, "a name of letters, digits, '.', '_' and '-'"));
+const Address = v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "an address as IP:port"));
+const Count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const PositiveCount = v.pipe(v.number(), v.integer(), v.minValue(1));
+
+/** The kinds of target. */
+export const TargetType = { engine: "engine", service: "service" } as const;
+
+/** One of the values of {@linkcode TargetType}. */
+export type TargetType = (typeof TargetType)[keyof typeof TargetType];
+
+/** How an answer is delivered to its caller. */
+export const Delivery = { streamed: "streamed", whole: "whole" } as const;
+
+/** One of the values of {@linkcode Delivery}. */
+export type Delivery = (typeof Delivery)[keyof typeof Delivery];
+
+/** What a rule does to the targets that it selects. */
+export const RuleAction = { withdraw: "withdraw", drain: "drain", prioritize: "prioritize" } as const;
+
+/** One of the values of {@linkcode RuleAction}. */
+export type RuleAction = (typeof RuleAction)[keyof typeof RuleAction];
+
+/** Schema of an availability zone. */
+export const ZoneSchema = v.strictObject({
+    name: Name,
+    region: v.optional(Name, "default"),
+});
+
+/** Schema of a target. */
+export const TargetSchema = v.strictObject({
+    name: Name,
+    type: v.picklist(["engine", "service"]),
+    address: Address,
+    zone: Name,
+    batch: Name,
+    instance: v.optional(Name),
+    models: v.optional(v.array(Name), []),
+    service: v.optional(Name),
+    memoryTokens: v.optional(Count, 0),
+    maxConcurrent: v.optional(PositiveCount, 32),
+    coldConcurrent: v.optional(PositiveCount, 2),
+    checksFencing: v.optional(v.boolean(), false),
+    outcomePath: v.optional(v.pipe(v.string(), v.regex(/^\/.*\{key\}/, "a path that contains {key}"))),
+});
+
+/** Schema of a kind of work. */
+export const KindSchema = v.strictObject({
+    name: Name,
+    service: v.optional(Name),
+    methods: v.optional(v.array(v.string()), []),
+    pathPrefix: v.optional(v.string(), "/"),
+    isRepeatable: v.boolean(),
+    priority: v.optional(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(9)), 1),
+    patienceMilliseconds: v.optional(PositiveCount, 60_000),
+    delivery: v.optional(v.picklist(["streamed", "whole"]), "streamed"),
+});
+
+/** Schema of a client account; keys are kept as SHA-256 hashes. */
+export const AccountSchema = v.strictObject({
+    name: Name,
+    keyHash: v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/, "a SHA-256 hash in hexadecimal")),
+    weight: v.optional(v.pipe(v.number(), v.minValue(0.01), v.maxValue(1000)), 1),
+    defaultKind: v.optional(Name),
+});
+
+/** Schema of a rule. */
+export const RuleSchema = v.strictObject({
+    name: Name,
+    action: v.picklist(["withdraw", "drain", "prioritize"]),
+    zone: v.optional(Name),
+    batch: v.optional(Name),
+    target: v.optional(Name),
+    instance: v.optional(Name),
+    model: v.optional(Name),
+    account: v.optional(Name),
+    kind: v.optional(Name),
+    priority: v.optional(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(9))),
+});
+
+/** Schema of a whole document. */
+export const InventorySchema = v.strictObject({
+    zones: v.optional(v.array(ZoneSchema), []),
+    models: v.optional(v.array(Name), []),
+    targets: v.optional(v.array(TargetSchema), []),
+    kinds: v.optional(v.array(KindSchema), []),
+    accounts: v.optional(v.array(AccountSchema), []),
+    rules: v.optional(v.array(RuleSchema), []),
+});
+
+/** An availability zone. */
+export type Zone = v.InferOutput<typeof ZoneSchema>;
+/** A target: a model engine or a plain service. */
+export type Target = v.InferOutput<typeof TargetSchema>;
+/** A kind of work. */
+export type Kind = v.InferOutput<typeof KindSchema>;
+/** A client account. */
+export type Account = v.InferOutput<typeof AccountSchema>;
+/** An operator's rule. */
+export type Rule = v.InferOutput<typeof RuleSchema>;
+/** A whole document. */
+export type Inventory = v.InferOutput<typeof InventorySchema>;
--- /dev/null
+++ b/core/placement/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Placement: which target a piece of work is sent to.
+ *
+ * @module
+ */
+export * from "./choose_target.ts";
--- /dev/null
+++ b/core/relay/event_id.ts
@@ -0,0 +1,58 @@
+/**
+ * Event ids that let a caller resume its stream through any gateway.
+ *
+ * @module
+ */
+
+/** Names one token of one generation. */
+export interface EventPosition {
+    /** Name of the target that generates. */
+    target: string;
+    /** Name of the generation. */
+    generation: string;
+    /** Index of the token, from 0. */
+    index: number;
+}
+
+const SEPARATOR = "~";
+
+/**
+ * Formats `position` as an event id.
+ *
+ * @param position Token to name.
+ * @returns The event id.
+ *
+ * @example
+ * ```ts
+ * formatEventId({ target: "t", generation: "g", index: 3 }); // "t~g~3"
+ * ```
+ */
+export function formatEventId(position: EventPosition): string {
+    return [encodeURIComponent(position.target), encodeURIComponent(position.generation), position.index].join(
+        SEPARATOR,
+    );
+}
+
+/**
+ * Parses an event id.
+ *
+ * @param text Event id to parse.
+ * @returns The position, or `undefined` where `text` is no event id of this system.
+ */
+export function parseEventId(text: string): EventPosition | undefined {
+    const match = /^([\w.%-]+)~([\w.%-]+)~(\d{1,9})$/.exec(text);
+    if (!match) {
+        return undefined;
+    }
+    try {
+        const [, target = "", generation = "", index = ""] = match;
+        return {
+            target: decodeURIComponent(target),
+            generation: decodeURIComponent(generation),
+            index: Number(index),
+        };
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,62 @@
+import jsdoc from "eslint-plugin-jsdoc";
+import tseslint from "typescript-eslint";
+
+const VERBS = [
+    "add", "adopt", "announce", "answer", "append", "apply", "ask", "build", "call", "cancel", "check", "choose", "claim",
+    "classify", "close", "collect", "compare", "compute", "connect", "count", "create", "decide", "decode", "dequeue",
+    "describe", "diff", "drain", "drop", "dump", "encode", "enqueue", "estimate", "expire", "fail", "fetch", "filter",
+    "find", "finish", "format", "get", "grant", "handle", "hash", "is", "has", "list", "load", "log", "mark", "match",
+    "measure", "merge", "observe", "open", "parse", "pick", "poll", "print", "publish", "push", "queue", "read", "record",
+    "refuse", "relay", "release", "remove", "report", "request", "resolve", "resume", "run", "send", "serve", "set",
+    "settle", "split", "start", "step", "stop", "take", "update", "validate", "wait", "watch", "write",
+];
+const verbPattern = `/^(${VERBS.join("|")})([A-Z0-9]|$)/`;
+
+export default tseslint.config(
+    { ignores: ["dist/**", "node_modules/**"] },
+    ...tseslint.configs.recommended,
+    {
+        files: ["**/*.ts"],
+        plugins: { jsdoc },
+        rules: {
+            curly: ["error", "all"],
+            eqeqeq: ["error", "always"],
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", varsIgnorePattern: "^_" }],
+            "no-restricted-syntax": [
+                "error",
+                { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
+                {
+                    selector: `FunctionDeclaration > Identifier.id[name!=${verbPattern}]`,
+                    message: "Begin a function's name with a verb listed in docs/NAMES.md.",
+                },
+                {
+                    selector: `MethodDefinition[kind="method"] > Identifier.key[name!=${verbPattern}]`,
+                    message: "Begin a method's name with a verb listed in docs/NAMES.md.",
+                },
+                { selector: "Literal[raw='null']", message: "Use undefined in place of null." },
+            ],
+            "jsdoc/require-jsdoc": ["error", {
+                publicOnly: true,
+                require: {
+                    ClassDeclaration: true,
+                    FunctionDeclaration: true,
+                    MethodDefinition: false,
+                },
+                contexts: ["TSInterfaceDeclaration", "TSTypeAliasDeclaration", "ExportNamedDeclaration > VariableDeclaration"],
+            }],
+            "jsdoc/require-file-overview": "off",
+        },
+    },
+    {
+        files: ["core/**/*.ts"],
+        rules: {
+            "no-restricted-imports": ["error", { patterns: ["node:*", "cbor-x", "p-queue", "tslog", "prom-client", "commander"] }],
+            "no-restricted-globals": ["error", "process", "setTimeout", "setInterval", "performance", "fetch"],
+            "no-restricted-properties": [
+                "error",
+                { object: "Math", property: "random" },
+                { object: "Date", property: "now" },
+            ],
+        },
+    },
+);
--- /dev/null
+++ b/gateway/engine_client.ts
@@ -0,0 +1,167 @@
+/**
+ * The adapter to a model engine's HTTP interface.
+ *
+ * @module
+ */
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import { type IncomingMessage, request as startRequest } from "node:http";
+import type { RoutedTarget } from "../core/inventory/mod.ts";
+import { AttemptProgress } from "../core/verdict/mod.ts";
+import { parseAddress } from "../network/mod.ts";
+
+/** One event of an engine's stream. */
+export type EngineEvent =
+    | { kind: "token"; generation: string; index: number; data: string; }
+    | { kind: "done"; };
+
+/** Why an engine's stream ended without its last event. */
+export class EngineStreamError extends Error {
+    override name = "EngineStreamError";
+    /** How far the attempt had come. */
+    readonly progress: AttemptProgress;
+    /** Status of the engine's answer; 0 where there was none. */
+    readonly status: number;
+
+    constructor(message: string, options: { progress: AttemptProgress; status?: number; }) {
+        super(message);
+        this.progress = options.progress;
+        this.status = options.status ?? 0;
+    }
+}
+
+/** A request for an engine's stream. */
+export interface EngineStreamRequest {
+    /** Engine to ask. */
+    target: RoutedTarget;
+    /** Path of the request. */
+    path: string;
+    /** Name of the generation. */
+    generation: string;
+    /** Body of a new generation; `undefined` to resume one. */
+    body?: Buffer | undefined;
+    /** Index after which to resume; -1 for the first token. Defaults to -1. */
+    after?: number;
+    /** Priority that the engine is told. Defaults to 1. */
+    priority?: number;
+    /** Time in which the engine must accept a connection, in milliseconds. */
+    connectMilliseconds: number;
+    /** Silence after which the stream counts as broken, in milliseconds. */
+    silenceMilliseconds: number;
+    /** Ends the stream. */
+    signal: AbortSignal;
+}
+
+const DONE_DATA = "[DONE]";
+const STATUS_OK = 200;
+const REFUSED_STATUSES = new Set([400, 404, 409, 422, 429, 503]);
+
+/**
+ * Opens a stream, on a connection of its own, and gives its events as they come.
+ *
+ * @param request What to ask for.
+ * @returns The events, the last of which is `done`.
+ * @throws {EngineStreamError} Where the stream broke, went silent or was refused.
+ */
+export async function* openEngineStream(request: EngineStreamRequest): AsyncGenerator<EngineEvent> {
+    const { response, progress } = await startStream(request);
+    if (response.statusCode !== STATUS_OK) {
+        response.destroy();
+        const status = response.statusCode ?? 0;
+        const refused = REFUSED_STATUSES.has(status) ? AttemptProgress.refused : AttemptProgress.answering;
+        throw new EngineStreamError(`The engine answered with status ${status}.`, { progress: refused, status });
+    }
+    const generation = String(response.headers["x-generation-id"] ?? "");
+    const events: EngineEvent[] = [];
+    const parser = createParser({ onEvent: event => events.push(parseEvent(event, generation)) });
+    const decoder = new TextDecoder();
+    try {
+        for await (const chunk of response as AsyncIterable<Buffer>) {
+            parser.feed(decoder.decode(chunk, { stream: true }));
+            for (const event of events.splice(0)) {
+                yield event;
+                if (event.kind === "done") {
+                    return;
+                }
+            }
+        }
+    }
+    catch (error) {
+        throw new EngineStreamError(`The engine's stream broke: ${String(error)}.`, { progress });
+    }
+    finally {
+        response.destroy();
+    }
+    throw new EngineStreamError("The engine's stream ended early.", { progress });
+}
+
+function parseEvent(event: EventSourceMessage, generation: string): EngineEvent {
+    if (event.data === DONE_DATA) {
+        return { kind: "done" };
+    }
+    return { kind: "token", generation, index: Number(event.id ?? -1), data: event.data };
+}
+
+function startStream(request: EngineStreamRequest): Promise<{ response: IncomingMessage; progress: AttemptProgress; }> {
+    const { target, generation, body, after = -1, priority = 1, signal } = request;
+    const resumeHeaders: Record<string, string> = after < 0 ? {} : { "last-event-id": String(after) };
+    return new Promise((resolve, reject) => {
+        let progress: AttemptProgress = AttemptProgress.notConnected;
+        const call = startRequest({
+            ...parseAddress(target.address),
+            agent: false,
+            method: body === undefined ? "GET" : "POST",
+            path: request.path,
+            headers: {
+                "content-type": "application/json",
+                "content-length": body?.length ?? 0,
+                "x-generation-id": generation,
+                "x-priority": String(priority),
+                ...resumeHeaders,
+            },
+            signal,
+        });
+        const fail = (message: string): void => void call.destroy(new Error(message));
+        const connectTimer = setTimeout(() => fail("no connection in time"), request.connectMilliseconds);
+        call.on("socket", socket => {
+            socket.once("connect", () => {
+                progress = AttemptProgress.sent;
+                clearTimeout(connectTimer);
+                call.end(body);
+            });
+            socket.setNoDelay(true);
+        });
+        call.setTimeout(request.silenceMilliseconds, () => fail("silence"));
+        call.on("error", error => {
+            clearTimeout(connectTimer);
+            reject(new EngineStreamError(`The engine can't be asked: ${error.message}.`, { progress }));
+        });
+        call.on("response", response => resolve({ response, progress: AttemptProgress.answering }));
+    });
+}
+
+/**
+ * Cancels a generation, and waits until the engine has answered.
+ *
+ * @param target Engine that runs the generation.
+ * @param options Name of the generation, and the longest wait in milliseconds.
+ * @returns True where the engine says that the generation no longer runs.
+ */
+export function cancelGeneration(
+    target: RoutedTarget,
+    options: { generation: string; timeoutMilliseconds: number; },
+): Promise<boolean> {
+    return new Promise(resolve => {
+        const call = startRequest({
+            ...parseAddress(target.address),
+            agent: false,
+            method: "DELETE",
+            path: `/v1/generations/${encodeURIComponent(options.generation)}`,
+            signal: AbortSignal.timeout(options.timeoutMilliseconds),
+        }, response => {
+            response.resume();
+            resolve(response.statusCode === 204 || response.statusCode === 404);
+        });
+        call.on("error", () => resolve(false));
+        call.end();
+    });
+}
--- /dev/null
+++ b/gateway/gateway_metrics.ts
@@ -0,0 +1,75 @@
+/**
+ * Counters of the gateway.
+ *
+ * @module
+ */
+import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+
+/** Options of a {@linkcode GatewayMetrics}. */
+export interface GatewayMetricsOptions {
+    /** Counts the requests being served. */
+    countActive: () => number;
+}
+
+/** Counts what the gateway does. */
+export class GatewayMetrics {
+    readonly registry = new Registry();
+    readonly #ends: Counter<"kind" | "end">;
+    readonly #retries: Counter;
+    readonly #resumes: Counter;
+    readonly #tokens: Counter;
+    readonly #claims: Counter<"result">;
+
+    constructor(options: GatewayMetricsOptions) {
+        const registers = [this.registry];
+        collectDefaultMetrics({ register: this.registry });
+        this.#ends = new Counter({
+            name: "knapweed_gateway_requests_total",
+            help: "Requests by kind of work and by how they ended.",
+            labelNames: ["kind", "end"],
+            registers,
+        });
+        this.#retries = new Counter({ name: "knapweed_gateway_retries_total", help: "Further attempts.", registers });
+        this.#resumes = new Counter({ name: "knapweed_gateway_resumes_total", help: "Streams resumed.", registers });
+        this.#tokens = new Counter({ name: "knapweed_gateway_tokens_total", help: "Tokens relayed.", registers });
+        this.#claims = new Counter({
+            name: "knapweed_gateway_claims_total",
+            help: "Claims by result.",
+            labelNames: ["result"],
+            registers,
+        });
+        new Gauge({
+            name: "knapweed_gateway_active_requests",
+            help: "Requests being served.",
+            registers,
+            collect() {
+                this.set(options.countActive());
+            },
+        });
+    }
+
+    /** Counts a request's end: "finished", or the code of its error. */
+    countEnd(kind: string, end: string): void {
+        this.#ends.inc({ kind, end });
+    }
+
+    /** Counts a further attempt. */
+    countRetry(): void {
+        this.#retries.inc();
+    }
+
+    /** Counts a resumed stream. */
+    countResume(): void {
+        this.#resumes.inc();
+    }
+
+    /** Counts relayed tokens. */
+    countTokens(count: number): void {
+        this.#tokens.inc(count);
+    }
+
+    /** Counts a claim's result. */
+    countClaim(result: string): void {
+        this.#claims.inc({ result });
+    }
+}
--- /dev/null
+++ b/gateway/generation_handler.ts
@@ -0,0 +1,332 @@
+/**
+ * Serves generations: places them, relays them, and starts them again where that is allowed.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { hashText } from "../core/hashing/mod.ts";
+import { type Account, classifyWork, type Kind, type RoutedTarget } from "../core/inventory/mod.ts";
+import type { LengthPredictor } from "../core/prediction/mod.ts";
+import { type EventPosition, parseEventId, StreamRelay } from "../core/relay/mod.ts";
+import { decideRetry, type RetryBudget, type Verdict } from "../core/verdict/mod.ts";
+import type { AgentLink } from "./agent_link.ts";
+import { type AnswerSink, BufferedStreamSink, CompletionSink, StreamSink } from "./answer_sink.ts";
+import type { Dispatcher, Placement } from "./dispatcher.ts";
+import { cancelGeneration } from "./engine_client.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { relayGeneration, type RelayResult } from "./generation_relay.ts";
+import { type GenerationRequest, parseGenerationRequest } from "./generation_request.ts";
+import type { RequestContext } from "./request_context.ts";
+import type { RoutingState } from "./routing_state.ts";
+import { chooseRetryAfter, ServingError } from "./serving_error.ts";
+
+/** What the handlers of a gateway share. */
+export interface HandlerContext {
+    /** Checked settings. */
+    settings: GatewaySettings;
+    /** Link to the agent. */
+    link: AgentLink;
+    /** What is known of targets. */
+    routing: RoutingState;
+    /** Finds places. */
+    dispatcher: Dispatcher;
+    /** Learns output lengths. */
+    predictor: LengthPredictor;
+    /** Limits retries. */
+    retryBudget: RetryBudget;
+    /** Counters. */
+    metrics: GatewayMetrics;
+    /** Source of random numbers from 0 up to 1. */
+    random: () => number;
+}
+
+interface GenerationJob {
+    context: RequestContext;
+    request: GenerationRequest;
+    kind: Kind;
+    sink: AnswerSink;
+    path: string;
+    /** Aborted when the relay must end. */
+    stopSignal: AbortSignal;
+}
+
+const MAX_ATTEMPTS = 6;
+const CANCEL_TIMEOUT = 1000;
+
+/** Serves generations. */
+export class GenerationHandler {
+    readonly #shared: HandlerContext;
+
+    constructor(shared: HandlerContext) {
+        this.#shared = shared;
+    }
+
+    /** Serves a new generation. */
+    async handleGeneration(context: RequestContext, input: { path: string; body: Buffer; }): Promise<void> {
+        const request = parseGenerationRequest(input.body, { isChat: input.path.endsWith("/chat/completions") });
+        const kind = this.#classify(context);
+        if (!this.#shared.routing.table.enginesByModel.has(request.model)) {
+            throw new ServingError(`Cannot serve the model "${request.model}": it is not in the inventory.`, {
+                code: "unknown_model",
+                verdict: "not-run",
+            });
+        }
+        const sink = createSink(context, { request, kind });
+        const grace = this.#startGrace(context, sink);
+        const job = { context, request, kind, sink, path: input.path, stopSignal: grace.signal };
+        try {
+            await this.#runAttempts(job);
+        }
+        catch (error) {
+            if (!(error instanceof ServingError)) {
+                throw error;
+            }
+            sink.fail(error);
+            this.#shared.metrics.countEnd(kind.name, error.code);
+        }
+        finally {
+            grace.close();
+        }
+    }
+
+    /** Resumes the stream of a generation that this or another gateway started. */
+    async handleResume(context: RequestContext, eventId: string): Promise<void> {
+        const position = parseEventId(eventId);
+        const target = this.#shared.routing.findTarget(position?.target ?? "");
+        const isOwn = position?.generation.startsWith(formatAccountTag(context.account));
+        if (position === undefined || target === undefined || !isOwn) {
+            throw new ServingError(`Cannot resume the stream: "${eventId}" names no generation of this caller.`, {
+                code: "generation_lost",
+                verdict: "may-have-run",
+            });
+        }
+        this.#shared.metrics.countResume();
+        const sink = new StreamSink(context.response);
+        const grace = this.#startGrace(context, sink);
+        try {
+            await this.#relayResumed(context, { position, target, sink, stopSignal: grace.signal });
+        }
+        finally {
+            grace.close();
+        }
+    }
+
+    async #relayResumed(
+        context: RequestContext,
+        resumed: { position: EventPosition; target: RoutedTarget; sink: AnswerSink; stopSignal: AbortSignal; },
+    ): Promise<void> {
+        const { position, target, sink, stopSignal } = resumed;
+        const relay = new StreamRelay(position.generation, { firstIndex: position.index + 1 });
+        const result = await this.#relay({ target, relay, sink, path: "", body: undefined, priority: 1, stopSignal });
+        if (result.kind === "finished") {
+            sink.finish();
+            this.#shared.metrics.countEnd("resume", "finished");
+            return;
+        }
+        if (result.kind === "stopped") {
+            await this.#cancel(target, relay.generation);
+            if (!context.callerSignal.aborted) {
+                sink.fail(this.#describeStop(context, { hasStarted: true }));
+            }
+            return;
+        }
+        sink.fail(createLoss(position.generation, "may-have-run"));
+        this.#shared.metrics.countEnd("resume", "generation_lost");
+    }
+
+    #classify(context: RequestContext): Kind {
+        const header = context.request.headers["x-kind"];
+        const work = {
+            service: undefined,
+            method: "POST",
+            path: "/",
+            kind: typeof header === "string" ? header : undefined,
+        };
+        return classifyWork(work, { table: this.#shared.routing.table, account: context.account });
+    }
+
+    async #runAttempts(job: GenerationJob): Promise<void> {
+        const { context, kind, sink } = job;
+        const startedAt = performance.now();
+        const until = Math.min(context.deadline, startedAt + kind.patienceMilliseconds);
+        const avoid = new Set<string>();
+        let verdict: Verdict = "not-run";
+        this.#shared.retryBudget.recordAttempt();
+        for (let attempts = 1;; attempts += 1) {
+            const placement = await this.#place(job, { until, avoid });
+            const attempt = await this.#runAttempt(job, placement);
+            if (attempt.result.kind === "finished") {
+                this.#shared.metrics.countEnd(kind.name, "finished");
+                return;
+            }
+            if (attempt.result.kind === "stopped") {
+                throw this.#describeStop(context, { hasStarted: attempt.produced > 0 });
+            }
+            avoid.add(placement.target.name);
+            verdict = attempt.result.kind === "lost" ? "may-have-run" : verdict;
+            if (!this.#mayRetry(job, { attempts, verdict, until, result: attempt.result })) {
+                throw attempt.result.kind === "lost" && sink.hasStarted
+                    ? createLoss(attempt.generation, "may-have-run")
+                    : this.#createFailure(attempt.result.error, verdict);
+            }
+            sink.dropTokens();
+            this.#shared.metrics.countRetry();
+        }
+    }
+
+    #mayRetry(
+        job: GenerationJob,
+        state: { attempts: number; verdict: Verdict; until: number; result: RelayResult; },
+    ): boolean {
+        const mayStartAnew = state.result.kind !== "lost" || state.result.decision === "restart";
+        const isAllowed = decideRetry({
+            verdict: state.verdict,
+            isRepeatable: job.kind.isRepeatable,
+            hasReachedCaller: job.sink.hasStarted,
+            attempts: state.attempts,
+            remainingMilliseconds: job.context.deadline - performance.now(),
+        }, { maxAttempts: MAX_ATTEMPTS });
+        return mayStartAnew && isAllowed && this.#shared.retryBudget.takeRetry();
+    }
+
+    #place(job: GenerationJob, options: { until: number; avoid: ReadonlySet<string>; }): Promise<Placement> {
+        const { context, request, kind } = job;
+        const { routing, predictor, dispatcher } = this.#shared;
+        const key = { account: context.account.name, kind: kind.name, model: request.model };
+        const bound = request.maxTokens ?? Infinity;
+        return dispatcher.requestPlacement({
+            lane: request.model,
+            targets: () => routing.table.enginesByModel.get(request.model) ?? [],
+            account: context.account.name,
+            weight: context.account.weight,
+            priority: kind.priority,
+            promptTokens: request.promptTokens,
+            lengths: predictor.estimateLengths(key).map(length => Math.min(length, bound)),
+            prefix: request.prefix,
+            until: options.until,
+            signal: AbortSignal.any([context.callerSignal, context.deadlineSignal]),
+            avoid: options.avoid,
+        });
+    }
+
+    async #runAttempt(
+        job: GenerationJob,
+        placement: Placement,
+    ): Promise<{ result: RelayResult; produced: number; generation: string; }> {
+        const { context, request, kind, sink, path, stopSignal } = job;
+        const { target, permitId } = placement;
+        const { link, predictor, metrics } = this.#shared;
+        const generation = `${formatAccountTag(context.account)}${randomUUID()}`;
+        const relay = new StreamRelay(generation, { isWhole: sink.isWhole });
+        const result = await this.#relay({
+            target,
+            relay,
+            sink,
+            path,
+            body: request.body,
+            priority: kind.priority,
+            stopSignal,
+            onToken: produced => link.recordProgress(permitId, produced),
+        });
+        if (result.kind === "finished") {
+            placement.release("finished");
+            predictor.observeLength(
+                { account: context.account.name, kind: kind.name, model: request.model },
+                relay.nextIndex,
+            );
+            sink.finish();
+        }
+        else if (result.kind === "refused") {
+            placement.release(result.error.progress === "refused" ? "refused" : "broken");
+        }
+        else {
+            const isGone = await this.#cancel(target, generation);
+            placement.release(isGone && result.kind === "stopped" ? "cancelled" : "broken");
+        }
+        metrics.countTokens(relay.nextIndex);
+        return { result, produced: relay.nextIndex, generation };
+    }
+
+    #relay(
+        input: {
+            target: RoutedTarget;
+            relay: StreamRelay;
+            sink: AnswerSink;
+            path: string;
+            body: Buffer | undefined;
+            priority: number;
+            stopSignal: AbortSignal;
+            onToken?: (produced: number) => void;
+        },
+    ): Promise<RelayResult> {
+        const { settings, metrics } = this.#shared;
+        const { stopSignal, onToken = () => undefined, ...rest } = input;
+        return relayGeneration({
+            ...rest,
+            connectMilliseconds: settings.connectMilliseconds,
+            silenceMilliseconds: settings.silenceMilliseconds,
+            signal: stopSignal,
+            onToken,
+            onResume: () => metrics.countResume(),
+        });
+    }
+
+    #cancel(target: RoutedTarget, generation: string): Promise<boolean> {
+        return cancelGeneration(target, { generation, timeoutMilliseconds: CANCEL_TIMEOUT });
+    }
+
+    /**
+     * Gives a signal that ends the relay: at the deadline, or some time after the caller of a stream has gone.
+     *
+     * In that time another gateway can take the generation over for the same caller.
+     */
+    #startGrace(context: RequestContext, sink: AnswerSink): { signal: AbortSignal; close: () => void; } {
+        const controller = new AbortController();
+        let timer: NodeJS.Timeout | undefined;
+        const stop = (): void => controller.abort();
+        context.deadlineSignal.addEventListener("abort", stop);
+        context.callerSignal.addEventListener("abort", () => {
+            const grace = sink.isWhole || !sink.hasStarted ? 0 : this.#shared.settings.graceMilliseconds;
+            timer = setTimeout(stop, grace);
+        });
+        return { signal: controller.signal, close: () => clearTimeout(timer) };
+    }
+
+    #describeStop(context: RequestContext, options: { hasStarted: boolean; }): ServingError {
+        const verdict = options.hasStarted ? "may-have-run" : "not-run";
+        return context.deadlineSignal.aborted
+            ? new ServingError("Cannot finish the generation before its deadline.", {
+                code: "deadline",
+                verdict: "may-have-run",
+            })
+            : new ServingError("The caller has gone.", { code: "caller_gone", verdict });
+    }
+
+    #createFailure(cause: Error, verdict: Verdict): ServingError {
+        const retryAfterSeconds = chooseRetryAfter(this.#shared.random);
+        return new ServingError(`Cannot serve the generation: ${cause.message}`, {
+            code: "target_failed",
+            verdict,
+            retryAfterSeconds,
+        });
+    }
+}
+
+function createSink(context: RequestContext, options: { request: GenerationRequest; kind: Kind; }): AnswerSink {
+    const { request, kind } = options;
+    if (!request.isStream) {
+        return new CompletionSink(context.response, { isChat: request.isChat });
+    }
+    return kind.delivery === "whole" ? new BufferedStreamSink(context.response) : new StreamSink(context.response);
+}
+
+function createLoss(generation: string, verdict: Verdict): ServingError {
+    const message = `The generation "${generation}" is lost; ask again for a new one.`;
+    return new ServingError(message, { code: "generation_lost", verdict });
+}
+
+/** Tags generations with their account, so that nobody resumes another account's stream. */
+function formatAccountTag(account: Account): string {
+    return `${hashText(account.name).toString(16)}-`;
+}
--- /dev/null
+++ b/gateway/routing_state.ts
@@ -0,0 +1,115 @@
+/**
+ * What the gateway knows of targets, from its agent.
+ *
+ * @module
+ */
+import type { Headroom } from "../core/admission/mod.ts";
+import type { AgentToGateway } from "../core/agent/mod.ts";
+import {
+    buildRoutingTable,
+    type Inventory,
+    mergeParts,
+    type RoutedTarget,
+    type RoutingTable,
+} from "../core/inventory/mod.ts";
+import { type Candidate, pickSubset } from "../core/placement/mod.ts";
+
+/** Options of a {@linkcode RoutingState}. */
+export interface RoutingStateOptions {
+    /** Name of this instance. */
+    instance: string;
+    /** Availability zone of this instance. */
+    zone: string;
+    /** Most targets of one model or service that this gateway uses. Defaults to 16. */
+    subsetSize?: number;
+}
+
+const DEFAULT_SUBSET = 16;
+
+/** Keeps the configuration in force, headroom, and whether new work may start. */
+export class RoutingState {
+    readonly #options: RoutingStateOptions;
+    readonly #headroom = new Map<string, Headroom>();
+    #inventory: Inventory = mergeParts([]);
+    #leaving: ReadonlySet<string> = new Set();
+    #table: RoutingTable = buildRoutingTable(mergeParts([]));
+    #generation = 0;
+    #notServing = "the agent has not been reached yet";
+
+    constructor(options: RoutingStateOptions) {
+        this.#options = options;
+    }
+
+    get table(): RoutingTable {
+        return this.#table;
+    }
+
+    get generation(): number {
+        return this.#generation;
+    }
+
+    /** Says why no new work may start; empty where it may. */
+    get notServing(): string {
+        return this.#notServing;
+    }
+
+    /** Takes a message from the agent. */
+    handleMessage(message: AgentToGateway): void {
+        if (message.kind === "configuration" && message.generation >= this.#generation) {
+            this.#generation = message.generation;
+            this.#inventory = mergeParts(message.texts);
+            this.#updateTable();
+        }
+        else if (message.kind === "leaving") {
+            this.#leaving = new Set(message.names);
+            this.#updateTable();
+        }
+        else if (message.kind === "serving") {
+            this.#notServing = message.isServing ? "" : message.reason;
+        }
+        else if (message.kind === "headroom") {
+            message.items.forEach(item => this.#headroom.set(item.target, item));
+        }
+        else if ((message.kind === "granted" || message.kind === "refused") && message.headroom !== undefined) {
+            this.#headroom.set(message.headroom.target, message.headroom);
+        }
+    }
+
+    /** Notes that the agent is out of reach. */
+    handleLost(): void {
+        this.#notServing = "the agent is out of reach";
+    }
+
+    /** Finds a target by name. */
+    findTarget(name: string): RoutedTarget | undefined {
+        return this.#table.targets.get(name);
+    }
+
+    /** Lists the open targets of a model or service that this gateway may use. */
+    listCandidates(names: readonly string[]): Candidate[] {
+        const open = names.filter(name => this.#table.targets.get(name)?.closedBy === undefined);
+        const { instance, zone, subsetSize = DEFAULT_SUBSET } = this.#options;
+        return pickSubset(open, { node: instance, size: subsetSize }).map(name => ({
+            name,
+            share: this.#headroom.get(name)?.share,
+            isLocal: this.#table.targets.get(name)?.zone === zone,
+        }));
+    }
+
+    /** Describes the state, for a dump; hashes of keys are left out. */
+    dumpState(): Record<string, unknown> {
+        return {
+            generation: this.#generation,
+            notServing: this.#notServing,
+            leaving: [...this.#leaving],
+            closedTargets: [...this.#table.targets.values()]
+                .filter(target => target.closedBy !== undefined)
+                .map(({ name, closedBy }) => ({ name, closedBy })),
+            headroom: [...this.#headroom.values()],
+        };
+    }
+
+    #updateTable(): void {
+        this.#table = buildRoutingTable(this.#inventory, { leaving: this.#leaving });
+    }
+}
--- /dev/null
+++ b/network/frame_connection.ts
@@ -0,0 +1,96 @@
+/**
+ * One TCP connection that carries frames and notices when the other end goes silent.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { encodeFrame, FrameDecoder } from "../protocol/mod.ts";
+
+/** Options of a {@linkcode FrameConnection}. */
+export interface FrameConnectionOptions {
+    /** Called with each message. */
+    onMessage: (message: { kind: string; }) => void;
+    /** Called once when the connection is closed. */
+    onClose: () => void;
+    /** Time between heartbeats, in milliseconds. Defaults to 500. */
+    heartbeatMilliseconds?: number;
+    /** Silence after which the connection is closed, in milliseconds. Defaults to 2000. */
+    silenceMilliseconds?: number;
+    /** Bytes that may wait to be sent before the connection is closed. Defaults to 32 MiB. */
+    maxBufferedBytes?: number;
+}
+
+const HEARTBEAT = "heartbeat";
+const DEFAULT_HEARTBEAT = 500;
+const DEFAULT_SILENCE = 2000;
+const DEFAULT_MAX_BUFFERED = 32 * 1024 * 1024;
+
+/** Sends and receives messages; both ends send heartbeats. */
+export class FrameConnection {
+    readonly #socket: Socket;
+    readonly #options: FrameConnectionOptions;
+    readonly #decoder = new FrameDecoder();
+    readonly #timer: NodeJS.Timeout;
+    #lastHeard = performance.now();
+    #isClosed = false;
+
+    /** @param socket Connected, or connecting, socket. */
+    constructor(socket: Socket, options: FrameConnectionOptions) {
+        this.#socket = socket;
+        this.#options = options;
+        socket.setNoDelay(true);
+        socket.on("data", chunk => this.#handleData(chunk));
+        socket.on("error", () => this.close());
+        socket.on("close", () => this.close());
+        this.#timer = setInterval(() => this.#handleTimer(), options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT);
+    }
+
+    get isClosed(): boolean {
+        return this.#isClosed;
+    }
+
+    /** Sends `message`; one on a closed connection is dropped. */
+    send(message: { kind: string; }): void {
+        if (this.#isClosed) {
+            return;
+        }
+        this.#socket.write(encodeFrame(message));
+        if (this.#socket.writableLength > (this.#options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED)) {
+            this.close();
+        }
+    }
+
+    /** Closes the connection at once. */
+    close(): void {
+        if (this.#isClosed) {
+            return;
+        }
+        this.#isClosed = true;
+        clearInterval(this.#timer);
+        this.#socket.destroy();
+        this.#options.onClose();
+    }
+
+    #handleData(chunk: Buffer): void {
+        this.#lastHeard = performance.now();
+        try {
+            for (const message of this.#decoder.handleChunk(chunk)) {
+                if (message.kind !== HEARTBEAT) {
+                    this.#options.onMessage(message);
+                }
+            }
+        }
+        catch {
+            this.close();
+        }
+    }
+
+    #handleTimer(): void {
+        const silence = performance.now() - this.#lastHeard;
+        if (silence > (this.#options.silenceMilliseconds ?? DEFAULT_SILENCE)) {
+            this.close();
+            return;
+        }
+        this.send({ kind: HEARTBEAT });
+    }
+}
--- /dev/null
+++ b/network/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Links between the system's own processes.
+ *
+ * @module
+ */
+export * from "./address.ts";
+export * from "./frame_connection.ts";
+export * from "./frame_server.ts";
+export * from "./http_server.ts";
+export * from "./peer_links.ts";
--- /dev/null
+++ b/protocol/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Framing between the system's own processes.
+ *
+ * @module
+ */
+export * from "./frame_codec.ts";
--- /dev/null
+++ b/support/processes/fleet.ts
@@ -0,0 +1,248 @@
+/**
+ * Starts instances, targets and the platform as processes, and applies a configuration.
+ *
+ * @module
+ */
+import { createServer } from "node:net";
+import { fileURLToPath } from "node:url";
+import { applyInventory, fetchConfiguration } from "../../control/mod.ts";
+import type { Inventory } from "../../core/inventory/mod.ts";
+import { parseAddress } from "../../network/mod.ts";
+import { HttpPlatform } from "../../platform/mod.ts";
+import { createInventory, type DeploymentPlan } from "../fixtures/inventories.ts";
+import type { EngineSpec } from "../stand_ins/mod.ts";
+import { type RunningChild, startChild } from "./child_process.ts";
+import { callHttp } from "./http_call.ts";
+import { waitUntil } from "./wait_until.ts";
+
+/** Options of {@linkcode startFleet}. */
+export interface FleetOptions {
+    /** Deployment to serve. */
+    plan: DeploymentPlan;
+    /** Number of instances. Defaults to 3. */
+    instances?: number;
+    /** Number of engines. Defaults to 3. */
+    engines?: number;
+    /** Number of service targets. Defaults to 2. */
+    services?: number;
+    /** What engines can do beyond the stand-in's defaults. Defaults to nothing. */
+    engineSpec?: Partial<EngineSpec>;
+    /** Further flags of every gateway. Defaults to none. */
+    gatewayFlags?: string[];
+    /** Further flags of every agent. Defaults to none. */
+    agentFlags?: string[];
+    /** Changes the inventory before it is applied. Defaults to no change. */
+    editInventory?: (inventory: Inventory) => Inventory;
+}
+
+/** One instance of the fleet. */
+export interface FleetInstance {
+    /** Name of the instance. */
+    name: string;
+    /** Availability zone. */
+    zone: string;
+    /** Address that callers use. */
+    address: string;
+    /** Administrative address of the gateway. */
+    gatewayAdmin: string;
+    /** Administrative address of the agent. */
+    agentAdmin: string;
+    /** Gateway process. */
+    gateway: RunningChild;
+    /** Agent process. */
+    agent: RunningChild;
+}
+
+/** One target of the fleet. */
+export interface FleetTarget {
+    /** Address of the target. */
+    address: string;
+    /** Target process. */
+    child: RunningChild;
+}
+
+/** A running fleet. */
+export interface Fleet {
+    /** Address of the platform. */
+    platform: string;
+    /** Platform process. */
+    platformChild: RunningChild;
+    /** Instances. */
+    instances: FleetInstance[];
+    /** Engines, in the inventory's order. */
+    engines: FleetTarget[];
+    /** Service targets, in the inventory's order. */
+    services: FleetTarget[];
+    /** Ends all processes at once, and waits until they have ended. */
+    close: () => Promise<void>;
+}
+
+const HOST = "127.0.0.1";
+
+function resolveProgram(path: string): string {
+    return fileURLToPath(new URL(`../../${path}`, import.meta.url));
+}
+
+/** Finds ports that are free now. */
+async function findAddresses(count: number): Promise<string[]> {
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+        const server = createServer();
+        await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+        return server;
+    }));
+    const addresses = servers.map(server => {
+        const address = server.address();
+        return `${HOST}:${typeof address === "object" && address ? address.port : 0}`;
+    });
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return addresses;
+}
+
+/**
+ * Starts a stand-in as a process.
+ *
+ * @param kind Kind of stand-in.
+ * @param options Its address, and an engine's specification.
+ * @returns The running child.
+ */
+export function startStandIn(
+    kind: "engine" | "platform" | "service",
+    options: { address: string; spec?: Partial<EngineSpec> | undefined; },
+): RunningChild {
+    const specification = JSON.stringify(options.spec ?? {});
+    return startChild(resolveProgram("support/stand_ins/run_stand_in.js"), {
+        arguments: [kind, options.address, specification],
+    });
+}
+
+/**
+ * Starts the two processes of an instance.
+ *
+ * @param instance Names and addresses; the first three addresses are the agent's, the last two the gateway's.
+ * @param options Platform, and further flags.
+ * @returns The instance.
+ */
+export function startInstance(
+    instance: { name: string; zone: string; addresses: string[]; },
+    options: { platform: string; gatewayFlags: string[]; agentFlags: string[]; },
+): FleetInstance {
+    const [peer = "", local = "", agentAdmin = "", listen = "", gatewayAdmin = ""] = instance.addresses;
+    const { name, zone } = instance;
+    const common = ["--instance", name, "--zone", zone];
+    const agent = startChild(resolveProgram("bin/knapweed_agent.js"), {
+        arguments: [
+            ...common,
+            ...["--peer-address", peer, "--gateway-address", local, "--admin-address", agentAdmin],
+            ...["--platform", options.platform],
+            ...options.agentFlags,
+        ],
+    });
+    const gateway = startChild(resolveProgram("bin/knapweed_gateway.js"), {
+        arguments: [
+            ...common,
+            ...["--listen-address", listen, "--agent-address", local, "--admin-address", gatewayAdmin],
+            ...options.gatewayFlags,
+        ],
+    });
+    return { name, zone, address: listen, gatewayAdmin, agentAdmin, gateway, agent };
+}
+
+/**
+ * Starts a fleet, applies its configuration, and waits until every instance serves.
+ *
+ * @param options What the fleet consists of.
+ * @returns The running fleet.
+ */
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+    const { plan, instances: instanceCount = 3, engines = 3, services = 2 } = options;
+    const addresses = await findAddresses(1 + engines + services + 5 * instanceCount);
+    const [platform = ""] = addresses.splice(0, 1);
+    const engineAddresses = addresses.splice(0, engines);
+    const serviceAddresses = addresses.splice(0, services);
+    const platformChild = startStandIn("platform", { address: platform });
+    const engineTargets = engineAddresses.map(address => ({
+        address,
+        child: startStandIn("engine", { address, spec: options.engineSpec }),
+    }));
+    const serviceTargets = serviceAddresses.map(address => ({ address, child: startStandIn("service", { address }) }));
+    const places = Array.from({ length: instanceCount }, (_unused, index) => ({
+        name: `entry-${index + 1}`,
+        zone: plan.zones[index % plan.zones.length] ?? "",
+        addresses: addresses.splice(0, 5),
+    }));
+    await waitUntil(() => isAnswering(platform), { label: "the platform" });
+    await publishInstances(platform, places);
+    const edit = options.editInventory ?? (inventory => inventory);
+    await applyFirst(platform, edit(createInventory(plan, { engines: engineAddresses, services: serviceAddresses })));
+    const flags = { gatewayFlags: options.gatewayFlags ?? [], agentFlags: options.agentFlags ?? [] };
+    const instances = places.map(place => startInstance(place, { platform, ...flags }));
+    const fleet: Fleet = {
+        platform,
+        platformChild,
+        instances,
+        engines: engineTargets,
+        services: serviceTargets,
+        close: () => closeFleet(fleet),
+    };
+    await Promise.all(instances.map(instance => waitUntilServing(instance)));
+    return fleet;
+}
+
+async function isAnswering(address: string): Promise<boolean> {
+    return (await callHttp({ address, path: "/state" })).status === 200;
+}
+
+/**
+ * Waits until an instance serves.
+ *
+ * @param instance Instance to wait for.
+ */
+export async function waitUntilServing(instance: FleetInstance): Promise<void> {
+    await waitUntil(async () => (await callHttp({ address: instance.gatewayAdmin, path: "/ready" })).status === 200, {
+        label: `instance ${instance.name}`,
+    });
+}
+
+async function publishInstances(
+    platform: string,
+    places: { name: string; zone: string; addresses: string[]; }[],
+): Promise<void> {
+    const instances = places.map(({ name, zone, addresses: [address = ""] }) => ({
+        id: name,
+        address,
+        zone,
+        role: "entry",
+        isLeaving: false,
+    }));
+    await callHttp({ address: platform, method: "PUT", path: "/instances", body: JSON.stringify(instances) });
+}
+
+async function applyFirst(platform: string, inventory: Inventory): Promise<void> {
+    const client = new HttpPlatform({ address: parseAddress(platform) });
+    const base = await fetchConfiguration(client);
+    const result = await applyInventory(client, { inventory, author: "fixture", base });
+    if (result.kind !== "accepted") {
+        throw new Error(`Cannot apply the first configuration: ${result.kind}.`);
+    }
+}
+
+async function closeFleet(fleet: Fleet): Promise<void> {
+    const children = [
+        fleet.platformChild,
+        ...fleet.engines.map(target => target.child),
+        ...fleet.services.map(target => target.child),
+        ...fleet.instances.flatMap(instance => [instance.agent, instance.gateway]),
+    ];
+    children.forEach(child => child.send("SIGKILL"));
+    await Promise.all(children.map(child => child.waitForExit()));
+}
+
+/**
+ * Switches faults of a stand-in.
+ *
+ * @param address Address of the stand-in.
+ * @param faults Faults to change.
+ */
+export async function setFaults(address: string, faults: Record<string, number | boolean>): Promise<void> {
+    await callHttp({ address, method: "PUT", path: "/faults", body: JSON.stringify(faults) });
+}
--- /dev/null
+++ b/support/processes/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * A small fleet of real processes on loopback, for the demonstration, tests and measurements.
+ *
+ * @module
+ */
+export * from "./child_process.ts";
+export * from "./fleet.ts";
+export * from "./http_call.ts";
+export * from "./wait_until.ts";
--- /dev/null
+++ b/support/stand_ins/engine_stand_in.ts
@@ -0,0 +1,297 @@
+/**
+ * A model engine over HTTP.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { LoadReport } from "../../core/admission/mod.ts";
+import { hashText } from "../../core/hashing/mod.ts";
+import { sendJson } from "../../network/mod.ts";
+import { EngineCore, type EngineSpec } from "./engine_core.ts";
+import type { StandIn } from "./stand_in_server.ts";
+
+/** Faults of an engine. */
+export interface EngineFaults extends Record<string, number | boolean | string> {
+    /** Stops decoding, while connections stay open. */
+    isFrozen: boolean;
+    /** Forgets all generations and turns cold without saying so in its load report. */
+    turnCold: boolean;
+    /** Number of streams that are cut after a few tokens. */
+    cutStreams: number;
+    /** Number of tokens that are sent again when a stream is resumed. */
+    overlap: number;
+    /** Number of streams that carry another generation's id. */
+    crossedStreams: number;
+    /** Age of the load that is reported, in milliseconds. */
+    lagMilliseconds: number;
+    /** Stops answering on the connections that are open now. */
+    isSilent: boolean;
+}
+
+interface Generation {
+    id: string;
+    model: string;
+    tokens: string[];
+    isDone: boolean;
+    doneAt: number;
+    reader: ServerResponse | undefined;
+    sent: number;
+    starts: number;
+}
+
+/** An engine small enough for tests. */
+export const SMALL_ENGINE: EngineSpec = {
+    memoryTokens: 8000,
+    maxBatch: 32,
+    coldConcurrent: 2,
+    coldMilliseconds: 0,
+    baseStepMilliseconds: 4,
+    sequenceStepMilliseconds: 0.1,
+    prefillChunk: 512,
+    prefillMilliseconds: 0.01,
+    cachedPrefixes: 16,
+};
+
+const IDLE_STEP = 4;
+const RETENTION = 20_000;
+const DEFAULT_OUTPUT = 20;
+const TOKENS_BEFORE_CUT = 3;
+const KEEP_ALIVE = 300;
+
+/** Stands in for a model engine. */
+export class EngineStandIn implements StandIn<EngineFaults> {
+    readonly faults: EngineFaults = {
+        isFrozen: false,
+        turnCold: false,
+        cutStreams: 0,
+        overlap: 0,
+        crossedStreams: 0,
+        lagMilliseconds: 0,
+        isSilent: false,
+    };
+    readonly #core: EngineCore;
+    readonly #generations = new Map<string, Generation>();
+    readonly #keepAliveTimer: NodeJS.Timeout;
+    #reports: { at: number; report: LoadReport; }[] = [];
+    #timer: NodeJS.Timeout;
+    #greatestCold = 0;
+    #cancelled = 0;
+
+    constructor(spec: EngineSpec = SMALL_ENGINE) {
+        this.#core = new EngineCore(spec, performance.now());
+        this.#timer = setTimeout(() => this.#runStep(), IDLE_STEP);
+        this.#keepAliveTimer = setInterval(() => this.#sendKeepAlives(), KEEP_ALIVE);
+    }
+
+    handleRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+        const path = request.url ?? "/";
+        const [, id = "", action] = /^\/v1\/generations\/([^/]+)(\/events)?$/.exec(path) ?? [];
+        if (path === "/load") {
+            sendJson(response, { status: 200, value: this.#getLaggingReport() });
+        }
+        else if (action === "/events") {
+            this.#handleResume(request, response, decodeURIComponent(id));
+        }
+        else if (id !== "" && request.method === "DELETE") {
+            this.#handleCancel(response, decodeURIComponent(id));
+        }
+        else if (path === "/v1/completions" || path === "/v1/chat/completions") {
+            this.#handleStart(request, response, body);
+        }
+        else {
+            sendJson(response, { status: 404, value: {} });
+        }
+    }
+
+    dumpState(): unknown {
+        return {
+            falls: this.#core.falls,
+            preemptions: this.#core.preemptions,
+            held: this.#core.held,
+            greatestCold: this.#greatestCold,
+            cancelled: this.#cancelled,
+            generations: [...this.#generations.values()].map(({ id, tokens, starts }) => ({
+                id,
+                tokens: tokens.length,
+                starts,
+            })),
+        };
+    }
+
+    close(): void {
+        clearTimeout(this.#timer);
+        clearInterval(this.#keepAliveTimer);
+    }
+
+    #handleStart(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+        const id = String(request.headers["x-generation-id"]);
+        const input = JSON.parse(body.toString()) as { model: string; output_tokens?: number; max_tokens?: number; };
+        const text = body.toString();
+        const known = this.#generations.get(id);
+        if (known !== undefined) {
+            known.starts += 1;
+            sendJson(response, { status: 409, value: {} });
+            return;
+        }
+        const generation: Generation = {
+            id,
+            model: input.model,
+            tokens: [],
+            isDone: false,
+            doneAt: 0,
+            reader: undefined,
+            sent: 0,
+            starts: 1,
+        };
+        this.#generations.set(id, generation);
+        const lost = this.#core.handleRequest({
+            id,
+            promptTokens: Math.ceil(text.length / 4),
+            outputTokens: Math.min(input.output_tokens ?? DEFAULT_OUTPUT, input.max_tokens ?? Infinity),
+            priority: Number(request.headers["x-priority"] ?? 1),
+            prefix: hashText(text.slice(0, 256)).toString(16),
+        }, performance.now());
+        this.#recordCold();
+        this.#dropGenerations(lost);
+        this.#attach(generation, { response, from: 0 });
+    }
+
+    #handleResume(request: IncomingMessage, response: ServerResponse, id: string): void {
+        const generation = this.#generations.get(id);
+        if (generation === undefined) {
+            sendJson(response, { status: 404, value: {} });
+            return;
+        }
+        const after = Number(request.headers["last-event-id"] ?? -1);
+        this.#attach(generation, { response, from: Math.max(0, after + 1 - this.faults.overlap) });
+    }
+
+    #handleCancel(response: ServerResponse, id: string): void {
+        const generation = this.#generations.get(id);
+        this.#core.cancelRequest(id);
+        this.#generations.delete(id);
+        generation?.reader?.destroy();
+        this.#cancelled += generation === undefined ? 0 : 1;
+        response.writeHead(generation === undefined ? 404 : 204).end();
+    }
+
+    /** Gives the generation to a new reader; the one before is closed. */
+    #attach(generation: Generation, place: { response: ServerResponse; from: number; }): void {
+        const { response, from } = place;
+        generation.reader?.destroy();
+        generation.reader = response;
+        generation.sent = from;
+        const isCrossed = this.faults.crossedStreams > 0;
+        this.faults.crossedStreams -= isCrossed ? 1 : 0;
+        response.writeHead(200, {
+            "content-type": "text/event-stream",
+            "x-generation-id": isCrossed ? "another-generation" : generation.id,
+        });
+        response.write(": open\n\n");
+        this.#sendTokens(generation);
+    }
+
+    #sendTokens(generation: Generation): void {
+        const { reader } = generation;
+        if (reader === undefined || reader.destroyed) {
+            return;
+        }
+        while (generation.sent < generation.tokens.length) {
+            reader.write(`id: ${generation.sent}\ndata: ${generation.tokens[generation.sent]}\n\n`);
+            generation.sent += 1;
+            if (generation.sent === TOKENS_BEFORE_CUT && this.faults.cutStreams > 0) {
+                this.faults.cutStreams -= 1;
+                reader.destroy();
+                return;
+            }
+        }
+        if (generation.isDone) {
+            reader.end("data: [DONE]\n\n");
+        }
+    }
+
+    #runStep(): void {
+        if (this.faults.turnCold) {
+            this.faults.turnCold = false;
+            this.#dropGenerations(this.#core.startLife(performance.now()));
+        }
+        let duration = 0;
+        if (!this.faults.isFrozen) {
+            const step = this.#core.runStep();
+            duration = step.duration;
+            for (const event of step.events) {
+                const generation = this.#generations.get(event.id);
+                if (event.kind === "token" && generation !== undefined) {
+                    generation.tokens.push(formatToken(generation, event));
+                    generation.isDone = event.isLast;
+                    generation.doneAt = performance.now();
+                    this.#sendTokens(generation);
+                }
+            }
+        }
+        this.#recordReport();
+        this.#removeOld();
+        this.#timer = setTimeout(() => this.#runStep(), Math.max(IDLE_STEP, duration));
+    }
+
+    #sendKeepAlives(): void {
+        for (const { reader, isDone } of this.#generations.values()) {
+            if (!isDone && !this.faults.isFrozen && reader !== undefined && !reader.destroyed) {
+                reader.write(": waiting\n\n");
+            }
+        }
+    }
+
+    #recordCold(): void {
+        if (this.#core.isCold(performance.now())) {
+            this.#greatestCold = Math.max(this.#greatestCold, this.#core.held);
+        }
+    }
+
+    #dropGenerations(ids: readonly string[]): void {
+        for (const id of ids) {
+            this.#generations.get(id)?.reader?.destroy();
+            this.#generations.delete(id);
+        }
+    }
+
+    #removeOld(): void {
+        for (const generation of this.#generations.values()) {
+            if (generation.isDone && performance.now() - generation.doneAt > RETENTION) {
+                this.#generations.delete(generation.id);
+            }
+        }
+    }
+
+    #recordReport(): void {
+        const now = performance.now();
+        const last = this.#reports.at(-1);
+        if (last === undefined || now - last.at > 50) {
+            this.#reports.push({ at: now, report: this.#core.getReport(now) });
+        }
+        while ((this.#reports[1]?.at ?? Infinity) < now - this.faults.lagMilliseconds) {
+            this.#reports.shift();
+        }
+    }
+
+    #getLaggingReport(): LoadReport {
+        const now = performance.now();
+        return this.faults.lagMilliseconds > 0
+            ? this.#reports[0]?.report ?? this.#core.getReport(now)
+            : this.#core.getReport(now);
+    }
+}
+
+/** Formats a token so that each differs from all others. */
+function formatToken(generation: Generation, event: { index: number; isLast: boolean; }): string {
+    return JSON.stringify({
+        id: generation.id,
+        object: "text_completion",
+        model: generation.model,
+        choices: [{
+            index: 0,
+            text: ` ${hashText(generation.id).toString(36)}.${event.index}`,
+            finish_reason: event.isLast ? "stop" : undefined,
+        }],
+    });
+}
--- /dev/null
+++ b/telemetry/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Logs, counters, and the administrative pages of a process.
+ *
+ * @module
+ */
+export * from "./admin_server.ts";
+export * from "./logger.ts";
+export * from "./system_clock.ts";
