Judge members by the age of answers, and settle owners again after a cut

Heartbeats that arrive late made a dead or cut-off peer look alive; a grant that was long on its way was used at a target that had restarted since; an owner that was cut off and came back still counted as settled while another instance was granting.

Ruled out: shorter timeouts alone, since any timeout is beaten by a pause.

Change: gossip is pulled, and ages count from the time of the question; a proof that the configuration is the newest does too. A target's closed polling connection marks it cold; a grant that was more than 250 ms on its way is given back. An owner without a majority grants a share of a warm target and settles again afterwards. A handover counts only if the target was given up just before.

A target that turns cold and keeps all its connections open is only noticed by its next report.

--- a/agent/agent_process.ts
+++ b/agent/agent_process.ts
@@ -18,7 +18,7 @@
 import { HttpPlatform, type PlatformClient } from "../platform/mod.ts";
 import { type ChangeLogger, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { AgentSettings } from "./agent_settings.ts";
-import { requestLoad } from "./load_poller.ts";
+import { LoadPoller } from "./load_poller.ts";
 
 /** Options of an {@linkcode AgentProcess}. */
 export interface AgentProcessOptions {
@@ -43,6 +43,7 @@
     readonly #clock: Clock;
     readonly #links: PeerLinks;
     readonly #platform: PlatformClient;
+    readonly #poller: LoadPoller;
     readonly #peerServer: FrameServer;
     readonly #gatewayServer: FrameServer;
     readonly #gateways = new Map<string, FrameClient>();
@@ -57,6 +58,7 @@
         this.#links = new PeerLinks({ self: settings.instance });
         this.#platform = new HttpPlatform({ address: settings.platform });
         this.#core = createCore(settings, clock);
+        this.#poller = new LoadPoller({ onClosed: address => this.#handle({ kind: "target-closed", address }) });
         this.#peerServer = new FrameServer({
             onMessage: (client, message) => {
                 this.#handle({ kind: "peer-message", from: client.from, message: message as PeerMessage });
@@ -101,6 +103,7 @@
     close(): void {
         clearInterval(this.#timer);
         this.#links.close();
+        this.#poller.close();
         this.#peerServer.close();
         this.#gatewayServer.close();
         this.#adminServer?.close();
@@ -127,7 +130,7 @@
                 });
                 return;
             case "poll-target":
-                void requestLoad(effect.address).then(report => {
+                void this.#poller.requestLoad(effect.address).then(report => {
                     this.#handle({ kind: "target-report", callId: effect.callId, report });
                 });
                 return;
--- a/agent/load_poller.ts
+++ b/agent/load_poller.ts
@@ -1,14 +1,31 @@
 /**
- * Asks targets for their load.
+ * Asks targets for their load on kept connections, whose closing tells that a target may have restarted.
  *
  * @module
  */
-import { request as startRequest } from "node:http";
+import { Agent, request as startRequest } from "node:http";
 import * as v from "valibot";
 import type { LoadReport } from "../core/admission/mod.ts";
 import { parseAddress, readBody } from "../network/mod.ts";
 
-const POLL_TIMEOUT = 1000;
+/** Options of a {@linkcode LoadPoller}. */
+export interface LoadPollerOptions {
+    /** Called when the target at `address` has closed its connection, or gone silent on it. */
+    onClosed: (address: string) => void;
+    /** Time in which a report must come, in milliseconds. Defaults to 1000. */
+    timeoutMilliseconds?: number;
+    /** Time without a poll after which a connection is dropped, in milliseconds. Defaults to 5000. */
+    idleMilliseconds?: number;
+}
+
+interface PolledTarget {
+    agent: Agent;
+    polledAt: number;
+    isDropped: boolean;
+}
+
+const DEFAULT_TIMEOUT = 1000;
+const DEFAULT_IDLE = 5000;
 const MAX_REPORT_BYTES = 65_536;
 
 const LoadReportSchema = v.object({
@@ -21,20 +38,42 @@
     stepMilliseconds: v.number(),
 });
 
-/**
- * Asks the target at `address` for its load, on a connection of its own.
- *
- * @param address Address of the target, as `IP:port`.
- * @returns The report, or `undefined` where none came in time.
- */
-export async function requestLoad(address: string): Promise<LoadReport | undefined> {
-    try {
-        return await new Promise<LoadReport>((resolve, reject) => {
+/** Polls targets, one connection each. */
+export class LoadPoller {
+    readonly #options: LoadPollerOptions;
+    readonly #targets = new Map<string, PolledTarget>();
+
+    constructor(options: LoadPollerOptions) {
+        this.#options = options;
+    }
+
+    /** Asks the target at `address` for its load. @returns The report, or `undefined` where none came in time. */
+    async requestLoad(address: string): Promise<LoadReport | undefined> {
+        this.#dropIdle();
+        const target = this.#targets.get(address) ?? this.#addTarget(address);
+        target.polledAt = performance.now();
+        try {
+            return await this.#exchange(address, target.agent);
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        for (const address of [...this.#targets.keys()]) {
+            this.#dropTarget(address);
+        }
+    }
+
+    #exchange(address: string, agent: Agent): Promise<LoadReport> {
+        return new Promise((resolve, reject) => {
             const request = startRequest({
                 ...parseAddress(address),
-                agent: false,
+                agent,
                 path: "/load",
-                signal: AbortSignal.timeout(POLL_TIMEOUT),
+                signal: AbortSignal.timeout(this.#options.timeoutMilliseconds ?? DEFAULT_TIMEOUT),
             }, response => {
                 readBody(response, { maxBytes: MAX_REPORT_BYTES })
                     .then(body => resolve(v.parse(LoadReportSchema, JSON.parse(body.toString()))))
@@ -44,7 +83,39 @@
             request.end();
         });
     }
-    catch {
-        return undefined;
+
+    #addTarget(address: string): PolledTarget {
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        const target: PolledTarget = { agent, polledAt: 0, isDropped: false };
+        const createConnection = agent.createConnection.bind(agent);
+        agent.createConnection = (...rest) => {
+            const socket = createConnection(...rest);
+            socket?.once("close", () => {
+                if (!target.isDropped) {
+                    this.#options.onClosed(address);
+                }
+            });
+            return socket;
+        };
+        this.#targets.set(address, target);
+        return target;
+    }
+
+    #dropIdle(): void {
+        const horizon = performance.now() - (this.#options.idleMilliseconds ?? DEFAULT_IDLE);
+        for (const [address, target] of this.#targets) {
+            if (target.polledAt < horizon) {
+                this.#dropTarget(address);
+            }
+        }
+    }
+
+    #dropTarget(address: string): void {
+        const target = this.#targets.get(address);
+        this.#targets.delete(address);
+        if (target !== undefined) {
+            target.isDropped = true;
+            target.agent.destroy();
+        }
     }
 }
--- a/core/admission/admission_types.ts
+++ b/core/admission/admission_types.ts
@@ -39,6 +39,14 @@
     waitMilliseconds: number;
 }
 
+/**
+ * Longest time that a request for a permit and its grant may spend on their way together, in milliseconds.
+ *
+ * A grant that took longer is given back, because the target may have restarted since. A target must take longer than
+ * this from closing its connections to accepting new ones.
+ */
+export const MAX_GRANT_TRANSIT = 250;
+
 /** A permit that a gateway holds. */
 export interface Permit {
     /** Unique name of the permit. */
@@ -74,7 +82,7 @@
 
 /** The owner's answer to a {@linkcode PermitRequest}. */
 export type PermitDecision =
-    | { kind: "granted"; request: PermitRequest; headroom: Headroom; }
+    | { kind: "granted"; request: PermitRequest; headroom: Headroom; heldMilliseconds: number; }
     | { kind: "refused"; request: PermitRequest; reason: RefusalReason; headroom: Headroom; };
 
 /** How much more a target can take, as its owner predicts. */
--- a/core/admission/target_admission.ts
+++ b/core/admission/target_admission.ts
@@ -33,14 +33,25 @@
     tokensPerSecond?: number;
 }
 
+/** How much of a target's limit its owner may grant. */
+export const GrantExtent = {
+    /** Nothing, because the previous owner's grants are not accounted for. */
+    none: "none",
+    /** A share of a warm target's limit and nothing of a cold one, because another instance may own the target too. */
+    share: "share",
+    /** All of it. */
+    full: "full",
+} as const;
+
+/** One of the values of {@linkcode GrantExtent}. */
+export type GrantExtent = (typeof GrantExtent)[keyof typeof GrantExtent];
+
 /** What the owner may grant for a target, from what it knows of the other instances. */
 export interface GrantScope {
-    /** False while the previous owner's grants are not accounted for. */
-    isSettled: boolean;
-    /** True where more than half of the known instances are in contact. */
-    hasMajority: boolean;
-    /** Share of a warm target's limit that may be used without a majority, from 0 to 1. */
-    minorityShare: number;
+    /** How much of the limit may be granted. */
+    extent: GrantExtent;
+    /** Share of a warm target's limit that may be granted with the extent `share`, from 0 to 1. */
+    share: number;
     /** False where the target is withdrawn, drained or leaving. */
     isOpen: boolean;
 }
@@ -52,6 +63,7 @@
 
 interface WaitingRequest {
     request: PermitRequest;
+    queuedAt: number;
     expiresAt: number;
     bypasses: number;
 }
@@ -67,6 +79,8 @@
 const DEFAULT_DEVIATIONS = 1;
 const DEFAULT_TOKENS_PER_SECOND = 25;
 const DEFAULT_REPORT_LAG = 1500;
+/** Age of the last load report above which the target may be cold, in milliseconds. */
+const MAX_REPORT_AGE = 3000;
 /** Share of memory that one preemption adds to the reserve. */
 const RESERVE_STEP = 0.01;
 const MAX_RESERVE = 0.35;
@@ -86,7 +100,7 @@
     readonly #permits = new Map<string, HeldPermit>();
     #waiting = new FairQueue<WaitingRequest>();
     #spec: TargetSpec;
-    #scope: GrantScope = { isSettled: false, hasMajority: false, minorityShare: 0, isOpen: true };
+    #scope: GrantScope = { extent: GrantExtent.none, share: 0, isOpen: true };
     #report: LoadReport | undefined;
     #reportAt = -Infinity;
     #reserve: number;
@@ -121,13 +135,13 @@
         if (!this.#scope.isOpen) {
             return [this.#refuse(request, "closed", now)];
         }
-        if (!this.#scope.isSettled) {
+        if (this.#scope.extent === GrantExtent.none) {
             return [this.#refuse(request, "settling", now)];
         }
         if (this.#waiting.size >= (this.#options.maxWaiting ?? DEFAULT_MAX_WAITING)) {
             return [this.#refuse(request, "queue-full", now)];
         }
-        const item = { request, expiresAt: now + request.waitMilliseconds, bypasses: 0 };
+        const item = { request, queuedAt: now, expiresAt: now + request.waitMilliseconds, bypasses: 0 };
         this.#waiting.enqueue(item, {
             id: request.permitId,
             account: request.account,
@@ -180,8 +194,16 @@
         return this.#decideWaiting(times.now);
     }
 
+    /** Notes that the target has closed a connection that it would have kept: it may have restarted. */
+    handleClosed(now: number): void {
+        this.#limit.markCold(now);
+    }
+
     /** Lets leases and waits run out. */
     handleTick(now: number): PermitDecision[] {
+        if (now - this.#reportAt > MAX_REPORT_AGE && !this.#limit.isCold) {
+            this.#limit.markCold(now);
+        }
         for (const permit of [...this.#permits.values()]) {
             if (permit.expiresAt <= now) {
                 this.#permits.delete(permit.permitId);
@@ -212,14 +234,14 @@
 
     /** Most requests the target may hold now, within what the owner may grant. */
     computeLimit(): number {
-        const { isSettled, isOpen, hasMajority, minorityShare } = this.#scope;
-        if (!isSettled || !isOpen || this.#report === undefined) {
+        const { extent, share, isOpen } = this.#scope;
+        if (extent === GrantExtent.none || !isOpen || this.#report === undefined) {
             return 0;
         }
-        if (hasMajority) {
+        if (extent === GrantExtent.full) {
             return this.#limit.limit;
         }
-        return this.#limit.isCold ? 0 : Math.floor(this.#limit.limit * minorityShare);
+        return this.#limit.isCold ? 0 : Math.floor(this.#limit.limit * share);
     }
 
     /** Estimates how much more the target can take. */
@@ -255,7 +277,7 @@
 
     #decideWaiting(now: number): PermitDecision[] {
         const decisions: PermitDecision[] = [];
-        if (!this.#scope.isOpen || !this.#scope.isSettled) {
+        if (!this.#scope.isOpen || this.#scope.extent === GrantExtent.none) {
             const reason: RefusalReason = this.#scope.isOpen ? "settling" : "closed";
             const items = this.#waiting.takeMatching(() => true);
             return items.map(item => this.#refuse(item.request, reason, now));
@@ -265,7 +287,7 @@
             if (item === undefined) {
                 break;
             }
-            decisions.push(this.#grant(item.request, now));
+            decisions.push(this.#grant(item, now));
         }
         return decisions;
     }
@@ -316,10 +338,12 @@
         return sequences;
     }
 
-    #grant(request: PermitRequest, now: number): PermitDecision {
+    #grant(item: WaitingRequest, now: number): PermitDecision {
+        const { request } = item;
         const { permitId, target, origin, promptTokens, lengths } = request;
         this.announcePermit({ permitId, target, origin, promptTokens, lengths, produced: 0 }, now);
-        return { kind: "granted", request, headroom: this.estimateHeadroom(now) };
+        const heldMilliseconds = now - item.queuedAt;
+        return { kind: "granted", request, headroom: this.estimateHeadroom(now), heldMilliseconds };
     }
 
     #refuse(request: PermitRequest, reason: RefusalReason, now: number): PermitDecision {
--- a/core/agent/agent_core.ts
+++ b/core/agent/agent_core.ts
@@ -24,6 +24,7 @@
     | { kind: "gateway-closed"; connection: string; }
     | { kind: "platform-reply"; callId: number; reply: PlatformReply; }
     | { kind: "target-report"; callId: number; report: LoadReport | undefined; }
+    | { kind: "target-closed"; address: string; }
     | { kind: "leave"; };
 
 type EventHandlers = { [Kind in AgentEvent["kind"]]: (event: Extract<AgentEvent, { kind: Kind; }>) => void; };
@@ -154,23 +155,32 @@
         "gateway-closed": event => this.#handleGatewayClosed(event.connection),
         "platform-reply": event => this.#outbox.handlePlatformReply(event.callId, event.reply),
         "target-report": event => this.#outbox.handleReport(event.callId, event.report),
+        "target-closed": event => this.#owner.handleTargetClosed(event.address, this.#now),
         "leave": () => this.#handleLeave(),
     };
 
     readonly #peerHandlers: PeerHandlers = {
         "gossip": (from, message) => {
+            this.#configuration.handlePeerGeneration(from, message.generation);
+            const context = { now: this.#now, payload: this.#buildPayload() };
+            this.#outbox.sendPeer(from, this.#membership.handleGossip(message, context));
+        },
+        "gossip-reply": (from, message) => {
             this.#hasMetPeer = true;
-            this.#configuration.handlePeerGeneration(from, message);
-            const context = { from, now: this.#now, payload: this.#buildPayload() };
-            for (const send of this.#membership.handleGossip(message, context)) {
-                this.#outbox.sendPeer(send.to, send.message);
-            }
+            this.#membership.handleReply(message);
+            this.#configuration.handlePeerGeneration(from, message.generation);
+            const { generation, confirmedAge, echo } = message;
+            const now = this.#now;
+            this.#configuration.state.recordConfirmation(generation, { age: now - echo + confirmedAge, now });
         },
+        "farewell": (_from, message) => this.#membership.handleFarewell(message, this.#now),
         "acquire": (_from, message) => this.#owner.handleAcquire(message.request, this.#now),
         "granted": (from, message) => this.#broker.handleGranted(from, message),
         "refused": (_from, message) => this.#broker.handleRefused(message),
         "release": (_from, message) => this.#owner.handleRelease(message, this.#now),
         "announce": (_from, message) => this.#owner.handleAnnounce(message.permits, this.#now),
+        "handover-offer": (from, message) => this.#owner.requestHandover(message.target, { from, now: this.#now }),
+        "handover-request": (from, message) => this.#owner.handleHandoverRequest(message, { from, now: this.#now }),
         "handover": (_from, message) => this.#owner.handleHandover(message, this.#now),
         "headroom": (_from, message) => this.#broker.handleHeadroom(message.items, this.#gateways),
         "claim": (from, message) => this.#claims.handleClaim(from, message.request),
@@ -198,8 +208,9 @@
 
     #handleTick(): void {
         const now = this.#now;
-        for (const { to, message } of this.#membership.handleTick(now, this.#buildPayload())) {
-            this.#outbox.sendPeer(to, message);
+        const { peers, message } = this.#membership.handleTick(now, this.generation);
+        for (const peer of peers) {
+            this.#outbox.sendPeer(peer, message);
         }
         this.#configuration.handleTick(now);
         this.#owner.handleTick(now);
@@ -232,9 +243,8 @@
     }
 
     #handleLeave(): void {
-        this.#membership.announceLeaving();
+        const message = this.#membership.announceLeaving();
         this.#owner.releaseAll(this.#now);
-        const message = this.#membership.buildFarewell(this.#buildPayload(), this.#now);
         for (const { id } of this.#membership.listPresent(this.#now)) {
             if (id !== this.#options.self.id) {
                 this.#outbox.sendPeer(id, message);
--- a/core/agent/agent_messages.ts
+++ b/core/agent/agent_messages.ts
@@ -6,7 +6,7 @@
 import type { Headroom, Permit, PermitRequest, RefusalReason, WorkOutcome } from "../admission/mod.ts";
 import type { ClaimOutcome, ClaimRequest, ClaimResult } from "../claims/mod.ts";
 import type { Manifest } from "../configuration/mod.ts";
-import type { GossipMessage } from "../membership/mod.ts";
+import type { FarewellMessage, GossipMessage, GossipReplyMessage } from "../membership/mod.ts";
 
 /** Asks for a permit. */
 export interface AcquireMessage {
@@ -19,6 +19,8 @@
     kind: "granted";
     permitId: string;
     headroom: Headroom;
+    /** Time for which the owner kept the request waiting, in milliseconds. */
+    heldMilliseconds: number;
 }
 
 /** Refuses a permit. */
@@ -43,10 +45,28 @@
     permits: Permit[];
 }
 
+/** Tells the new owner of a target that the previous one has given it up. */
+export interface HandoverOfferMessage {
+    kind: "handover-offer";
+    target: string;
+}
+
+/** Asks the previous owner of a target for what it knows. */
+export interface HandoverRequestMessage {
+    kind: "handover-request";
+    target: string;
+    /** Reading of the sender's monotonic clock, which the answer echoes. */
+    sentAt: number;
+}
+
 /** Passes the permits of one target to its new owner. */
 export interface HandoverMessage {
     kind: "handover";
     target: string;
+    /** The `sentAt` of the question. */
+    echo: number;
+    /** Time since the sender gave the target up, in milliseconds. */
+    age: number;
     permits: Permit[];
     /** True where the sender could account for all that ran. */
     isSettled: boolean;
@@ -112,11 +132,15 @@
 /** Any message between two agents. */
 export type PeerMessage =
     | GossipMessage
+    | GossipReplyMessage
+    | FarewellMessage
     | AcquireMessage
     | GrantedMessage
     | RefusedMessage
     | ReleaseMessage
     | AnnounceMessage
+    | HandoverOfferMessage
+    | HandoverRequestMessage
     | HandoverMessage
     | HeadroomMessage
     | ClaimMessage
--- a/core/agent/configuration_sync.ts
+++ b/core/agent/configuration_sync.ts
@@ -84,17 +84,13 @@
         }
     }
 
-    /** Compares a peer's generation with the one in force here. */
-    handlePeerGeneration(from: string, peer: { generation: number; confirmedAge: number; }): void {
+    /** Asks a peer for its manifest where it is ahead. */
+    handlePeerGeneration(from: string, generation: number): void {
         const now = this.#now;
-        if (peer.generation > this.state.generation) {
-            if (now - this.#pullAt > PULL_TIMEOUT) {
-                this.#pullAt = now;
-                this.#context.outbox.sendPeer(from, { kind: "pull", hashes: [] });
-            }
-            return;
+        if (generation > this.state.generation && now - this.#pullAt > PULL_TIMEOUT) {
+            this.#pullAt = now;
+            this.#context.outbox.sendPeer(from, { kind: "pull", hashes: [] });
         }
-        this.state.recordConfirmation(peer.generation, { age: peer.confirmedAge, now });
     }
 
     /** Takes a manifest that a peer offers. */
--- a/core/agent/target_owner.ts
+++ b/core/agent/target_owner.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+    GrantExtent,
     type GrantScope,
     type Headroom,
     type Permit,
@@ -15,7 +16,7 @@
 import { Rendezvous } from "../hashing/mod.ts";
 import type { RoutedTarget, RoutingTable } from "../inventory/mod.ts";
 import type { Membership } from "../membership/mod.ts";
-import type { HandoverMessage, PeerMessage } from "./agent_messages.ts";
+import type { HandoverMessage, HandoverRequestMessage, PeerMessage } from "./agent_messages.ts";
 import type { AgentOptions } from "./agent_options.ts";
 import type { Outbox } from "./outbox.ts";
 
@@ -37,15 +38,20 @@
 
 interface OwnedTarget {
     admission: TargetAdmission;
+    /** Time from which the whole limit may be granted. */
     settledAt: number;
+    /** True once the whole limit could be granted. */
+    wasSettled: boolean;
     nextPollAt: number;
     lastShare: number;
     interested: Map<string, number>;
 }
 
-interface Handover {
-    message: HandoverMessage;
-    receivedAt: number;
+/** A target that this instance has given up, as its new owner may ask. */
+interface GivenTarget {
+    givenAt: number;
+    permits: Permit[];
+    isSettled: boolean;
 }
 
 const DEFAULT_SETTLE = 3000;
@@ -55,18 +61,23 @@
 const DIGEST_STEP = 0.03;
 /** Time for which an instance that asked for a permit is told of headroom, in milliseconds. */
 const INTEREST_MILLISECONDS = 15_000;
-/** Time for which a handover that came early is kept, in milliseconds. */
-const HANDOVER_MILLISECONDS = 5000;
+/** Time for which a given target is remembered, in milliseconds. */
+const GIVEN_MILLISECONDS = 5000;
+/** Age of a handover up to which nobody else can have owned the target since, in milliseconds. */
+const MAX_HANDOVER_AGE = 2000;
+const OWNERSHIP_INTERVAL = 150;
 
 /** Grants permits for the targets that this instance owns. */
 export class TargetOwner {
     readonly #context: TargetOwnerContext;
     readonly #owned = new Map<string, OwnedTarget>();
-    readonly #handovers = new Map<string, Handover>();
+    readonly #given = new Map<string, GivenTarget>();
     #rendezvous = new Rendezvous([]);
     #liveKey = "";
+    #live: string[] = [];
     #table: RoutingTable | undefined;
     #nextDigestAt = 0;
+    #nextOwnershipAt = 0;
 
     constructor(context: TargetOwnerContext) {
         this.#context = context;
@@ -79,11 +90,14 @@
 
     /** Takes up and gives up targets, polls them, and lets waits run out. */
     handleTick(now: number): void {
-        this.#updateOwnership(now);
+        if (now >= this.#nextOwnershipAt || this.#context.getTable() !== this.#table) {
+            this.#nextOwnershipAt = now + OWNERSHIP_INTERVAL;
+            this.#updateOwnership(now);
+        }
         for (const [name, owned] of this.#owned) {
             const target = this.#context.getTable().targets.get(name);
             if (target !== undefined) {
-                this.#answer(owned.admission.setScope(this.#buildScope(target, { owned, now }), now));
+                this.#updateScope(target, { owned, now });
                 this.#pollTarget(target, { owned, now });
             }
             this.#answer(owned.admission.handleTick(now));
@@ -93,7 +107,7 @@
 
     /** Takes a request for a permit from `request.origin`. */
     handleAcquire(request: PermitRequest, now: number): void {
-        const owned = this.#owned.get(request.target);
+        const owned = this.#findOwned(request.target, now);
         if (owned === undefined) {
             const { permitId } = request;
             this.#context.send(request.origin, { kind: "refused", permitId, reason: "no-owner" });
@@ -106,8 +120,18 @@
     /** Takes a permit back. */
     handleRelease(release: { target: string; permitId: string; outcome: WorkOutcome; }, now: number): void {
         const { permitId, outcome } = release;
-        const decisions = this.#owned.get(release.target)?.admission.releasePermit(permitId, { outcome, now });
-        this.#answer(decisions ?? []);
+        const owned = this.#findOwned(release.target, now);
+        this.#answer(owned?.admission.releasePermit(permitId, { outcome, now }) ?? []);
+    }
+
+    /** Notes that the target at `address` has closed the connection that it is polled on. */
+    handleTargetClosed(address: string, now: number): void {
+        for (const [name, owned] of this.#owned) {
+            if (this.#context.getTable().targets.get(name)?.address === address) {
+                owned.admission.handleClosed(now);
+                this.#context.outbox.logChange("target closed its connection", { target: name });
+            }
+        }
     }
 
     /** Renews permits. */
@@ -119,12 +143,36 @@
         }
     }
 
-    /** Takes the permits of a target from its previous owner. */
+    /** Asks `context.from`, which may have owned the target, for its permits. */
+    requestHandover(target: string, context: { from: string; now: number; }): void {
+        const owned = this.#owned.get(target);
+        if (owned !== undefined && owned.settledAt > context.now) {
+            this.#context.send(context.from, { kind: "handover-request", target, sentAt: context.now });
+        }
+    }
+
+    /** Tells the new owner of a target what this instance, which has given it up, knows. */
+    handleHandoverRequest(message: HandoverRequestMessage, context: { from: string; now: number; }): void {
+        const { target, sentAt } = message;
+        const given = this.#given.get(target);
+        if (given !== undefined && !this.#owned.has(target)) {
+            const { permits, isSettled, givenAt } = given;
+            const age = context.now - givenAt;
+            this.#context.send(context.from, { kind: "handover", target, echo: sentAt, age, permits, isSettled });
+        }
+    }
+
+    /** Takes the permits of a target from its previous owner, and grants at once where it gave the target up just now. */
     handleHandover(message: HandoverMessage, now: number): void {
-        this.#handovers.set(message.target, { message, receivedAt: now });
         const owned = this.#owned.get(message.target);
-        if (owned !== undefined) {
-            this.#takeHandover(message.target, { owned, now });
+        if (owned === undefined || owned.settledAt <= now) {
+            return;
+        }
+        for (const permit of message.permits) {
+            owned.admission.announcePermit(permit, now);
+        }
+        if (message.isSettled && now - message.echo + message.age <= MAX_HANDOVER_AGE) {
+            owned.settledAt = now;
         }
     }
 
@@ -157,10 +205,12 @@
         const live = membership.listLive(now).map(member => member.id).sort();
         const liveKey = live.join(",");
         const table = getTable();
+        this.#dropGiven(now);
         if (liveKey === this.#liveKey && table === this.#table) {
             return;
         }
         this.#liveKey = liveKey;
+        this.#live = live;
         this.#table = table;
         this.#rendezvous = new Rendezvous(live);
         for (const [name, target] of table.targets) {
@@ -179,6 +229,14 @@
         this.#dropUnlisted(table, now);
     }
 
+    #dropGiven(now: number): void {
+        for (const [name, given] of this.#given) {
+            if (now - given.givenAt > GIVEN_MILLISECONDS) {
+                this.#given.delete(name);
+            }
+        }
+    }
+
     #dropUnlisted(table: RoutingTable, now: number): void {
         for (const [name, owned] of this.#owned) {
             if (!table.targets.has(name)) {
@@ -192,29 +250,19 @@
         const { options, outbox } = this.#context;
         const owned: OwnedTarget = {
             admission: new TargetAdmission(target, { ...options.admission, createdAt: now }),
-            settledAt: now + (options.settleMilliseconds ?? DEFAULT_SETTLE),
+            settledAt: now + this.#settleMilliseconds,
+            wasSettled: false,
             nextPollAt: now,
             lastShare: Infinity,
             interested: new Map(),
         };
         this.#owned.set(target.name, owned);
-        this.#takeHandover(target.name, { owned, now });
-        outbox.logChange("target taken", { target: target.name });
-    }
-
-    #takeHandover(target: string, context: { owned: OwnedTarget; now: number; }): void {
-        const { owned, now } = context;
-        const handover = this.#handovers.get(target);
-        this.#handovers.delete(target);
-        if (handover === undefined || now - handover.receivedAt > HANDOVER_MILLISECONDS) {
-            return;
-        }
-        for (const permit of handover.message.permits) {
-            owned.admission.announcePermit(permit, now);
-        }
-        if (handover.message.isSettled) {
-            owned.settledAt = now;
+        const others = this.#live.filter(id => id !== options.self.id);
+        const previous = new Rendezvous(others).chooseOwner(target.name);
+        if (previous !== undefined) {
+            this.requestHandover(target.name, { from: previous, now });
         }
+        outbox.logChange("target taken", { target: target.name });
     }
 
     #giveTarget(target: string, now: number): void {
@@ -227,23 +275,60 @@
         this.#owned.delete(target);
         this.#answer(owned.admission.closeWaiting(now));
         outbox.logChange("target given up", { target, successor });
+        const permits = owned.admission.listPermits();
+        this.#given.set(target, { givenAt: now, permits, isSettled: owned.settledAt <= now });
         if (successor !== undefined) {
-            const permits = owned.admission.listPermits();
-            send(successor, { kind: "handover", target, permits, isSettled: owned.settledAt <= now });
+            send(successor, { kind: "handover-offer", target });
         }
     }
 
-    #buildScope(target: RoutedTarget, context: { owned: OwnedTarget; now: number; }): GrantScope {
+    /** Finds an owned target, with what may be granted for it brought up to date. */
+    #findOwned(name: string, now: number): OwnedTarget | undefined {
+        const owned = this.#owned.get(name);
+        const target = this.#context.getTable().targets.get(name);
+        if (owned !== undefined && target !== undefined) {
+            this.#updateScope(target, { owned, now });
+        }
+        return owned;
+    }
+
+    #updateScope(target: RoutedTarget, context: { owned: OwnedTarget; now: number; }): void {
         const { owned, now } = context;
-        const { membership, isServing } = this.#context;
+        this.#answer(owned.admission.setScope(this.#buildScope(target, context), now));
+    }
+
+    #buildScope(target: RoutedTarget, context: { owned: OwnedTarget; now: number; }): GrantScope {
         return {
-            isSettled: owned.settledAt <= now && isServing(),
-            hasMajority: membership.hasMajority(now),
-            minorityShare: membership.computeContactShare(now),
+            extent: this.#chooseExtent(context.owned, context.now),
+            share: this.#context.membership.computeContactShare(context.now),
             isOpen: target.closedBy === undefined,
         };
     }
 
+    /**
+     * Chooses how much may be granted.
+     *
+     * Without a majority another instance may take the target over, so the owner has to settle again afterwards.
+     */
+    #chooseExtent(owned: OwnedTarget, now: number): GrantExtent {
+        const { membership, isServing } = this.#context;
+        if (!membership.hasMajority(now)) {
+            owned.settledAt = now + this.#settleMilliseconds;
+        }
+        if (!isServing()) {
+            return GrantExtent.none;
+        }
+        if (owned.settledAt <= now) {
+            owned.wasSettled = true;
+            return GrantExtent.full;
+        }
+        return owned.wasSettled ? GrantExtent.share : GrantExtent.none;
+    }
+
+    get #settleMilliseconds(): number {
+        return this.#context.options.settleMilliseconds ?? DEFAULT_SETTLE;
+    }
+
     #pollTarget(target: RoutedTarget, context: { owned: OwnedTarget; now: number; }): void {
         const { owned, now } = context;
         if (now < owned.nextPollAt) {
@@ -253,6 +338,7 @@
         owned.nextPollAt = now + (options.pollMilliseconds ?? DEFAULT_POLL);
         outbox.pollTarget(target.address, report => {
             const times = { askedAt: now, now: options.clock.getMonotonic() };
+            this.#findOwned(target.name, times.now);
             this.#answer(owned.admission.handleReport(report, times));
         });
     }
@@ -264,7 +350,7 @@
             this.#context.send(
                 origin,
                 decision.kind === "granted"
-                    ? { kind: "granted", permitId, headroom }
+                    ? { kind: "granted", permitId, headroom, heldMilliseconds: decision.heldMilliseconds }
                     : { kind: "refused", permitId, reason: decision.reason, headroom },
             );
         }
--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -1,16 +1,26 @@
 /**
- * Spreads heartbeats by gossip and judges members by the age of their last heartbeat.
+ * Pulls signs of life from random peers and judges members by the age of their last one.
+ *
+ * An age only ever counts from the time at which this instance asked, never from the time at which an answer came. So
+ * neither a stalled link nor a pause of this process can make a member look alive that is not.
  *
  * @module
  */
 import { hashText } from "../hashing/mod.ts";
-import type { GossipMessage, ListedInstance, Member, MemberEntry } from "./membership_types.ts";
+import type {
+    FarewellMessage,
+    GossipMessage,
+    GossipReplyMessage,
+    ListedInstance,
+    Member,
+    MemberEntry,
+} from "./membership_types.ts";
 
 /** Options of a {@linkcode Membership}. */
 export interface MembershipOptions {
     /** Time between rounds of gossip, in milliseconds. Defaults to 300. */
     intervalMilliseconds?: number;
-    /** Peers that each round is sent to. Defaults to 1. */
+    /** Peers that each round asks. Defaults to 2. */
     fanout?: number;
     /** Time after which an unlisted dead member is forgotten, in milliseconds. Defaults to 45 000. */
     forgetMilliseconds?: number;
@@ -18,14 +28,6 @@
     random: () => number;
 }
 
-/** A message to one peer. */
-export interface GossipSend {
-    /** Name of the peer. */
-    to: string;
-    /** Message to send. */
-    message: GossipMessage;
-}
-
 /** What gossip carries on behalf of configuration. */
 export interface GossipPayload {
     /** Generation in force here. */
@@ -35,20 +37,22 @@
 }
 
 interface MemberState extends Member {
-    heartbeat: number;
-    advancedAt: number;
+    aliveAt: number;
 }
 
 const DEFAULT_INTERVAL = 300;
+const DEFAULT_FANOUT = 2;
 const DEFAULT_FORGET = 45_000;
-/** Rounds after which a heartbeat counts as late, beside those that gossip needs to cross the fleet. */
+/** Rounds after which a sign of life counts as late, beside those that gossip needs to cross the fleet. */
 const BASE_ROUNDS = 4;
 /** Rounds that gossip needs for each doubling of the fleet. */
 const ROUNDS_PER_DOUBLING = 1.5;
-/** Ages, as multiples of the fresh age, at which a member counts as dead. */
+/** Age at which a member counts as dead, as a multiple of the fresh age. */
 const DEAD_FACTOR = 1.5;
-/** Every this many rounds, one message goes to a member that seems dead, to heal a parted network. */
+/** Every this many rounds, one question goes to a member that seems dead, to heal a parted network. */
 const ROUNDS_PER_HEALING = 5;
+/** Age that stands for never, in milliseconds. */
+const MAX_AGE = 1_000_000;
 
 /** Knows the fleet's instances and which of them live. */
 export class Membership {
@@ -62,97 +66,111 @@
     #nextRoundAt = 0;
 
     constructor(self: Member, options: MembershipOptions) {
-        this.#self = { ...self, heartbeat: 0, advancedAt: 0 };
+        this.#self = { ...self, aliveAt: 0 };
         this.#options = options;
         this.#members.set(self.id, this.#self);
         this.#updateRoster();
     }
 
     get self(): Member {
-        return this.#self;
+        const { aliveAt: _aliveAt, ...self } = this.#self;
+        return self;
     }
 
-    /** Starts a round of gossip where one is due. */
-    handleTick(now: number, payload: GossipPayload): GossipSend[] {
+    /** Starts a round of gossip where one is due. @returns The peers to ask, and the question. */
+    handleTick(now: number, generation: number): { peers: string[]; message: GossipMessage; } {
+        const message: GossipMessage = {
+            kind: "gossip",
+            sender: this.self,
+            roster: this.#roster,
+            sentAt: now,
+            generation,
+        };
         if (now < this.#nextRoundAt) {
-            return [];
+            return { peers: [], message };
         }
         this.#nextRoundAt = now + this.#interval;
         this.#round += 1;
-        this.#self.heartbeat += 1;
-        this.#self.advancedAt = now;
         this.#removeForgotten(now);
-        const message = this.#buildMessage(payload, { isReply: false, now });
-        return this.#pickPeers(now).map(to => ({ to, message }));
+        return { peers: this.#pickPeers(now), message };
     }
 
-    /** Takes a message from a peer, and answers it where an answer is due. */
-    handleGossip(
-        message: GossipMessage,
-        context: { from: string; now: number; payload: GossipPayload; },
-    ): GossipSend[] {
-        const { from, now, payload } = context;
-        const isSameRoster = message.entries.length === 0 && message.roster === this.#roster;
-        if (isSameRoster) {
-            this.#mergeHeartbeats(message.heartbeats, now);
+    /** Answers a question. */
+    handleGossip(message: GossipMessage, context: { now: number; payload: GossipPayload; }): GossipReplyMessage {
+        const { now, payload } = context;
+        this.#mergeMember(message.sender, now - this.deadAge);
+        const members = this.#order.flatMap(id => this.#members.get(id) ?? []);
+        const isSameRoster = message.roster === this.#roster;
+        return {
+            kind: "gossip-reply",
+            echo: message.sentAt,
+            roster: this.#roster,
+            ages: isSameRoster ? members.map(member => this.#computeAge(member, now)) : [],
+            entries: isSameRoster ? [] : members.map(member => this.#buildEntry(member, now)),
+            ...payload,
+        };
+    }
+
+    /** Takes an answer to a question of this instance. */
+    handleReply(message: GossipReplyMessage): void {
+        const { echo, roster, ages, entries } = message;
+        if (roster === this.#roster) {
+            this.#mergeAges(ages, echo);
         }
-        else {
-            this.#mergeEntries(message.entries, now);
+        for (const { age, ...member } of entries) {
+            this.#mergeMember(member, echo - age);
         }
-        const isUnreadable = !isSameRoster && message.entries.length === 0;
-        if (message.isReply && !isUnreadable) {
-            return [];
+        if (entries.length > 0) {
+            this.#updateRoster();
         }
-        const isWhole = isUnreadable || message.roster !== this.#roster;
-        return [{ to: from, message: this.#buildMessage(payload, { isReply: !isUnreadable, isWhole, now }) }];
+    }
+
+    /** Takes a farewell. */
+    handleFarewell(message: FarewellMessage, now: number): void {
+        this.#mergeMember(message.sender, now - this.deadAge);
+        this.#updateRoster();
     }
 
     /** Takes the platform's list of instances; it only adds members and keeps them from being forgotten. */
     handleInstanceList(instances: readonly ListedInstance[], now: number): void {
         this.#listed.clear();
         for (const { id, address, zone, role } of instances) {
-            if (role !== "entry") {
+            if (role !== "entry" || id === this.#self.id) {
                 continue;
             }
             this.#listed.add(id);
             if (!this.#members.has(id)) {
-                const entry = { id, address, zone, incarnation: 0, isLeaving: false, heartbeat: 0 };
-                this.#members.set(id, { ...entry, advancedAt: now - this.deadAge });
+                this.#mergeMember({ id, address, zone, incarnation: 0, isLeaving: false }, now - this.deadAge);
             }
         }
         this.#updateRoster();
     }
 
-    /** Says that this instance is leaving. */
-    announceLeaving(): void {
+    /** Says that this instance is leaving. @returns The message for every peer. */
+    announceLeaving(): FarewellMessage {
         this.#self.isLeaving = true;
         this.#updateRoster();
+        return { kind: "farewell", sender: this.self };
     }
 
-    /** Builds the message that tells a peer of this member alone. */
-    buildFarewell(payload: GossipPayload, now: number): GossipMessage {
-        const entries = [this.#buildEntry(this.#self, now)];
-        return { kind: "gossip", roster: 0, heartbeats: [], entries, isReply: true, ...payload };
-    }
-
-    /** Age of a heartbeat above which its member is not counted as in contact, in milliseconds. */
+    /** Age of a sign of life above which its member is not counted as in contact, in milliseconds. */
     get freshAge(): number {
         return this.#interval * (BASE_ROUNDS + ROUNDS_PER_DOUBLING * Math.log2(Math.max(2, this.#members.size)));
     }
 
-    /** Age of a heartbeat above which its member counts as dead, in milliseconds. */
+    /** Age of a sign of life above which its member counts as dead, in milliseconds. */
     get deadAge(): number {
         return this.freshAge * DEAD_FACTOR;
     }
 
     /** Lists the members that live and stay; they own targets and shards. */
     listLive(now: number): Member[] {
-        return this.#listYounger(this.deadAge, now).filter(member => !member.isLeaving);
+        return this.listPresent(now).filter(member => !member.isLeaving);
     }
 
     /** Lists all members that live, leaving ones too. */
     listPresent(now: number): Member[] {
-        return this.#listYounger(this.deadAge, now);
+        return [...this.#members.values()].filter(member => this.#computeAge(member, now) < this.deadAge);
     }
 
     /** Tells whether more than half of the known members, this one too, are in contact. */
@@ -162,9 +180,16 @@
 
     /** Computes the share of the known members that are in contact, this one too. */
     computeContactShare(now: number): number {
-        const known = [...this.#members.values()].filter(member => !member.isLeaving || member === this.#self);
-        const fresh = known.filter(member => this.#computeAge(member, now) < this.freshAge);
-        return fresh.length / known.length;
+        const { freshAge } = this;
+        let known = 0;
+        let fresh = 0;
+        for (const member of this.#members.values()) {
+            if (!member.isLeaving || member === this.#self) {
+                known += 1;
+                fresh += this.#computeAge(member, now) < freshAge ? 1 : 0;
+            }
+        }
+        return fresh / known;
     }
 
     /** Finds the member named `id`. */
@@ -173,11 +198,8 @@
     }
 
     /** Describes every member, for a dump. */
-    dumpState(now: number): Record<string, unknown>[] {
-        return [...this.#members.values()].map(({ advancedAt: _advancedAt, ...member }) => ({
-            ...member,
-            ageMilliseconds: this.#computeAge(this.#members.get(member.id) ?? this.#self, now),
-        }));
+    dumpState(now: number): MemberEntry[] {
+        return [...this.#members.values()].map(member => this.#buildEntry(member, now));
     }
 
     get #interval(): number {
@@ -189,11 +211,12 @@
     }
 
     #computeAge(member: MemberState, now: number): number {
-        return member === this.#self ? 0 : now - member.advancedAt;
+        return member === this.#self ? 0 : Math.min(MAX_AGE, Math.max(0, Math.round(now - member.aliveAt)));
     }
 
-    #listYounger(age: number, now: number): MemberState[] {
-        return [...this.#members.values()].filter(member => this.#computeAge(member, now) < age);
+    #buildEntry(member: MemberState, now: number): MemberEntry {
+        const { aliveAt: _aliveAt, ...rest } = member;
+        return { ...rest, age: this.#computeAge(member, now) };
     }
 
     #pickPeers(now: number): string[] {
@@ -201,16 +224,16 @@
         const live = others.filter(member => this.#computeAge(member, now) < this.deadAge);
         const dead = others.filter(member => this.#computeAge(member, now) >= this.deadAge);
         const picked: string[] = [];
-        for (let count = 0; count < (this.#options.fanout ?? 1); count += 1) {
-            this.#movePick(live, picked);
+        for (let count = 0; count < (this.#options.fanout ?? DEFAULT_FANOUT); count += 1) {
+            this.#takeRandom(live, picked);
         }
-        if (live.length === 0 && picked.length === 0 || this.#round % ROUNDS_PER_HEALING === 0) {
-            this.#movePick(dead, picked);
+        if (picked.length === 0 || this.#round % ROUNDS_PER_HEALING === 0) {
+            this.#takeRandom(dead, picked);
         }
         return picked;
     }
 
-    #movePick(from: MemberState[], picked: string[]): void {
+    #takeRandom(from: MemberState[], picked: string[]): void {
         const index = Math.floor(this.#options.random() * from.length);
         const [member] = from.splice(index, 1);
         if (member !== undefined) {
@@ -218,83 +241,46 @@
         }
     }
 
-    #buildEntry(member: MemberState, now: number): MemberEntry {
-        const { advancedAt: _advancedAt, ...entry } = member;
-        return { ...entry, age: this.#computeAge(member, now) };
-    }
-
-    #buildMessage(
-        payload: GossipPayload,
-        options: { isReply: boolean; isWhole?: boolean; now: number; },
-    ): GossipMessage {
-        const members = this.#order.map(id => this.#members.get(id)).filter(member => member !== undefined);
-        const isWhole = options.isWhole ?? false;
-        return {
-            kind: "gossip",
-            roster: this.#roster,
-            heartbeats: isWhole ? [] : members.map(member => member.heartbeat),
-            entries: isWhole ? members.map(member => this.#buildEntry(member, options.now)) : [],
-            isReply: options.isReply,
-            ...payload,
-        };
-    }
-
-    #mergeHeartbeats(heartbeats: readonly number[], now: number): void {
-        for (const [index, heartbeat] of heartbeats.entries()) {
+    #mergeAges(ages: readonly number[], echo: number): void {
+        for (const [index, age] of ages.entries()) {
             const member = this.#members.get(this.#order[index] ?? "");
-            if (member !== undefined && member !== this.#self && heartbeat > member.heartbeat) {
-                member.heartbeat = heartbeat;
-                member.advancedAt = now;
+            if (member !== undefined && age < MAX_AGE) {
+                member.aliveAt = Math.max(member.aliveAt, echo - age);
             }
         }
     }
 
-    #mergeEntries(entries: readonly MemberEntry[], now: number): void {
-        for (const entry of entries) {
-            this.#mergeEntry(entry, now);
-        }
-        this.#updateRoster();
-    }
-
-    #mergeEntry(entry: MemberEntry, now: number): void {
+    #mergeMember(entry: Member, aliveAt: number): void {
         if (entry.id === this.#self.id) {
-            // An older life of this instance must not outlive it in the peers' rosters.
-            this.#self.incarnation = Math.max(this.#self.incarnation, entry.incarnation);
             return;
         }
-        const { age, ...seen } = entry;
-        const advancedAt = now - age;
         const known = this.#members.get(entry.id);
         if (known === undefined) {
-            if (age < this.#forgetAge) {
-                this.#members.set(entry.id, { ...seen, advancedAt });
-            }
-            return;
+            this.#members.set(entry.id, { ...entry, aliveAt });
+            this.#updateRoster();
         }
-        if (entry.incarnation < known.incarnation) {
-            return;
-        }
-        if (entry.incarnation > known.incarnation) {
-            Object.assign(known, seen, { advancedAt });
-            return;
+        else if (entry.incarnation > known.incarnation) {
+            Object.assign(known, entry, { aliveAt: Math.max(known.aliveAt, aliveAt) });
+            this.#updateRoster();
         }
-        known.isLeaving ||= entry.isLeaving;
-        if (entry.heartbeat > known.heartbeat) {
-            known.heartbeat = entry.heartbeat;
-            known.advancedAt = Math.max(known.advancedAt, advancedAt);
+        else if (entry.incarnation === known.incarnation) {
+            known.aliveAt = Math.max(known.aliveAt, aliveAt);
+            if (entry.isLeaving && !known.isLeaving) {
+                known.isLeaving = true;
+                this.#updateRoster();
+            }
         }
     }
 
     #removeForgotten(now: number): void {
         for (const member of [...this.#members.values()]) {
-            const age = this.#computeAge(member, now);
             const limit = member.isLeaving ? this.deadAge * 2 : this.#forgetAge;
             const isListed = this.#listed.has(member.id) && !member.isLeaving;
-            if (age > limit && !isListed) {
+            if (this.#computeAge(member, now) > limit && !isListed) {
                 this.#members.delete(member.id);
+                this.#updateRoster();
             }
         }
-        this.#updateRoster();
     }
 
     #updateRoster(): void {
--- a/core/membership/membership_types.ts
+++ b/core/membership/membership_types.ts
@@ -18,31 +18,49 @@
     isLeaving: boolean;
 }
 
-/** A member with its heartbeat, as gossip carries it. */
+/** A member with the age of the last sign of life, as gossip carries it. */
 export interface MemberEntry extends Member {
-    /** Heartbeats counted in this life. */
-    heartbeat: number;
-    /** Time since the sender saw the heartbeat advance, in milliseconds. */
+    /** Time since the member is known to have lived, in milliseconds. */
     age: number;
 }
 
-/** One round of gossip. */
+/** Asks a peer what it knows. */
 export interface GossipMessage {
     kind: "gossip";
-    /** Hash of the sender's roster; heartbeats can be matched by position where it is the receiver's too. */
+    /** The sender. */
+    sender: Member;
+    /** Hash of the sender's roster. */
     roster: number;
-    /** Heartbeats in the roster's order; empty where `entries` is given. */
-    heartbeats: number[];
+    /** Reading of the sender's monotonic clock, which the answer echoes. */
+    sentAt: number;
+    /** Generation of the configuration in force at the sender. */
+    generation: number;
+}
+
+/** Answers a {@linkcode GossipMessage}. */
+export interface GossipReplyMessage {
+    kind: "gossip-reply";
+    /** The `sentAt` of the question; ages are counted from it, so a late answer can't make anybody look alive. */
+    echo: number;
+    /** Hash of the sender's roster. */
+    roster: number;
+    /** Ages of the members in the order of the roster, in milliseconds; empty where `entries` is given. */
+    ages: number[];
     /** Whole entries, where the rosters differ. */
     entries: MemberEntry[];
-    /** True in an answer, which is not answered again. */
-    isReply: boolean;
     /** Generation of the configuration in force at the sender. */
     generation: number;
     /** Age of the sender's last proof that its configuration is the newest, in milliseconds. */
     confirmedAge: number;
 }
 
+/** Says that the sender is leaving. */
+export interface FarewellMessage {
+    kind: "farewell";
+    /** The sender. */
+    sender: Member;
+}
+
 /** An instance as the platform lists it. */
 export interface ListedInstance {
     /** Name of the instance. */
--- a/gateway/agent_link.ts
+++ b/gateway/agent_link.ts
@@ -4,13 +4,22 @@
  * @module
  */
 import { connect } from "node:net";
-import type { Permit, PermitRequest, RefusalReason, WorkOutcome } from "../core/admission/mod.ts";
+import {
+    MAX_GRANT_TRANSIT,
+    type Permit,
+    type PermitRequest,
+    type RefusalReason,
+    type WorkOutcome,
+} from "../core/admission/mod.ts";
 import type { AgentToGateway, GatewayToAgent, SettleMessage } from "../core/agent/mod.ts";
 import type { ClaimRequest, ClaimResult } from "../core/claims/mod.ts";
 import { type Address, FrameConnection } from "../network/mod.ts";
 
 /** The agent's answer to a request for a permit. */
-export type AcquireResult = { kind: "granted"; } | { kind: "refused"; reason: RefusalReason; };
+export type AcquireResult = { kind: "granted"; heldMilliseconds: number; } | {
+    kind: "refused";
+    reason: RefusalReason;
+};
 
 /** Options of an {@linkcode AgentLink}. */
 export interface AgentLinkOptions {
@@ -67,9 +76,18 @@
     requestPermit(request: PermitRequest): Promise<AcquireResult> {
         return new Promise(resolve => {
             const { permitId, target, origin, promptTokens, lengths } = request;
+            const askedAt = performance.now();
             const settle = (result: AcquireResult): void => {
-                if (result.kind === "granted") {
-                    this.#held.set(permitId, { permitId, target, origin, promptTokens, lengths, produced: 0 });
+                if (result.kind === "refused") {
+                    resolve(result);
+                    return;
+                }
+                this.#held.set(permitId, { permitId, target, origin, promptTokens, lengths, produced: 0 });
+                const transit = performance.now() - askedAt - result.heldMilliseconds;
+                if (transit > MAX_GRANT_TRANSIT) {
+                    this.releasePermit(request, "cancelled");
+                    resolve({ kind: "refused", reason: "no-owner" });
+                    return;
                 }
                 resolve(result);
             };
@@ -152,7 +170,8 @@
 
     #handleMessage(message: AgentToGateway): void {
         if (message.kind === "granted") {
-            this.#settleCall(this.#acquires, { name: message.permitId, result: { kind: "granted" } });
+            const { permitId, heldMilliseconds } = message;
+            this.#settleCall(this.#acquires, { name: permitId, result: { kind: "granted", heldMilliseconds } });
         }
         else if (message.kind === "refused") {
             const { permitId, reason } = message;
--- a/support/stand_ins/platform_store.ts
+++ b/support/stand_ins/platform_store.ts
@@ -36,7 +36,8 @@
             case "read":
                 return this.#read(request.key, options.isStale ?? false);
             case "watch": {
-                const reply = this.#read(request.key, options.isStale ?? false);
+                // A read may come from a replica that is behind; a watch gives every change.
+                const reply = this.#read(request.key, false);
                 const isNewer = reply.kind === "object" && reply.object.version > request.version;
                 return isNewer ? reply : { kind: "unchanged" };
             }
