Prove claims, cold starts, zones, leaving and configuration in virtual time

Cause: the mechanisms stood without proofs that name their faults.

Change: Gherkin scenarios with fault tables drive the agents' real cores over a small link fake, and a property run mixes all faults.

--- a/features/support/process_world.ts
+++ b/features/support/process_world.ts
@@ -1,5 +1,5 @@
 /**
- * The world of scenarios that run real processes.
+ * The world of all scenarios: real processes, or cores in virtual time.
  *
  * @module
  */
@@ -12,6 +12,7 @@
     type HttpCall,
     type HttpResult,
 } from "../../support/processes/mod.ts";
+import type { BenchWorld } from "./bench_world.ts";
 
 const STEP_TIMEOUT = 60_000;
 setDefaultTimeout(STEP_TIMEOUT);
@@ -19,6 +20,7 @@
 /** What the steps of one scenario share. */
 export class ProcessWorld extends World {
     #fleet: Fleet | undefined;
+    #bench: BenchWorld | undefined;
     /** Answers in the order in which they were asked for. */
     results: HttpResult[] = [];
     /** Calls that have not been waited for. */
@@ -35,6 +37,17 @@
         this.#fleet = fleet;
     }
 
+    get bench(): BenchWorld {
+        if (this.#bench === undefined) {
+            throw new Error("Cannot go on: the scenario has no bench.");
+        }
+        return this.#bench;
+    }
+
+    set bench(bench: BenchWorld) {
+        this.#bench = bench;
+    }
+
     get hasFleet(): boolean {
         return this.#fleet !== undefined;
     }
