Prove the promises between real processes

Cause: errors that callers should see ended as broken connections: the library's error class refuses to be constructed from a plain subclass, so every refusal threw another error. A zone withdrawn just before the platform went down was unknown to all instances, because no watch had been answered yet.

Ruled out: a shorter watch, which only narrows the gap.

--- a/control/configuration_store.ts
+++ b/control/configuration_store.ts
@@ -8,6 +8,7 @@
 import { type Inventory, mergeParts, splitInventory } from "../core/inventory/mod.ts";
 import type { PlatformReply } from "../core/platform/mod.ts";
 import type { PlatformClient } from "../platform/mod.ts";
+import { pushConfiguration } from "./push_configuration.ts";
 
 /** The configuration that the platform keeps. */
 export interface StoredConfiguration {
@@ -87,7 +88,9 @@
 ): Promise<ApplyResult> {
     const { base, author } = change;
     const parts: Record<string, string> = {};
-    for (const [name, text] of splitInventory(change.inventory)) {
+    const split = splitInventory(change.inventory);
+    const listed = await platform.call({ kind: "instances" });
+    for (const [name, text] of split) {
         const hash = hashPart(text);
         parts[name] = hash;
         const reply = await writePart(platform, { hash, text });
@@ -103,10 +106,13 @@
             ? { kind: "create", key: MANIFEST_KEY, value }
             : { kind: "replace", key: MANIFEST_KEY, value, version: base.version },
     );
-    if (reply.kind === "done") {
-        return { kind: "accepted", generation };
+    const result: ApplyResult = reply.kind === "done"
+        ? { kind: "accepted", generation }
+        : await settleApply(platform, { manifest, isConflict: reply.kind === "conflict", base });
+    if (result.kind === "accepted" && listed.kind === "instances") {
+        await pushConfiguration(listed.instances, { manifest, texts: [...split.values()] });
     }
-    return settleApply(platform, { manifest, isConflict: reply.kind === "conflict", base });
+    return result;
 }
 
 /** Finds out by reading whether the change took effect. */
--- a/features/steps/caller_steps.ts
+++ b/features/steps/caller_steps.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import { BAGMATI } from "../../support/fixtures/inventories.ts";
 import { callHttp, startFleet } from "../../support/processes/mod.ts";
+import { AGENT_FLAGS, GATEWAY_FLAGS } from "../support/fleet_flags.ts";
 import type { ProcessWorld } from "../support/process_world.ts";
 import { readStream } from "../support/sse.ts";
 
@@ -28,7 +29,8 @@
             instances,
             engines,
             services,
-            agentFlags: ["--settle-milliseconds", "1500"],
+            agentFlags: AGENT_FLAGS,
+            gatewayFlags: GATEWAY_FLAGS,
         });
     },
 );
--- /dev/null
+++ b/features/steps/process_steps.ts
@@ -0,0 +1,546 @@
+/**
+ * Steps that bring failures about between real processes.
+ *
+ * @module
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { applyRuleEdit } from "../../control/mod.ts";
+import { parseAddress } from "../../network/mod.ts";
+import { HttpPlatform } from "../../platform/mod.ts";
+import { BAGMATI } from "../../support/fixtures/inventories.ts";
+import {
+    callHttp,
+    type HttpResult,
+    setFaults,
+    startFleet,
+    waitMilliseconds,
+    waitUntil,
+} from "../../support/processes/mod.ts";
+import { AGENT_FLAGS, GATEWAY_FLAGS } from "../support/fleet_flags.ts";
+import type { ProcessWorld } from "../support/process_world.ts";
+import { readStream } from "../support/sse.ts";
+import { buildGenerationBody, countStamps } from "./caller_steps.ts";
+
+Given(
+    "a fleet of {int} instance(s), {int} engine(s) and {int} service(s) that keep no outcomes",
+    async function(this: ProcessWorld, instances: number, engines: number, services: number) {
+        this.fleet = await startFleet({
+            plan: BAGMATI,
+            instances,
+            engines,
+            services,
+            agentFlags: AGENT_FLAGS,
+            gatewayFlags: GATEWAY_FLAGS,
+            editInventory: inventory => ({
+                ...inventory,
+                targets: inventory.targets.map(({ outcomePath: _outcomePath, ...target }) => target),
+            }),
+        });
+    },
+);
+
+Given(
+    "a fleet of {int} instances, {int} engines and {int} service, and engines that are cold for {int} ms",
+    async function(this: ProcessWorld, instances: number, engines: number, services: number, coldMilliseconds: number) {
+        const engineSpec = { coldMilliseconds };
+        this.fleet = await startFleet({
+            plan: BAGMATI,
+            instances,
+            engines,
+            services,
+            agentFlags: AGENT_FLAGS,
+            gatewayFlags: GATEWAY_FLAGS,
+            engineSpec,
+        });
+    },
+);
+
+/** Tokens after which a generation is well under way. */
+const LEAST_TOKENS = 20;
+
+interface EngineState {
+    falls: number;
+    held: number;
+    greatestCold: number;
+    generations: { id: string; tokens: number; starts: number; }[];
+}
+
+async function fetchEngineState(address: string): Promise<EngineState> {
+    return JSON.parse((await callHttp({ address, path: "/state" })).body.toString()) as EngineState;
+}
+
+async function setServiceFaults(world: ProcessWorld, faults: Record<string, number>): Promise<void> {
+    await Promise.all(world.fleet.services.map(service => setFaults(service.address, faults)));
+}
+
+When("the services cut the next connection after running", async function(this: ProcessWorld) {
+    await setServiceFaults(this, { cutAfterRun: 1 });
+});
+
+When("the services cut the next connection before running", async function(this: ProcessWorld) {
+    await setServiceFaults(this, { cutBeforeRun: 1 });
+});
+
+When("the services refuse the next request", async function(this: ProcessWorld) {
+    await setServiceFaults(this, { refusals: 1 });
+});
+
+When("the services cross the next answer", async function(this: ProcessWorld) {
+    await setServiceFaults(this, { crossedAnswers: 1 });
+});
+
+When("the services take {int} ms to answer", async function(this: ProcessWorld, delayMilliseconds: number) {
+    await setServiceFaults(this, { delayMilliseconds });
+});
+
+When("the platform's fault {string} is set", async function(this: ProcessWorld, name: string) {
+    await setFaults(this.fleet.platform, { [name]: true });
+});
+
+When("the engines' fault {string} is set to {int}", async function(this: ProcessWorld, name: string, value: number) {
+    const faults = name === "overlap" ? { overlap: value, cutStreams: 2 } : { [name]: value };
+    await Promise.all(this.fleet.engines.map(engine => setFaults(engine.address, faults)));
+});
+
+When("the engines' open connections go silent", async function(this: ProcessWorld) {
+    await Promise.all(this.fleet.engines.map(engine => setFaults(engine.address, { isSilent: true })));
+});
+
+When("{int} ms of real time pass", async function(milliseconds: number) {
+    await waitMilliseconds(milliseconds);
+});
+
+When(
+    /^the (gateway|agent) of instance (\d+) gets (SIGKILL|SIGSTOP|SIGCONT|SIGTERM)$/,
+    function(this: ProcessWorld, part: "gateway" | "agent", instance: string, signal: NodeJS.Signals) {
+        this.getInstance(Number(instance))[part].send(signal);
+    },
+);
+
+When(/^all (services|engines) are killed$/, async function(this: ProcessWorld, kind: "services" | "engines") {
+    for (const target of this.fleet[kind]) {
+        target.child.send("SIGKILL");
+        await target.child.waitForExit();
+    }
+});
+
+When("the engine that streams is killed", async function(this: ProcessWorld) {
+    for (const engine of this.fleet.engines) {
+        if ((await fetchEngineState(engine.address)).held > 0) {
+            engine.child.send("SIGKILL");
+            await engine.child.waitForExit();
+        }
+    }
+});
+
+function startStamp(world: ProcessWorld, options: { key: string; instance: number; }): Promise<HttpResult> {
+    const headers = { "idempotency-key": options.key };
+    return world.call(options.instance, {
+        method: "POST",
+        path: "/services/ledger/stamps",
+        headers,
+        body: "certificate",
+    });
+}
+
+When(
+    "a caller begins to stamp with the key {string} through instance {int}",
+    function(this: ProcessWorld, key: string, instance: number) {
+        this.stamp = startStamp(this, { key, instance }).catch(() => undefined);
+    },
+);
+
+When("{int} stamps are begun through all instances, each key twice", function(this: ProcessWorld, count: number) {
+    const { length } = this.fleet.instances;
+    for (let number = 0; number < count; number += 1) {
+        const key = `k-${Math.floor(number / 2)}`;
+        this.pending.push(startStamp(this, { key, instance: number % length + 1 }).catch(() => createNoAnswer()));
+    }
+});
+
+/** Stands for an answer that never came, because its gateway was gone. */
+function createNoAnswer(): HttpResult {
+    return { status: 0, headers: {}, body: Buffer.alloc(0), isComplete: false };
+}
+
+When("the services have begun {int} stamp(s)", async function(this: ProcessWorld, count: number) {
+    await waitUntil(async () => (await countStamps(this)) >= count, { label: "the stamps" });
+});
+
+When("tokens have been produced", async function(this: ProcessWorld) {
+    await waitUntil(async () => {
+        const states = await Promise.all(this.fleet.engines.map(engine => fetchEngineState(engine.address)));
+        return states.some(state => state.generations.some(generation => generation.tokens > LEAST_TOKENS));
+    }, { label: "the tokens" });
+});
+
+When("all stamps are answered", async function(this: ProcessWorld) {
+    this.results = await Promise.all(this.pending);
+});
+
+Then("no key ran twice", async function(this: ProcessWorld) {
+    const states = await Promise.all(
+        this.fleet.services.map(service => callHttp({ address: service.address, path: "/state" })),
+    );
+    const keys = states.flatMap(state =>
+        (JSON.parse(state.body.toString()) as { runs: { key: string; }[]; }).runs.map(run => run.key)
+    );
+    assert.equal(new Set(keys).size, keys.length);
+    assert.ok(keys.length > 0, "no stamp ran at all");
+});
+
+When("a caller looks a charge up through instance {int}", async function(this: ProcessWorld, instance: number) {
+    this.results.push(await this.call(instance, { path: "/services/ledger/charges/1" }));
+});
+
+When(
+    "a caller asks for a generation with a deadline of {int} ms through instance {int}",
+    async function(this: ProcessWorld, deadline: number, instance: number) {
+        const startedAt = performance.now();
+        const headers = { "x-deadline-milliseconds": String(deadline) };
+        const body = buildGenerationBody(10, { isStream: false });
+        this.results.push(await this.call(instance, { method: "POST", path: "/v1/completions", headers, body }));
+        this.elapsed = performance.now() - startedAt;
+    },
+);
+
+interface ErrorBody {
+    error: { code: string; verdict: string; };
+}
+
+function readError(world: ProcessWorld): ErrorBody["error"] {
+    return (JSON.parse(world.lastResult.body.toString()) as ErrorBody).error;
+}
+
+Then(
+    "the answer has the error {string} and the verdict {string}",
+    function(this: ProcessWorld, code: string, verdict: string) {
+        const { code: actualCode, verdict: actualVerdict } = readError(this);
+        assert.deepEqual({ code: actualCode, verdict: actualVerdict }, { code, verdict });
+    },
+);
+
+Then("the answer has the verdict {string}", function(this: ProcessWorld, verdict: string) {
+    assert.equal(readError(this).verdict, verdict);
+});
+
+Then("the answer says when to come back", function(this: ProcessWorld) {
+    assert.match(this.lastResult.headers["retry-after"] ?? "", /^[1-9]\d*$/);
+});
+
+Then("the answer has the status {int}", function(this: ProcessWorld, status: number) {
+    assert.equal(this.lastResult.status, status, this.lastResult.body.toString());
+});
+
+Then("the answer came within {int} ms", function(this: ProcessWorld, milliseconds: number) {
+    assert.ok(this.elapsed <= milliseconds, `it took ${this.elapsed} ms`);
+});
+
+When(
+    "a caller begins to stream a generation of {int} tokens through instance {int}",
+    function(this: ProcessWorld, tokens: number, instance: number) {
+        const body = buildGenerationBody(tokens, { isStream: true });
+        this.pending.push(this.call(instance, { method: "POST", path: "/v1/completions", body }));
+    },
+);
+
+When(
+    "a caller begins a whole narrative of {int} tokens through instance {int}",
+    function(this: ProcessWorld, tokens: number, instance: number) {
+        const headers = { "x-kind": "narrative-whole" };
+        const body = buildGenerationBody(tokens, { isStream: false });
+        this.pending.push(this.call(instance, { method: "POST", path: "/v1/completions", headers, body }));
+    },
+);
+
+When("the streams have ended", async function(this: ProcessWorld) {
+    this.results.push(...await Promise.all(this.pending));
+});
+
+Then("the caller has part of one generation and the error {string}", function(this: ProcessWorld, code: string) {
+    const stream = readStream(this.lastResult.body);
+    assert.equal(stream.errorCode, code);
+    assert.equal(stream.isDone, false);
+    assert.ok(stream.indices.length > 0);
+    assert.deepEqual(stream.indices, stream.indices.map((_unused, index) => index));
+    assert.equal(new Set(stream.generations).size, 1);
+});
+
+When("the caller resumes its stream through instance {int}", async function(this: ProcessWorld, instance: number) {
+    const { lastId } = readStream(this.lastResult.body);
+    this.results.push(await this.call(instance, { path: "/v1/events", headers: { "last-event-id": lastId } }));
+});
+
+Then(
+    "the two streams together hold {int} tokens of one generation in order",
+    function(this: ProcessWorld, tokens: number) {
+        const [first, second] = this.results.slice(-2).map(result => readStream(result.body));
+        const indices = [...first?.indices ?? [], ...second?.indices ?? []];
+        assert.deepEqual(indices, Array.from({ length: tokens }, (_unused, index) => index));
+        assert.equal(new Set([...first?.generations ?? [], ...second?.generations ?? []]).size, 1);
+        assert.equal(second?.isDone, true);
+    },
+);
+
+interface MixedCheck {
+    call: Promise<HttpResult | undefined>;
+    check: (result: HttpResult) => void;
+}
+
+/** Makes the request with `number` of a mix, with the check that its answer must pass. */
+function startMixed(world: ProcessWorld, number: number): MixedCheck {
+    const instance = number % world.fleet.instances.length + 1;
+    const kind = number % 4;
+    if (kind === 0) {
+        const path = `/services/ledger/charges/${number}`;
+        const check = (result: HttpResult): void =>
+            assert.match(result.body.toString(), new RegExp(`/charges/${number}"`));
+        return { call: world.call(instance, { path }), check };
+    }
+    if (kind === 1) {
+        const body = Buffer.from(Array.from({ length: 3000 }, (_unused, index) => (index * 7 + number) % 256));
+        const headers = { "idempotency-key": `mixed-${number}` };
+        const check = (result: HttpResult): void => assert.ok(result.body.equals(body), "the body is another's");
+        return {
+            call: world.call(instance, { method: "POST", path: "/services/ledger/stamps", headers, body }),
+            check,
+        };
+    }
+    const tokens = 5 + number % 30;
+    const body = buildGenerationBody(tokens, { isStream: true, prompt: `Charge ${number}` });
+    const isGivenUp = kind === 3 && number % 3 === 0;
+    const signal = isGivenUp ? AbortSignal.timeout(60 + number % 50) : undefined;
+    const call = world.call(instance, {
+        method: "POST",
+        path: "/v1/completions",
+        body,
+        ...signal === undefined ? {} : { signal },
+    });
+    const check = (result: HttpResult): void => {
+        const stream = readStream(result.body);
+        assert.deepEqual(stream.indices, Array.from({ length: tokens }, (_unused, index) => index));
+        assert.equal(new Set(stream.generations).size, 1);
+        assert.equal(new Set(stream.texts.map(text => text.split(".")[0])).size, 1);
+    };
+    return { call: isGivenUp ? call.then(() => undefined, () => undefined) : call, check };
+}
+
+When(
+    "{int} requests of all kinds are made at once through all instances, some of them given up",
+    async function(this: ProcessWorld, count: number) {
+        const mixed = Array.from({ length: count }, (_unused, number) => startMixed(this, number));
+        this.failures = [];
+        for (const { call, check } of mixed) {
+            const result = await call;
+            if (result !== undefined) {
+                try {
+                    assert.ok(
+                        result.status === 200 || result.status === 201,
+                        `status ${result.status}: ${result.body.toString()}`,
+                    );
+                    check(result);
+                }
+                catch (error) {
+                    this.failures.push(String(error));
+                }
+            }
+        }
+    },
+);
+
+Then("every answer is whole and belongs to its own request", function(this: ProcessWorld) {
+    assert.deepEqual(this.failures, []);
+});
+
+/** Asks for short generations through all instances, until the time is over. */
+async function runGenerations(world: ProcessWorld, milliseconds: number): Promise<void> {
+    const end = performance.now() + milliseconds;
+    const workers = Array.from({ length: 24 }, async (_unused, worker) => {
+        for (let number = 0; performance.now() < end; number += 1) {
+            const body = buildGenerationBody(15, { isStream: false, prompt: `Soak ${worker}.${number}` });
+            const instance = (worker + number) % world.fleet.instances.length + 1;
+            await world.call(instance, { method: "POST", path: "/v1/completions", body }).catch(() => undefined);
+        }
+    });
+    await Promise.all(workers);
+}
+
+When("generations are asked for without pause for {int} ms", async function(this: ProcessWorld, milliseconds: number) {
+    this.engineStarts = [];
+    const load = runGenerations(this, milliseconds);
+    await waitMilliseconds(milliseconds - 3000);
+    this.engineStarts = await Promise.all(
+        this.fleet.engines.map(async engine =>
+            (await fetchEngineState(engine.address)).generations.map(each => each.id)
+        ),
+    );
+    await load;
+});
+
+When(
+    "generations are asked for without pause for {int} ms, and engine {int} turns cold after {int} ms",
+    async function(this: ProcessWorld, milliseconds: number, engine: number, after: number) {
+        const load = runGenerations(this, milliseconds);
+        await waitMilliseconds(after);
+        await setFaults(this.fleet.engines[engine - 1]?.address ?? "", { turnCold: true });
+        await load;
+    },
+);
+
+Then("no engine held more than {int} requests while cold", async function(this: ProcessWorld, bears: number) {
+    for (const engine of this.fleet.engines) {
+        const { greatestCold } = await fetchEngineState(engine.address);
+        assert.ok(greatestCold <= bears, `it held ${greatestCold}`);
+    }
+});
+
+Then("no engine fell over", async function(this: ProcessWorld) {
+    for (const engine of this.fleet.engines) {
+        assert.equal((await fetchEngineState(engine.address)).falls, 0);
+    }
+});
+
+When("zone {string} is withdrawn by the operators' command", async function(this: ProcessWorld, zone: string) {
+    const platform = new HttpPlatform({ address: parseAddress(this.fleet.platform) });
+    const result = await applyRuleEdit(platform, {
+        rule: { kind: "withdraw", selector: { zone } },
+        author: "scenario",
+    });
+    assert.equal(result.kind, "accepted");
+});
+
+Then(
+    "engine {int} began nothing in the last {int} ms",
+    async function(this: ProcessWorld, engine: number, _milliseconds: number) {
+        const state = await fetchEngineState(this.fleet.engines[engine - 1]?.address ?? "");
+        const before = new Set(this.engineStarts[engine - 1]);
+        assert.deepEqual(state.generations.filter(each => !before.has(each.id)), []);
+        const others = await Promise.all(this.fleet.engines.map(each => fetchEngineState(each.address)));
+        assert.ok(
+            others.some((each, index) => each.generations.length > (this.engineStarts[index]?.length ?? 0)),
+            "no engine began work",
+        );
+    },
+);
+
+Then("every instance has generation {int} in force", async function(this: ProcessWorld, generation: number) {
+    for (const instance of this.fleet.instances) {
+        const dump = await callHttp({ address: instance.gatewayAdmin, path: "/dump" });
+        const state = JSON.parse(dump.body.toString()) as { routing: { generation: number; }; };
+        assert.equal(state.routing.generation, generation);
+    }
+});
+
+When("instance {int} gets SIGTERM", function(this: ProcessWorld, number: number) {
+    const instance = this.getInstance(number);
+    instance.gateway.send("SIGTERM");
+    instance.agent.send("SIGTERM");
+});
+
+Then("the stamp was answered with status {int}", async function(this: ProcessWorld, status: number) {
+    assert.equal((await this.stamp)?.status, status);
+});
+
+Then("the processes of instance {int} have ended by themselves", async function(this: ProcessWorld, number: number) {
+    const instance = this.getInstance(number);
+    await waitUntil(() => !instance.gateway.isRunning() && !instance.agent.isRunning(), {
+        label: "the end of the processes",
+    });
+    assert.equal(await instance.gateway.waitForExit(), 0);
+    assert.equal(await instance.agent.waitForExit(), 0);
+});
+
+/** Load that goes to instances whose readiness a balancer has seen. */
+class BalancedLoad {
+    readonly failures: string[] = [];
+    answered = 0;
+    readonly #world: ProcessWorld;
+    #ready: number[] = [];
+    #isOver = false;
+
+    constructor(world: ProcessWorld) {
+        this.#world = world;
+    }
+
+    async runLoad(): Promise<void> {
+        const workers = Array.from({ length: 12 }, (_unused, worker) => this.#runWorker(worker));
+        await Promise.all([this.#watchReadiness(), ...workers]);
+    }
+
+    stopLoad(): void {
+        this.#isOver = true;
+    }
+
+    async #watchReadiness(): Promise<void> {
+        while (!this.#isOver) {
+            const states = await Promise.all(
+                this.#world.fleet.instances.map(instance =>
+                    callHttp({ address: instance.gatewayAdmin, path: "/ready" }).then(
+                        result => result.status === 200,
+                        () => false,
+                    )
+                ),
+            );
+            this.#ready = states.flatMap((isReady, index) => (isReady ? [index + 1] : []));
+            await waitMilliseconds(100);
+        }
+    }
+
+    async #runWorker(worker: number): Promise<void> {
+        for (let number = 0; !this.#isOver; number += 1) {
+            const instance = this.#ready[(worker + number) % Math.max(1, this.#ready.length)];
+            if (instance === undefined) {
+                await waitMilliseconds(20);
+                continue;
+            }
+            await this.#makeRequest({ worker, number, instance });
+        }
+    }
+
+    async #makeRequest(place: { worker: number; number: number; instance: number; }): Promise<void> {
+        const { worker, number, instance } = place;
+        const isStream = worker % 2 === 0;
+        const tokens = isStream ? 150 : 10;
+        const body = buildGenerationBody(tokens, { isStream, prompt: `Soak ${worker}.${number}` });
+        try {
+            const result = await this.#world.call(instance, { method: "POST", path: "/v1/completions", body });
+            const isWhole = result.status === 200 && result.isComplete;
+            const hasAll = !isStream || readStream(result.body).indices.length === tokens;
+            if (!isWhole || !hasAll) {
+                this.failures.push(
+                    `instance ${instance}: status ${result.status}: ${result.body.toString().slice(-300)}`,
+                );
+            }
+            this.answered += 1;
+        }
+        catch (error) {
+            // A refused connection was never begun; a balancer would try the next instance.
+            if ((error as NodeJS.ErrnoException).code !== "ECONNREFUSED") {
+                this.failures.push(`instance ${instance}: ${String(error)}`);
+            }
+        }
+    }
+}
+
+When("every instance is stopped and started in turn under load", async function(this: ProcessWorld) {
+    const load = new BalancedLoad(this);
+    const running = load.runLoad();
+    await waitMilliseconds(1000);
+    for (const [index, instance] of this.fleet.instances.entries()) {
+        instance.gateway.send("SIGTERM");
+        instance.agent.send("SIGTERM");
+        await Promise.all([instance.gateway.waitForExit(), instance.agent.waitForExit()]);
+        await this.fleet.restartInstance(index);
+        await waitMilliseconds(500);
+    }
+    load.stopLoad();
+    await running;
+    this.failures = load.failures;
+    this.answeredCount = load.answered;
+});
+
+Then("no request was cut or lost", function(this: ProcessWorld) {
+    assert.deepEqual(this.failures, []);
+    assert.ok(this.answeredCount > 0, "no request was made");
+});
--- a/features/support/process_world.ts
+++ b/features/support/process_world.ts
@@ -23,6 +23,16 @@
     #bench: BenchWorld | undefined;
     /** Answers in the order in which they were asked for. */
     results: HttpResult[] = [];
+    /** Stamp that was begun and not waited for. */
+    stamp: Promise<HttpResult | undefined> | undefined;
+    /** Time that the last timed call took, in milliseconds. */
+    elapsed = 0;
+    /** Problems that a step has found. */
+    failures: string[] = [];
+    /** Requests that a load had answered. */
+    answeredCount = 0;
+    /** Generations that each engine had begun at some time. */
+    engineStarts: string[][] = [];
     /** Calls that have not been waited for. */
     pending: Promise<HttpResult>[] = [];
 
--- a/gateway/serving_error.ts
+++ b/gateway/serving_error.ts
@@ -44,22 +44,25 @@
     retryAfterSeconds?: number | undefined;
 }
 
-const BaseError = ModernError.subclass("KnapweedError", {});
-
-/** An error that ends a request. */
-export class ServingError extends BaseError {
-    readonly code: ErrorCode;
-    readonly verdict: Verdict;
-    readonly retryAfterSeconds: number | undefined;
+class CustomServingError extends ModernError {
+    declare readonly code: ErrorCode;
+    declare readonly verdict: Verdict;
+    declare readonly retryAfterSeconds: number | undefined;
 
     constructor(message: string, props: ServingErrorProps) {
-        super(message);
-        this.code = props.code;
-        this.verdict = props.verdict;
-        this.retryAfterSeconds = props.retryAfterSeconds;
+        super(message, { props });
     }
 }
 
+/** An error that ends a request. */
+export const ServingError = ModernError.subclass("ServingError", {
+    // The library's type for custom classes knows only its own constructor options.
+    custom: CustomServingError as never,
+}) as unknown as typeof CustomServingError;
+
+/** An error that ends a request. */
+export type ServingError = CustomServingError;
+
 /**
  * Creates an error for a request that did not run and may come back.
  *
--- a/support/ci/run_scenarios.ts
+++ b/support/ci/run_scenarios.ts
@@ -23,6 +23,9 @@
     return new Set(lines.map(line => line.split("|")[0]?.trim() ?? ""));
 }
 
+/** Most characters of a failure that are printed. */
+const MAX_FAILURE = 1500;
+
 /** Collects the result of each scenario from cucumber's messages. */
 class ScenarioCollector {
     readonly counts: ScenarioCounts = { passed: 0, failed: 0, known: [] };
@@ -65,7 +68,7 @@
             process.stdout.write(`passed  ${name}\n`);
             return;
         }
-        process.stdout.write(`FAILED  ${name}\n${failure}\n`);
+        process.stdout.write(`FAILED  ${name}\n${failure.slice(0, MAX_FAILURE)}\n`);
         if (this.#knownRed.has(name)) {
             this.counts.known.push(name);
         }
--- a/support/processes/fleet.ts
+++ b/support/processes/fleet.ts
@@ -73,6 +73,8 @@
     engines: FleetTarget[];
     /** Service targets, in the inventory's order. */
     services: FleetTarget[];
+    /** Starts the processes of the instance at `index` anew, and waits until it serves. */
+    restartInstance: (index: number) => Promise<void>;
     /** Ends all processes at once, and waits until they have ended. */
     close: () => Promise<void>;
 }
@@ -182,6 +184,14 @@
         instances,
         engines: engineTargets,
         services: serviceTargets,
+        restartInstance: async index => {
+            const place = places[index];
+            if (place !== undefined) {
+                const instance = startInstance(place, { platform, ...flags });
+                instances[index] = instance;
+                await waitUntilServing(instance);
+            }
+        },
         close: () => closeFleet(fleet),
     };
     await Promise.all(instances.map(instance => waitUntilServing(instance)));
