Fit work by horizon, ask more targets, and learn lengths faster

Cause: first tokens were late at full load while memory was predicted full far ahead: a short request was refused although it would have ended long before. A request waited a second at one owner while others had room, and affinity drew work to full targets.

Change: a candidate fits if it adds almost nothing where the need is too high already; four random choices; waits at owners of 100 ms, doubling to a second; affinity only towards targets with room; larger steps of the length sketches.

--- a/core/admission/target_admission.ts
+++ b/core/admission/target_admission.ts
@@ -15,7 +15,7 @@
 } from "./admission_types.ts";
 import { ColdStartLimit, type ColdStartOptions } from "./cold_start.ts";
 import { FairQueue } from "./fair_queue.ts";
-import { computePeakMemory, type Sequence } from "./memory_profile.ts";
+import { computePeakMemory, isFittingMemory, type Sequence } from "./memory_profile.ts";
 
 /** Options of a {@linkcode TargetAdmission}. */
 export interface TargetAdmissionOptions extends ColdStartOptions {
@@ -319,7 +319,7 @@
         const capacity = this.#spec.memoryTokens * (1 - this.#reserve - urgent);
         const { promptTokens, lengths } = request;
         const deviations = this.#options.deviations ?? DEFAULT_DEVIATIONS;
-        return computePeakMemory([...running, { promptTokens, lengths, produced: 0 }], { deviations }) <= capacity;
+        return isFittingMemory({ promptTokens, lengths, produced: 0 }, { running, capacity }, { deviations });
     }
 
     #computeFreeMemory(now: number): number {
--- a/core/placement/choose_target.ts
+++ b/core/placement/choose_target.ts
@@ -1,5 +1,5 @@
 /**
- * Chooses a target by power of two choices on predicted headroom, with affinity to a prompt's prefix.
+ * Chooses a target by the best of a few random choices on predicted headroom, with affinity to a prompt's prefix.
  *
  * @module
  */
@@ -29,8 +29,10 @@
 
 /** Headroom assumed of a target that nothing is known of. */
 const UNKNOWN_SHARE = 0.3;
+/** Headroom below which affinity to a prefix does not count. */
+const MIN_HOME_SHARE = 0.05;
 /** Targets drawn at random beside the one that the prefix points to. */
-const RANDOM_CHOICES = 2;
+const RANDOM_CHOICES = 4;
 
 /**
  * Chooses one of `candidates`.
@@ -55,7 +57,7 @@
     let bestScore = -Infinity;
     for (const candidate of pickChoices(candidates, { home, random: options.random })) {
         let score = candidate.share ?? UNKNOWN_SHARE;
-        score += candidate.name === home ? prefixBonus : 0;
+        score += candidate.name === home && score >= MIN_HOME_SHARE ? prefixBonus : 0;
         score += candidate.isLocal ? localBonus : 0;
         if (score > bestScore) {
             best = candidate;
--- a/core/placement/mod.ts
+++ b/core/placement/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./choose_target.ts";
+export * from "./owner_wait.ts";
--- a/core/prediction/length_predictor.ts
+++ b/core/prediction/length_predictor.ts
@@ -29,9 +29,9 @@
 const DEFAULT_MIN_OBSERVATIONS = 24;
 const DEFAULT_MAX_SKETCHES = 4096;
 /** First step of a quantile estimate, as a share of its value. */
-const FIRST_STEP = 0.5;
+const FIRST_STEP = 1;
 /** Smallest step of a quantile estimate; it lets old observations fade. */
-const LAST_STEP = 0.03;
+const LAST_STEP = 0.08;
 
 /** Tracks quantiles by stochastic steps in log space, so that old observations fade. */
 class QuantileSketch {
--- a/gateway/dispatcher.ts
+++ b/gateway/dispatcher.ts
@@ -7,7 +7,7 @@
 import PQueue, { type Queue, type QueueAddOptions } from "p-queue";
 import { FairQueue, type FairQueueItemOptions, type WorkOutcome } from "../core/admission/mod.ts";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
-import { type Candidate, chooseTarget } from "../core/placement/mod.ts";
+import { type Candidate, chooseTarget, computeOwnerWait } from "../core/placement/mod.ts";
 import type { LengthDistribution } from "../core/prediction/mod.ts";
 import type { AgentLink } from "./agent_link.ts";
 import type { RoutingState } from "./routing_state.ts";
@@ -76,8 +76,6 @@
 }
 
 const DEFAULT_LANE_CONCURRENCY = 64;
-/** Longest time that an owner keeps one request waiting, in milliseconds. */
-const MAX_OWNER_WAIT = 1000;
 const MIN_ROUND_PAUSE = 40;
 const ROUND_PAUSE_SPREAD = 80;
 
@@ -134,6 +132,7 @@
 
     async #findPlace(request: PlacementRequest): Promise<Placement> {
         const tried = new Set<string>();
+        let attempts = 0;
         for (;;) {
             this.#checkWait(request);
             const candidates = this.#listCandidates(request);
@@ -143,7 +142,8 @@
                 await waitMilliseconds(MIN_ROUND_PAUSE + this.#options.random() * ROUND_PAUSE_SPREAD);
                 continue;
             }
-            const placement = await this.#tryCandidate(fresh, request);
+            const placement = await this.#tryCandidate(fresh, { request, attempts });
+            attempts += 1;
             if (placement.kind === "placed") {
                 return placement.placement;
             }
@@ -175,14 +175,15 @@
 
     async #tryCandidate(
         candidates: Candidate[],
-        request: PlacementRequest,
+        asking: { request: PlacementRequest; attempts: number; },
     ): Promise<{ kind: "placed"; placement: Placement; } | { kind: "refused"; name: string; }> {
         const { instance, link, random } = this.#options;
+        const { request, attempts } = asking;
         const { account, weight, priority, promptTokens, lengths, prefix } = request;
         const choice = chooseTarget(candidates, { random, ...prefix === undefined ? {} : { prefix } });
         const target = choice?.name ?? "";
         const permitId = `${instance}-${randomUUID()}`;
-        const waitMilliseconds = Math.max(0, Math.min(MAX_OWNER_WAIT, request.until - performance.now()));
+        const waitMilliseconds = Math.max(0, Math.min(computeOwnerWait(attempts), request.until - performance.now()));
         const result = await link.requestPermit({
             permitId,
             target,
--- /dev/null
+++ b/measure/placement/placement_run.ts
@@ -0,0 +1,401 @@
+/**
+ * One run of one policy against engines and workers in virtual time.
+ *
+ * @module
+ */
+import type { LoadReport } from "../../core/admission/mod.ts";
+import { EventQueue } from "../../support/bench/mod.ts";
+import { createRandom, pickExponential } from "../../support/fixtures/random.ts";
+import { EngineCore } from "../../support/stand_ins/mod.ts";
+import { computeFullRate, createWork, type Deployment, ENGINE, type Work, type WorkKind } from "./deployments.ts";
+import type { PlacementPolicy, PolicyBuilder } from "./placement_policy.ts";
+
+/** Options of {@linkcode runPlacement}. */
+export interface PlacementRunOptions {
+    /** Deployment to serve. */
+    deployment: Deployment;
+    /** Policy to measure. */
+    policy: PolicyBuilder;
+    /** Offered load as a share of full load. */
+    load: number;
+    /** Seed of all random numbers. */
+    seed: number;
+    /** Length of the run, in milliseconds. */
+    milliseconds: number;
+}
+
+/** What one run has measured. */
+export interface PlacementResult {
+    /** Generations that were finished. */
+    finished: number;
+    /** Generations that were refused. */
+    refused: number;
+    /** Long generations that were refused. */
+    refusedLong: number;
+    /** Preemptions. */
+    preemptions: number;
+    /** Times that a cold engine fell over. */
+    falls: number;
+    /** Time in which started generations got no token, beyond a short gap, in milliseconds. */
+    stall: number;
+    /** Time of started generations that were lost with their engine and began again, in milliseconds. */
+    redone: number;
+    /** Times to the first token, sorted, in milliseconds. */
+    firstToken: number[];
+    /** Times to the first token of short kinds, sorted, in milliseconds. */
+    firstTokenShort: number[];
+    /** Gaps between tokens, sorted, in milliseconds. */
+    gaps: number[];
+    /** Reads of the plain service while a zone left and returned. */
+    reads: number;
+    /** Those of them that were answered in time. */
+    readsInTime: number;
+    /** Tokens produced. */
+    tokens: number;
+}
+
+/** Gap between two tokens from which on a generation counts as stalled, in milliseconds. */
+const STALL_FROM = 250;
+const REPORT_LAG = 1000;
+/** One in so many gaps is kept for the percentiles. */
+const GAP_SAMPLING = 7;
+/** Time after which work that an engine has lost is placed again, in milliseconds. */
+const RESTART_DELAY = 150;
+const READ_MILLISECONDS = 15;
+/** Time in which a read must be answered, in milliseconds. */
+const READ_IN_TIME = 500;
+const WORKER_CONCURRENT = 16;
+const READ_KIND: WorkKind = {
+    name: "read",
+    priority: 0,
+    patience: 5000,
+    isLong: false,
+    shares: [1, 1],
+    output: { median: 1, spread: 0 },
+    prompt: { median: 1, spread: 0 },
+};
+
+interface RunningWork {
+    work: Work;
+    target: string;
+    startedAt: number;
+    lastTokenAt: number | undefined;
+}
+
+/** Drives one run. */
+class PlacementRun {
+    readonly result: PlacementResult;
+    readonly #options: PlacementRunOptions;
+    readonly #queue = new EventQueue();
+    readonly #engines = new Map<string, EngineCore>();
+    readonly #workers: string[];
+    readonly #coldWorkers = new Map<string, number>();
+    readonly #workerHeld = new Map<string, number>();
+    readonly #reports = new Map<string, { at: number; report: LoadReport; }[]>();
+    readonly #running = new Map<string, RunningWork>();
+    readonly #stepping = new Set<string>();
+    readonly #closed = new Set<string>();
+    readonly #policy: PlacementPolicy;
+    readonly #readPolicy: PlacementPolicy;
+    #now = 0;
+    #gapCount = 0;
+
+    constructor(options: PlacementRunOptions) {
+        this.#options = options;
+        const { deployment, policy, seed } = options;
+        this.result = {
+            finished: 0,
+            refused: 0,
+            refusedLong: 0,
+            preemptions: 0,
+            falls: 0,
+            stall: 0,
+            redone: 0,
+            firstToken: [],
+            firstTokenShort: [],
+            gaps: [],
+            reads: 0,
+            readsInTime: 0,
+            tokens: 0,
+        };
+        for (let index = 0; index < deployment.engines; index += 1) {
+            this.#engines.set(`engine-${index}`, new EngineCore(ENGINE, -ENGINE.coldMilliseconds));
+        }
+        this.#workers = Array.from({ length: deployment.workers }, (_unused, index) => `worker-${index}`);
+        this.#recordReports();
+        const common = {
+            gateways: deployment.gateways,
+            random: createRandom(seed + 1),
+            queue: this.#queue,
+            getNow: () => this.#now,
+            isOpen: (target: string) => !this.#closed.has(target),
+            getReport: (target: string) => this.#reports.get(target)?.[0]?.report,
+        };
+        this.#policy = policy({
+            ...common,
+            targets: [...this.#engines.keys()],
+            memoryTokens: ENGINE.memoryTokens,
+            coldConcurrent: ENGINE.coldConcurrent,
+            maxConcurrent: ENGINE.maxBatch,
+            startWork: (work, target) => this.#startWork(work, target),
+            refuseWork: work => this.#refuseWork(work),
+        });
+        this.#readPolicy = policy({
+            ...common,
+            targets: this.#workers,
+            memoryTokens: 0,
+            coldConcurrent: 2,
+            maxConcurrent: WORKER_CONCURRENT,
+            startWork: (work, target) => this.#startRead(work, target),
+            refuseWork: () => undefined,
+        });
+    }
+
+    /** Runs to the end. */
+    run(): PlacementResult {
+        const { deployment, load, seed, milliseconds } = this.#options;
+        const random = createRandom(seed);
+        const ratePerSecond = computeFullRate(deployment) * load;
+        for (const work of createWork(deployment, { random, ratePerSecond, milliseconds })) {
+            this.#queue.addEvent(work.arrivedAt, () => this.#policy.handleArrival(work));
+        }
+        this.#addReads(seed);
+        this.#addFaults();
+        for (
+            let event = this.#queue.takeEvent(milliseconds);
+            event !== undefined;
+            event = this.#queue.takeEvent(milliseconds)
+        ) {
+            this.#now = event.at;
+            event.run();
+        }
+        for (const engine of this.#engines.values()) {
+            this.result.preemptions += engine.preemptions;
+            this.result.falls += engine.falls;
+        }
+        this.result.firstToken.sort((a, b) => a - b);
+        this.result.firstTokenShort.sort((a, b) => a - b);
+        this.result.gaps.sort((a, b) => a - b);
+        return this.result;
+    }
+
+    #addReads(seed: number): void {
+        const { deployment, milliseconds } = this.#options;
+        const random = createRandom(seed + 2);
+        const meanGap = 1000 / deployment.readsPerSecond;
+        for (let at = pickExponential(random, meanGap); at < milliseconds; at += pickExponential(random, meanGap)) {
+            const gateway = Math.floor(random() * deployment.gateways);
+            const work: Work = {
+                id: `read-${at}`,
+                kind: READ_KIND,
+                account: "field",
+                promptTokens: 0,
+                outputTokens: 1,
+                prefix: "",
+                gateway,
+                arrivedAt: at,
+            };
+            this.#queue.addEvent(at, () => {
+                this.result.reads += this.#isZoneChanging() ? 1 : 0;
+                this.#readPolicy.handleArrival(work);
+            });
+        }
+    }
+
+    /** An engine dies at a quarter; a zone leaves at six tenths and returns cold at eight tenths of the run. */
+    #addFaults(): void {
+        const { milliseconds } = this.#options;
+        this.#queue.addEvent(milliseconds * 0.25, () => this.#restartEngine("engine-0"));
+        this.#queue.addEvent(milliseconds * 0.4, () => this.#restartEngine("engine-5"));
+        this.#queue.addEvent(milliseconds * 0.6, () => this.#listZone().forEach(name => this.#closed.add(name)));
+        this.#queue.addEvent(milliseconds * 0.8, () => {
+            for (const name of this.#listZone()) {
+                this.#closed.delete(name);
+                if (this.#engines.get(name)?.held === 0) {
+                    this.#restartEngine(name);
+                }
+                else if (!this.#engines.has(name)) {
+                    this.#coldWorkers.set(name, this.#now + ENGINE.coldMilliseconds);
+                }
+            }
+        });
+    }
+
+    #isZoneChanging(): boolean {
+        const { milliseconds } = this.#options;
+        return this.#now >= milliseconds * 0.6 && this.#now < milliseconds * 0.95;
+    }
+
+    #listZone(): string[] {
+        const { zones } = this.#options.deployment;
+        return [...this.#engines.keys(), ...this.#workers].filter(name => Number(name.split("-")[1]) % zones === 1);
+    }
+
+    #restartEngine(name: string): void {
+        const lost = this.#engines.get(name)?.startLife(this.#now) ?? [];
+        this.#policy.handleClosed(name);
+        lost.forEach(id => this.#loseWork(id));
+    }
+
+    /** Whole delivery starts again elsewhere. */
+    #loseWork(id: string): void {
+        const running = this.#running.get(id);
+        this.#running.delete(id);
+        if (running === undefined) {
+            return;
+        }
+        const { work, target, startedAt, lastTokenAt } = running;
+        this.#policy.handleEnd(work, { target, outcome: "broken" });
+        this.result.redone += lastTokenAt === undefined ? 0 : this.#now - startedAt;
+        this.#queue.addEvent(this.#now + RESTART_DELAY, () => this.#policy.handleArrival(work));
+    }
+
+    #startWork(work: Work, target: string): void {
+        const engine = this.#engines.get(target);
+        if (engine === undefined) {
+            return;
+        }
+        this.#running.set(work.id, { work, target, startedAt: this.#now, lastTokenAt: undefined });
+        const { id, promptTokens, outputTokens, prefix, kind } = work;
+        const lost = engine.handleRequest(
+            { id, promptTokens, outputTokens, prefix, priority: kind.priority },
+            this.#now,
+        );
+        if (lost.length > 0) {
+            this.#policy.handleClosed(target);
+        }
+        lost.forEach(each => this.#loseWork(each));
+        this.#startStepping(target, engine);
+    }
+
+    #startStepping(name: string, engine: EngineCore): void {
+        if (!this.#stepping.has(name)) {
+            this.#stepping.add(name);
+            this.#runStep(name, engine);
+        }
+    }
+
+    #runStep(name: string, engine: EngineCore): void {
+        const { events, duration } = engine.runStep();
+        if (duration === 0) {
+            this.#stepping.delete(name);
+            return;
+        }
+        this.#queue.addEvent(this.#now + duration, () => {
+            for (const event of events) {
+                if (event.kind === "token") {
+                    this.#handleToken(event);
+                }
+            }
+            this.#runStep(name, engine);
+        });
+    }
+
+    #handleToken(event: { id: string; index: number; isLast: boolean; }): void {
+        const running = this.#running.get(event.id);
+        if (running === undefined) {
+            return;
+        }
+        const { work, target, lastTokenAt } = running;
+        this.result.tokens += 1;
+        if (lastTokenAt === undefined) {
+            this.result.firstToken.push(this.#now - work.arrivedAt);
+            if (!work.kind.isLong) {
+                this.result.firstTokenShort.push(this.#now - work.arrivedAt);
+            }
+        }
+        else {
+            this.#recordGap(this.#now - lastTokenAt);
+        }
+        running.lastTokenAt = this.#now;
+        this.#policy.handleProgress(work, event.index + 1);
+        if (event.isLast) {
+            this.#running.delete(event.id);
+            this.result.finished += 1;
+            this.#policy.handleEnd(work, { target, outcome: "finished" });
+        }
+    }
+
+    #recordGap(gap: number): void {
+        this.#gapCount += 1;
+        if (this.#gapCount % GAP_SAMPLING === 0) {
+            this.result.gaps.push(gap);
+        }
+        if (gap > STALL_FROM) {
+            this.result.stall += gap - STALL_FROM;
+        }
+    }
+
+    #refuseWork(work: Work): void {
+        this.result.refused += 1;
+        this.result.refusedLong += work.kind.isLong ? 1 : 0;
+    }
+
+    #startRead(work: Work, target: string): void {
+        const held = (this.#workerHeld.get(target) ?? 0) + 1;
+        this.#workerHeld.set(target, held);
+        const isCold = (this.#coldWorkers.get(target) ?? 0) > this.#now;
+        const duration = READ_MILLISECONDS * (isCold ? 4 * held : 1);
+        const isCounted = this.#isZoneChanging();
+        this.#queue.addEvent(this.#now + duration, () => {
+            this.#workerHeld.set(target, (this.#workerHeld.get(target) ?? 1) - 1);
+            this.#readPolicy.handleEnd(work, { target, outcome: "finished" });
+            const isInTime = this.#now - work.arrivedAt <= READ_IN_TIME;
+            this.result.readsInTime += isCounted && isInTime ? 1 : 0;
+        });
+    }
+
+    #recordReports(): void {
+        const interval = 100;
+        for (const [name, engine] of this.#engines) {
+            this.#addReport(name, engine.getReport(this.#now));
+        }
+        for (const name of this.#workers) {
+            this.#addReport(name, this.#buildWorkerReport(name));
+        }
+        this.#queue.addEvent(this.#now + interval, () => this.#recordReports());
+    }
+
+    #addReport(name: string, report: LoadReport): void {
+        const reports = this.#reports.get(name) ?? [];
+        reports.push({ at: this.#now, report });
+        while ((reports[1]?.at ?? Infinity) <= this.#now - REPORT_LAG) {
+            reports.shift();
+        }
+        this.#reports.set(name, reports);
+    }
+
+    #buildWorkerReport(name: string): LoadReport {
+        const coldUntil = this.#coldWorkers.get(name) ?? 0;
+        return {
+            incarnation: String(coldUntil),
+            isCold: coldUntil > this.#now,
+            isLeaving: false,
+            running: this.#workerHeld.get(name) ?? 0,
+            memoryUsed: 0,
+            preemptions: 0,
+            stepMilliseconds: 0,
+        };
+    }
+}
+
+/**
+ * Runs one policy once.
+ *
+ * @param options What to run.
+ * @returns What was measured.
+ */
+export function runPlacement(options: PlacementRunOptions): PlacementResult {
+    return new PlacementRun(options).run();
+}
+
+/**
+ * Picks a percentile.
+ *
+ * @param sorted Values in rising order.
+ * @param share Share of the values at or below the percentile.
+ * @returns The value; 0 where there are none.
+ */
+export function pickPercentile(sorted: readonly number[], share: number): number {
+    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+}
--- /dev/null
+++ b/measure/placement/run_placement.ts
@@ -0,0 +1,91 @@
+/**
+ * Prints a table of policies side by side.
+ *
+ * Flags: `--deployments bagmati,signalis`, `--loads 0.6,1,1.3`, `--seeds 1,2,3,4,5`, `--seconds 240`.
+ *
+ * @module
+ */
+import { Command } from "commander";
+import { createLeastOutstanding, createRoundRobin } from "./baseline_policies.ts";
+import { DEPLOYMENTS } from "./deployments.ts";
+import { createMemoryPolicy } from "./memory_policy.ts";
+import type { PolicyBuilder } from "./placement_policy.ts";
+import { pickPercentile, type PlacementResult, runPlacement } from "./placement_run.ts";
+
+/** Policies by name; each run builds its policy anew. */
+const POLICIES: Record<string, () => PolicyBuilder> = {
+    "round-robin-32": () => createRoundRobin(32),
+    "least-outstanding-32": () => createLeastOutstanding(32),
+    "least-outstanding-20": () => createLeastOutstanding(20),
+    "today": () => createMemoryPolicy(),
+};
+
+/** One column: how a result becomes a number. */
+interface Column {
+    title: string;
+    compute: (result: PlacementResult) => number;
+}
+
+const COLUMNS: readonly Column[] = [
+    { title: "preempt", compute: result => result.preemptions },
+    { title: "stall s", compute: result => result.stall / 1000 },
+    { title: "redone s", compute: result => result.redone / 1000 },
+    { title: "falls", compute: result => result.falls },
+    { title: "ttft p50", compute: result => pickPercentile(result.firstToken, 0.5) },
+    { title: "ttft p95", compute: result => pickPercentile(result.firstToken, 0.95) },
+    { title: "ttft p99", compute: result => pickPercentile(result.firstToken, 0.99) },
+    { title: "short p95", compute: result => pickPercentile(result.firstTokenShort, 0.95) },
+    { title: "gap p50", compute: result => pickPercentile(result.gaps, 0.5) },
+    { title: "gap p95", compute: result => pickPercentile(result.gaps, 0.95) },
+    { title: "gap p99", compute: result => pickPercentile(result.gaps, 0.99) },
+    { title: "refused", compute: result => result.refused },
+    { title: "long ref", compute: result => result.refusedLong },
+    { title: "finished", compute: result => result.finished },
+    { title: "ktokens", compute: result => result.tokens / 1000 },
+    { title: "reads %", compute: result => 100 * result.readsInTime / Math.max(1, result.reads) },
+];
+
+const CELL_WIDTH = 17;
+
+function formatCell(values: readonly number[]): string {
+    const sorted = [...values].sort((a, b) => a - b);
+    const format = (
+        value: number,
+    ): string => (value >= 100 || Number.isInteger(value) ? String(Math.round(value)) : value.toFixed(2));
+    const median = pickPercentile(sorted, 0.5);
+    return `${format(median)} [${format(sorted[0] ?? 0)}-${format(sorted.at(-1) ?? 0)}]`.padStart(CELL_WIDTH);
+}
+
+function printTable(deploymentName: string, options: { load: number; seeds: number[]; seconds: number; }): void {
+    const deployment = DEPLOYMENTS.find(each => each.name === deploymentName);
+    if (deployment === undefined) {
+        throw new Error(`Cannot measure: received deployment "${deploymentName}".`);
+    }
+    const { load, seeds, seconds } = options;
+    process.stdout.write(
+        `\n${deploymentName}, load ${load}, ${seconds} s, seeds ${seeds.join(",")}: median [least-greatest]\n`,
+    );
+    process.stdout.write(
+        `${"policy".padEnd(22)}${COLUMNS.map(column => column.title.padStart(CELL_WIDTH)).join("")}\n`,
+    );
+    for (const [name, createPolicy] of Object.entries(POLICIES)) {
+        const results = seeds.map(seed =>
+            runPlacement({ deployment, policy: createPolicy(), load, seed, milliseconds: seconds * 1000 })
+        );
+        const cells = COLUMNS.map(column => formatCell(results.map(result => column.compute(result))));
+        process.stdout.write(`${name.padEnd(22)}${cells.join("")}\n`);
+    }
+}
+
+const command = new Command()
+    .option("--deployments <names>", "deployments", "bagmati,signalis")
+    .option("--loads <loads>", "shares of full load", "0.6,1,1.3")
+    .option("--seeds <seeds>", "seeds", "1,2,3,4,5")
+    .option("--seconds <seconds>", "length of each run", "240")
+    .parse();
+const options = command.opts<{ deployments: string; loads: string; seeds: string; seconds: string; }>();
+for (const deployment of options.deployments.split(",")) {
+    for (const load of options.loads.split(",").map(Number)) {
+        printTable(deployment, { load, seeds: options.seeds.split(",").map(Number), seconds: Number(options.seconds) });
+    }
+}
