--- a/core/agent/agent_core.ts
+++ b/core/agent/agent_core.ts
@@ -44,7 +44,8 @@
     readonly #owner: TargetOwner;
     readonly #broker: PermitBroker;
     readonly #claims: ClaimBook;
-    readonly #gateways = new Set<string>();
+    /** Addresses of the parts that each gateway was sent, by connection. */
+    readonly #gateways = new Map<string, ReadonlySet<string>>();
     #table: RoutingTable = buildRoutingTable({
         zones: [],
         models: [],
@@ -182,13 +183,13 @@
         "handover-offer": (from, message) => this.#owner.requestHandover(message.target, { from, now: this.#now }),
         "handover-request": (from, message) => this.#owner.handleHandoverRequest(message, { from, now: this.#now }),
         "handover": (_from, message) => this.#owner.handleHandover(message, this.#now),
-        "headroom": (_from, message) => this.#broker.handleHeadroom(message.items, this.#gateways),
+        "headroom": (_from, message) => this.#broker.handleHeadroom(message.items, this.#gateways.keys()),
         "claim": (from, message) => this.#claims.handleClaim(from, message.request),
         "claim-result": (_from, message) => this.#claims.handleResult(message.holder, message.result),
         "settle": (from, message) => this.#claims.handleSettle(from, message),
         "settled": (_from, message) => {
             this.#claims.handleSettled(message.holder);
-            for (const connection of this.#gateways) {
+            for (const connection of this.#gateways.keys()) {
                 this.#outbox.sendGateway(connection, message);
             }
         },
@@ -232,7 +233,7 @@
     }
 
     #handleGatewayOpened(connection: string): void {
-        this.#gateways.add(connection);
+        this.#gateways.set(connection, new Set());
         this.#sendConfiguration(connection);
         this.#outbox.sendGateway(connection, this.#buildServing());
     }
@@ -256,7 +257,7 @@
     #handleAdopted(): void {
         const { inventory } = this.#configuration.state;
         this.#table = buildRoutingTable(inventory, { leaving: this.#configuration.leaving });
-        for (const connection of this.#gateways) {
+        for (const connection of this.#gateways.keys()) {
             this.#sendConfiguration(connection);
         }
     }
@@ -266,9 +267,15 @@
         if (state.manifest === undefined) {
             return;
         }
-        const texts = state.getParts(Object.values(state.manifest.parts));
+        const hashes = Object.values(state.manifest.parts);
+        const sent = this.#gateways.get(connection);
+        const parts = hashes.filter(hash => sent?.has(hash) !== true).map(hash => ({
+            hash,
+            text: state.getParts([hash])[0] ?? "",
+        }));
+        this.#gateways.set(connection, new Set(hashes));
         this.#outbox.sendGateway(connection, { kind: "leaving", names: [...leaving] });
-        this.#outbox.sendGateway(connection, { kind: "configuration", generation: state.generation, texts });
+        this.#outbox.sendGateway(connection, { kind: "configuration", generation: state.generation, hashes, parts });
     }
 
     #publishServing(): void {
@@ -278,7 +285,7 @@
         }
         this.#lastServing = reason;
         this.#outbox.logChange(reason === "" ? "serving" : "not serving", { reason });
-        for (const connection of this.#gateways) {
+        for (const connection of this.#gateways.keys()) {
             this.#outbox.sendGateway(connection, this.#buildServing());
         }
     }
--- a/core/agent/agent_messages.ts
+++ b/core/agent/agent_messages.ts
@@ -5,7 +5,7 @@
  */
 import type { Headroom, Permit, PermitRequest, RefusalReason, WorkOutcome } from "../admission/mod.ts";
 import type { ClaimOutcome, ClaimRequest, ClaimResult } from "../claims/mod.ts";
-import type { Manifest } from "../configuration/mod.ts";
+import type { ConfigurationPart, Manifest } from "../configuration/mod.ts";
 import type { FarewellMessage, GossipMessage, GossipReplyMessage } from "../membership/mod.ts";
 
 /** Asks for a permit. */
@@ -176,7 +176,10 @@
 export interface ConfigurationMessage {
     kind: "configuration";
     generation: number;
-    texts: string[];
+    /** Addresses of all parts. */
+    hashes: string[];
+    /** Parts that the gateway was not sent before. */
+    parts: ConfigurationPart[];
 }
 
 /** Tells a gateway whether it may start new work, and why not. */
--- a/core/agent/target_owner.ts
+++ b/core/agent/target_owner.ts
@@ -65,13 +65,15 @@
 const GIVEN_MILLISECONDS = 5000;
 /** Age of a handover up to which nobody else can have owned the target since, in milliseconds. */
 const MAX_HANDOVER_AGE = 2000;
-const OWNERSHIP_INTERVAL = 150;
+const OWNERSHIP_INTERVAL = 200;
 
 /** Grants permits for the targets that this instance owns. */
 export class TargetOwner {
     readonly #context: TargetOwnerContext;
     readonly #owned = new Map<string, OwnedTarget>();
     readonly #given = new Map<string, GivenTarget>();
+    /** Owners found since the members changed last. */
+    readonly #owners = new Map<string, string | undefined>();
     #rendezvous = new Rendezvous([]);
     #liveKey = "";
     #live: string[] = [];
@@ -85,7 +87,10 @@
 
     /** Finds the instance that owns `target`. */
     findOwner(target: string): string | undefined {
-        return this.#rendezvous.chooseOwner(target);
+        if (!this.#owners.has(target)) {
+            this.#owners.set(target, this.#rendezvous.chooseOwner(target));
+        }
+        return this.#owners.get(target);
     }
 
     /** Takes up and gives up targets, polls them, and lets waits run out. */
@@ -213,6 +218,7 @@
         this.#live = live;
         this.#table = table;
         this.#rendezvous = new Rendezvous(live);
+        this.#owners.clear();
         for (const [name, target] of table.targets) {
             const isMine = this.findOwner(name) === options.self.id;
             const owned = this.#owned.get(name);
--- a/core/configuration/configuration_state.ts
+++ b/core/configuration/configuration_state.ts
@@ -5,6 +5,7 @@
  */
 import { type Inventory, mergeParts } from "../inventory/mod.ts";
 import type { Manifest } from "./manifest.ts";
+import { PartStore } from "./part_store.ts";
 
 /** Options of a {@linkcode ConfigurationState}. */
 export interface ConfigurationStateOptions {
@@ -25,7 +26,7 @@
 /** Knows which generation is in force here, and how lately it was proved to be the newest. */
 export class ConfigurationState {
     readonly #options: ConfigurationStateOptions;
-    readonly #parts = new Map<string, string>();
+    readonly #parts = new PartStore();
     #manifest: Manifest | undefined;
     #pending: Manifest | undefined;
     #inventory: Inventory = mergeParts([]);
@@ -61,7 +62,7 @@
     /** Takes parts from anywhere; a part that does not match its address is dropped. */
     handleParts(texts: Iterable<string>): ManifestOutcome {
         for (const text of texts) {
-            this.#parts.set(this.#options.hashContent(text), text);
+            this.#parts.addPart({ hash: this.#options.hashContent(text), text });
         }
         return this.#settlePending();
     }
@@ -89,12 +90,12 @@
 
     /** Lists the addresses of parts that the pending generation lacks. */
     listMissing(): string[] {
-        return Object.values(this.#pending?.parts ?? {}).filter(hash => !this.#parts.has(hash));
+        return Object.values(this.#pending?.parts ?? {}).filter(hash => !this.#parts.hasPart(hash));
     }
 
     /** Gets the parts among `hashes` that are known here. */
     getParts(hashes: readonly string[]): string[] {
-        return hashes.flatMap(hash => this.#parts.get(hash) ?? []);
+        return this.#parts.getTexts(hashes);
     }
 
     #settlePending(): ManifestOutcome {
@@ -108,17 +109,7 @@
         }
         this.#pending = undefined;
         this.#manifest = pending;
-        this.#inventory = mergeParts(this.getParts(Object.values(pending.parts)));
-        this.#removeUnused(pending);
+        this.#inventory = this.#parts.buildInventory(Object.values(pending.parts));
         return { kind: "adopted", manifest: pending };
     }
-
-    #removeUnused(manifest: Manifest): void {
-        const used = new Set(Object.values(manifest.parts));
-        for (const hash of [...this.#parts.keys()]) {
-            if (!used.has(hash)) {
-                this.#parts.delete(hash);
-            }
-        }
-    }
 }
--- a/core/configuration/mod.ts
+++ b/core/configuration/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./configuration_state.ts";
 export * from "./manifest.ts";
+export * from "./part_store.ts";
--- a/core/inventory/configuration_parts.ts
+++ b/core/inventory/configuration_parts.ts
@@ -33,21 +33,28 @@
 }
 
 /**
- * Merges parts into one inventory.
+ * Merges the texts of parts into one inventory.
  *
- * @param texts Texts of the parts.
+ * @param texts JSON texts of the parts.
  * @returns The whole inventory.
  */
 export function mergeParts(texts: Iterable<string>): Inventory {
-    const merged: Inventory = { zones: [], models: [], targets: [], kinds: [], accounts: [], rules: [] };
-    for (const text of texts) {
-        const part = JSON.parse(text) as Partial<Inventory>;
-        merged.zones.push(...part.zones ?? []);
-        merged.models.push(...part.models ?? []);
-        merged.targets.push(...part.targets ?? []);
-        merged.kinds.push(...part.kinds ?? []);
-        merged.accounts.push(...part.accounts ?? []);
-        merged.rules.push(...part.rules ?? []);
-    }
-    return merged;
+    return mergeParsed([...texts].map(text => JSON.parse(text) as Partial<Inventory>));
+}
+
+/**
+ * Joins parsed parts into one inventory.
+ *
+ * @param parts Parsed parts.
+ * @returns The whole inventory.
+ */
+export function mergeParsed(parts: readonly Partial<Inventory>[]): Inventory {
+    return {
+        zones: parts.flatMap(part => part.zones ?? []),
+        models: parts.flatMap(part => part.models ?? []),
+        targets: parts.flatMap(part => part.targets ?? []),
+        kinds: parts.flatMap(part => part.kinds ?? []),
+        accounts: parts.flatMap(part => part.accounts ?? []),
+        rules: parts.flatMap(part => part.rules ?? []),
+    };
 }
--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -7,13 +7,14 @@
  * @module
  */
 import { hashText } from "../hashing/mod.ts";
-import type {
-    FarewellMessage,
-    GossipMessage,
-    GossipReplyMessage,
-    ListedInstance,
-    Member,
-    MemberEntry,
+import {
+    AGE_UNIT,
+    type FarewellMessage,
+    type GossipMessage,
+    type GossipReplyMessage,
+    type ListedInstance,
+    type Member,
+    type MemberEntry,
 } from "./membership_types.ts";
 
 /** Options of a {@linkcode Membership}. */
@@ -51,6 +52,8 @@
 const DEAD_FACTOR = 1.5;
 /** Every this many rounds, one question goes to a member that seems dead, to heal a parted network. */
 const ROUNDS_PER_HEALING = 5;
+/** Time for which a computed share of members in contact is used again, in milliseconds. */
+const SHARE_MILLISECONDS = 40;
 /** Age that stands for never, in milliseconds. */
 const MAX_AGE = 1_000_000;
 
@@ -62,6 +65,9 @@
     readonly #listed = new Set<string>();
     #order: string[] = [];
     #roster = 0;
+    /** Share of members in contact, as computed at `#shareAt`. */
+    #share = 0;
+    #shareAt = -Infinity;
     #round = 0;
     #nextRoundAt = 0;
 
@@ -105,7 +111,7 @@
             kind: "gossip-reply",
             echo: message.sentAt,
             roster: this.#roster,
-            ages: isSameRoster ? members.map(member => this.#computeAge(member, now)) : [],
+            ages: isSameRoster ? members.map(member => Math.ceil(this.#computeAge(member, now) / AGE_UNIT)) : [],
             entries: isSameRoster ? [] : members.map(member => this.#buildEntry(member, now)),
             ...payload,
         };
@@ -114,6 +120,7 @@
     /** Takes an answer to a question of this instance. */
     handleReply(message: GossipReplyMessage): void {
         const { echo, roster, ages, entries } = message;
+        this.#shareAt = -Infinity;
         if (roster === this.#roster) {
             this.#mergeAges(ages, echo);
         }
@@ -180,6 +187,9 @@
 
     /** Computes the share of the known members that are in contact, this one too. */
     computeContactShare(now: number): number {
+        if (now >= this.#shareAt && now - this.#shareAt < SHARE_MILLISECONDS) {
+            return this.#share;
+        }
         const { freshAge } = this;
         let known = 0;
         let fresh = 0;
@@ -189,7 +199,9 @@
                 fresh += this.#computeAge(member, now) < freshAge ? 1 : 0;
             }
         }
-        return fresh / known;
+        this.#shareAt = now;
+        this.#share = fresh / known;
+        return this.#share;
     }
 
     /** Finds the member named `id`. */
@@ -242,8 +254,9 @@
     }
 
     #mergeAges(ages: readonly number[], echo: number): void {
-        for (const [index, age] of ages.entries()) {
+        for (const [index, units] of ages.entries()) {
             const member = this.#members.get(this.#order[index] ?? "");
+            const age = units * AGE_UNIT;
             if (member !== undefined && age < MAX_AGE) {
                 member.aliveAt = Math.max(member.aliveAt, echo - age);
             }
@@ -284,6 +297,7 @@
     }
 
     #updateRoster(): void {
+        this.#shareAt = -Infinity;
         this.#order = [...this.#members.keys()].sort();
         const parts = this.#order.map(id => {
             const member = this.#members.get(id);
--- a/core/membership/membership_types.ts
+++ b/core/membership/membership_types.ts
@@ -37,6 +37,9 @@
     generation: number;
 }
 
+/** Unit of the ages in gossip, in milliseconds; small numbers take few bytes. */
+export const AGE_UNIT = 50;
+
 /** Answers a {@linkcode GossipMessage}. */
 export interface GossipReplyMessage {
     kind: "gossip-reply";
@@ -44,7 +47,7 @@
     echo: number;
     /** Hash of the sender's roster. */
     roster: number;
-    /** Ages of the members in the order of the roster, in milliseconds; empty where `entries` is given. */
+    /** Ages of the members in the order of the roster, in units of {@linkcode AGE_UNIT}, rounded up; empty where `entries` is given. */
     ages: number[];
     /** Whole entries, where the rosters differ. */
     entries: MemberEntry[];
--- a/core/prediction/length_predictor.ts
+++ b/core/prediction/length_predictor.ts
@@ -84,7 +84,7 @@
         for (const name of this.#listNames(key)) {
             const sketch = this.#sketches.get(name);
             if (sketch !== undefined && sketch.count >= this.#minObservations) {
-                return [...sketch.getLengths()];
+                return sketch.getLengths().map(Math.round);
             }
         }
         return this.#initial;
--- a/gateway/routing_state.ts
+++ b/gateway/routing_state.ts
@@ -5,6 +5,7 @@
  */
 import type { Headroom } from "../core/admission/mod.ts";
 import type { AgentToGateway } from "../core/agent/mod.ts";
+import { PartStore } from "../core/configuration/mod.ts";
 import {
     buildRoutingTable,
     type Inventory,
@@ -29,6 +30,7 @@
 /** Keeps the configuration in force, headroom, and whether new work may start. */
 export class RoutingState {
     readonly #options: RoutingStateOptions;
+    readonly #parts = new PartStore();
     readonly #headroom = new Map<string, Headroom>();
     #inventory: Inventory = mergeParts([]);
     #leaving: ReadonlySet<string> = new Set();
@@ -57,7 +59,8 @@
     handleMessage(message: AgentToGateway): void {
         if (message.kind === "configuration" && message.generation >= this.#generation) {
             this.#generation = message.generation;
-            this.#inventory = mergeParts(message.texts);
+            message.parts.forEach(part => this.#parts.addPart(part));
+            this.#inventory = this.#parts.buildInventory(message.hashes);
             this.#updateTable();
         }
         else if (message.kind === "leaving") {
--- /dev/null
+++ b/measure/capacity/measure_claims.ts
@@ -0,0 +1,52 @@
+/**
+ * Measures the platform writes that claims cost, beside one object for each claim.
+ *
+ * @module
+ */
+import { CoreBench } from "../../support/bench/mod.ts";
+
+const NODES = 8;
+const WARM_UP = 9000;
+const SECONDS = 5;
+
+/**
+ * Measures writes against claims at several rates.
+ *
+ * @param seed Seed of all random numbers.
+ * @returns Lines of a table.
+ */
+export function measureClaims(seed: number): string[] {
+    const lines = ["", "claims: platform writes a second, beside one object for each claim and each outcome"];
+    for (const rate of [5, 50, 200, 600]) {
+        lines.push(measureRate(rate, seed));
+    }
+    return lines;
+}
+
+function measureRate(rate: number, seed: number): string {
+    const bench = new CoreBench({ nodes: NODES, seed });
+    bench.applyInventory({ zones: [], models: [], targets: [], kinds: [], accounts: [], rules: [] });
+    bench.runFor(WARM_UP);
+    const before = bench.platform.store.counts["create"] ?? 0;
+    const askedAt = new Map<string, number>();
+    const outcome = { status: 200, headers: {}, body: "" };
+    for (let number = 0; number < rate * SECONDS; number += 1) {
+        const node = bench.nodes[number % NODES];
+        bench.addEvent(number * 1000 / rate, () => {
+            if (node !== undefined) {
+                const key = `key-${number}`;
+                askedAt.set(key, bench.now);
+                const holder = bench.requestClaim(node, key);
+                bench.addEvent(100, () => bench.sendFromGateway(node, { kind: "settle", key, holder, outcome }));
+            }
+        });
+    }
+    bench.runFor(SECONDS * 1000 + 2000);
+    const writes = ((bench.platform.store.counts["create"] ?? 0) - before) / SECONDS;
+    const waits = bench.dispatches.map(dispatch => dispatch.at - (askedAt.get(dispatch.key) ?? 0)).sort((a, b) =>
+        a - b
+    );
+    const p95 = waits[Math.floor(waits.length * 0.95)] ?? 0;
+    const share = `${bench.dispatches.length} of ${rate * SECONDS} claimed`;
+    return `  ${rate} claims/s: ${writes.toFixed(0)} writes/s beside ${2 * rate}; p95 ${p95.toFixed(0)} ms; ${share}`;
+}
--- /dev/null
+++ b/measure/capacity/run_capacity.ts
@@ -0,0 +1,130 @@
+/**
+ * Measures what the control path costs each node at several sizes, and what its state weighs.
+ *
+ * Flags: `--sizes 8,40,120,340`, `--seconds 12`, `--seed 1`.
+ *
+ * @module
+ */
+import { Command } from "commander";
+import { encodeFrame } from "../../protocol/mod.ts";
+import { CoreBench } from "../../support/bench/mod.ts";
+import { BAGMATI, createInventory, type DeploymentPlan } from "../../support/fixtures/inventories.ts";
+import { pickPercentile } from "../placement/placement_run.ts";
+import { measureClaims } from "./measure_claims.ts";
+import { measureState } from "./measure_state.ts";
+
+const TARGETS_PER_NODE = 1300 / 340;
+const REQUESTS_PER_NODE_SECOND = 5600 / 340;
+const WORK_MILLISECONDS = 4000;
+const SUBSET = 16;
+const WARM_UP = 14_000;
+const ZONES = 8;
+
+function printLine(text: string): void {
+    process.stdout.write(`${text}\n`);
+}
+
+function createFleet(size: number, seed: number): { bench: CoreBench; inventory: ReturnType<typeof createInventory>; } {
+    const zones = Array.from({ length: ZONES }, (_unused, index) => `zone-${index + 1}`);
+    const plan: DeploymentPlan = { ...BAGMATI, zones };
+    const count = Math.round(size * TARGETS_PER_NODE);
+    const engines = Array.from(
+        { length: count },
+        (_unused, index) => `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:80`,
+    );
+    const inventory = createInventory(plan, { engines, services: [] });
+    const target = { coldConcurrent: 32, coldMilliseconds: 0, lagMilliseconds: 1000 };
+    const bench = new CoreBench({ nodes: size, seed, inventory, zones: ZONES, target });
+    return { bench, inventory };
+}
+
+/** Lets every node ask for work at the size's rate. */
+function addLoad(bench: CoreBench, options: { targets: number; milliseconds: number; }): void {
+    const interval = 1000 / REQUESTS_PER_NODE_SECOND;
+    for (const [index, node] of bench.nodes.entries()) {
+        for (let at = bench.random() * interval; at < options.milliseconds; at += interval) {
+            const number = (index * SUBSET + Math.floor(bench.random() * SUBSET)) % options.targets;
+            bench.addEvent(
+                at,
+                () => bench.requestWork(node, { target: `engine-${number + 1}`, duration: WORK_MILLISECONDS }),
+            );
+        }
+    }
+}
+
+/** Measures how long a change takes to be in force on all nodes, in milliseconds. */
+function measureChange(bench: CoreBench, inventory: ReturnType<typeof createInventory>): number {
+    const generation = bench.applyInventory({
+        ...inventory,
+        rules: [{ name: "r", action: "withdraw", zone: "zone-1" }],
+    });
+    const startedAt = bench.now;
+    while (bench.nodes.some(node => node.generation < generation) && bench.now - startedAt < 30_000) {
+        bench.runFor(10);
+    }
+    return bench.now - startedAt;
+}
+
+function runSize(size: number, options: { seconds: number; seed: number; }): void {
+    const { bench, inventory } = createFleet(size, options.seed);
+    bench.runFor(WARM_UP);
+    bench.countBytes = message => encodeFrame(message).length;
+    const before = { ...bench.platform.store.counts };
+    const milliseconds = options.seconds * 1000;
+    bench.handleMilliseconds = 0;
+    addLoad(bench, { targets: inventory.targets.length, milliseconds });
+    bench.runFor(milliseconds);
+    const perNodeSecond = size * options.seconds;
+    const handle = bench.handleMilliseconds;
+    const ages = bench.nodes.flatMap(node =>
+        (node.core.dumpState()["members"] as { age: number; }[]).map(member => member.age)
+    );
+    ages.sort((a, b) => a - b);
+    const traffic = [...bench.traffic];
+    const bytes = traffic.reduce((sum, [, count]) => sum + count.bytes, 0);
+    const messages = traffic.reduce((sum, [, count]) => sum + count.messages, 0);
+    const calls = Object.entries(bench.platform.store.counts).map(([kind, count]) => {
+        const rate = (count - (before[kind] ?? 0)) / options.seconds;
+        return `${kind} ${rate.toFixed(1)}/s`;
+    });
+    bench.countBytes = undefined;
+    const change = measureChange(bench, inventory);
+    printLine(`\n${size} nodes, ${inventory.targets.length} targets, ${options.seconds} s, seed ${options.seed}`);
+    printLine(
+        `  sent per node: ${(messages / perNodeSecond).toFixed(1)} messages/s, ${
+            (bytes / perNodeSecond / 1000).toFixed(2)
+        } KB/s`,
+    );
+    for (const [kind, count] of traffic.sort(([, a], [, b]) => b.bytes - a.bytes)) {
+        const rate = (count.messages / perNodeSecond).toFixed(2);
+        printLine(
+            `    ${kind.padEnd(18)} ${rate.padStart(7)} messages/s ${
+                (count.bytes / perNodeSecond / 1000).toFixed(3).padStart(8)
+            } KB/s`,
+        );
+    }
+    printLine(
+        `  core time per node: ${(handle / perNodeSecond).toFixed(2)} ms/s (${
+            (handle / perNodeSecond / 10).toFixed(2)
+        } % of a core)`,
+    );
+    printLine(`  platform, whole fleet: ${calls.join(", ")}`);
+    printLine(
+        `  age of members' last signs: p50 ${pickPercentile(ages, 0.5)} ms, p99 ${
+            pickPercentile(ages, 0.99)
+        } ms, greatest ${ages.at(-1)} ms`,
+    );
+    printLine(`  a change in force on all nodes after ${Math.round(change)} ms`);
+}
+
+const command = new Command()
+    .option("--sizes <sizes>", "numbers of nodes", "8,40,120,340")
+    .option("--seconds <seconds>", "length of each run", "12")
+    .option("--seed <seed>", "seed", "1")
+    .parse();
+const flags = command.opts<{ sizes: string; seconds: string; seed: string; }>();
+for (const size of flags.sizes.split(",").map(Number)) {
+    runSize(size, { seconds: Number(flags.seconds), seed: Number(flags.seed) });
+}
+measureClaims(Number(flags.seed)).forEach(printLine);
+measureState().forEach(printLine);
--- a/support/stand_ins/platform_store.ts
+++ b/support/stand_ins/platform_store.ts
@@ -17,6 +17,11 @@
     instances: ListedInstance[] = [];
     #version = 0;
 
+    /** Version of the last change. */
+    get version(): number {
+        return this.#version;
+    }
+
     /** Calls `listener` with the key of each change. @returns A function that ends this. */
     addListener(listener: (key: string) => void): () => void {
         this.#listeners.add(listener);
