--- /dev/null
+++ b/features/steps/contract_steps.ts
@@ -0,0 +1,293 @@
+/**
+ * Steps of the contracts of single interfaces.
+ *
+ * @module
+ */
+import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+    applyInventory,
+    type ApplyResult,
+    applyRuleEdit,
+    DocumentError,
+    fetchConfiguration,
+    readInventoryFiles,
+} from "../../control/mod.ts";
+import type { PlatformReply, PlatformRequest } from "../../core/platform/mod.ts";
+import { type Address, parseAddress } from "../../network/mod.ts";
+import { HttpPlatform } from "../../platform/mod.ts";
+import { encodeFrame, FrameDecoder } from "../../protocol/mod.ts";
+import { BAGMATI, createAccountKey, createInventory } from "../../support/fixtures/inventories.ts";
+import { callHttp, findAddresses, type HttpResult } from "../../support/processes/mod.ts";
+import { type OpenedStandIn, openStandIn, PlatformStandIn } from "../../support/stand_ins/mod.ts";
+import type { ProcessWorld } from "../support/process_world.ts";
+
+/** What the steps of one contract share. */
+interface ContractState {
+    platform: PlatformStandIn;
+    opened: OpenedStandIn;
+    address: Address;
+    client: HttpPlatform;
+    reply: PlatformReply | undefined;
+    results: ApplyResult[];
+}
+
+let state: ContractState | undefined;
+let decoded: { kind: string; }[] | Error = [];
+let problems: string[] = [];
+
+function getState(): ContractState {
+    if (state === undefined) {
+        throw new Error("Cannot go on: the scenario has no platform stand-in.");
+    }
+    return state;
+}
+
+After(() => {
+    state?.opened.close();
+    state = undefined;
+});
+
+const KEY = createAccountKey("shift-a");
+const MODEL = "furnace-narrator";
+
+/** Bad requests by the words of the table. */
+const BAD_REQUESTS: Record<string, { path: string; headers?: Record<string, string>; body?: string; }> = {
+    "no key": { path: "/v1/completions", headers: { authorization: "" }, body: "{}" },
+    "unknown key": { path: "/v1/completions", headers: { authorization: "Bearer nobody" }, body: "{}" },
+    "unknown path": { path: "/v2/nothing", body: "{}" },
+    "body that is no JSON": { path: "/v1/completions", body: "{" },
+    "body without a model": { path: "/v1/completions", body: JSON.stringify({ prompt: "a" }) },
+    "body without a prompt": { path: "/v1/completions", body: JSON.stringify({ model: MODEL }) },
+    "unknown model": { path: "/v1/completions", body: JSON.stringify({ model: "none", prompt: "a" }) },
+    "unknown service": { path: "/services/none/a", body: "" },
+    "bad deadline": { path: "/services/ledger/stamps", headers: { "x-deadline-milliseconds": "soon" }, body: "" },
+    "empty idempotency key": { path: "/services/ledger/stamps", headers: { "idempotency-key": "" }, body: "" },
+    "oversize body": { path: "/v1/completions", body: "x".repeat(5 * 1024 * 1024) },
+    "oversize headers": { path: "/v1/completions", headers: { "x-long": "x".repeat(20_000) }, body: "{}" },
+    "event id of nobody": { path: "/v1/events", headers: { "last-event-id": "nonsense" }, body: "" },
+    "event id of another": { path: "/v1/events", headers: { "last-event-id": "engine-1~abc-1~4" }, body: "" },
+};
+
+function sendBadRequest(world: ProcessWorld, fault: string): Promise<HttpResult> {
+    const bad = BAD_REQUESTS[fault];
+    if (bad === undefined) {
+        throw new Error(`Cannot go on: nothing is known as "${fault}".`);
+    }
+    const headers = { authorization: `Bearer ${KEY}`, ...bad.headers };
+    const body = bad.body ?? "";
+    return callHttp({ address: world.getInstance(1).address, method: "POST", path: bad.path, headers, body });
+}
+
+Then("these requests are refused", async function(this: ProcessWorld, table: DataTable) {
+    for (const row of table.hashes()) {
+        const result = await sendBadRequest(this, row["fault"] ?? "");
+        const { error } = JSON.parse(result.body.toString()) as {
+            error: { code: string; message: string; verdict: string; };
+        };
+        const actual = { fault: row["fault"], status: String(result.status), code: error.code };
+        assert.deepEqual(actual, { fault: row["fault"], status: row["status"], code: row["code"] });
+        assert.match(error.message, /^[A-Z].*\.$/s);
+    }
+});
+
+When("a caller sends half a request and waits", function(this: ProcessWorld) {
+    const socket = connect(parseAddress(this.getInstance(1).address));
+    socket.on("error", () => socket.destroy());
+    socket.write("POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf");
+});
+
+const FRAME = encodeFrame({ kind: "tick" });
+
+/** Pieces that a decoder is given, by the words of the table. */
+const FRAME_FAULTS: Record<string, Buffer[]> = {
+    "a whole frame": [FRAME],
+    "two frames in one piece": [Buffer.concat([FRAME, FRAME])],
+    "a frame byte by byte": [...FRAME].map(byte => Buffer.from([byte])),
+    "a truncated frame": [FRAME.subarray(0, FRAME.length - 1)],
+    "a frame that is too long": [Buffer.from([0x7f, 0, 0, 0])],
+    "a frame of garbage": [Buffer.from([0, 0, 0, 2, 0xff, 0xff])],
+    "a frame that holds no message": [encodeFrame([1, 2])],
+};
+
+When(/^a decoder is given (.+)$/, function(fault: string) {
+    const decoder = new FrameDecoder();
+    try {
+        decoded = (FRAME_FAULTS[fault] ?? []).flatMap(piece => decoder.handleChunk(piece));
+    }
+    catch (error) {
+        decoded = error as Error;
+    }
+});
+
+Then(/^it gives (\d+) messages?$/, function(count: string) {
+    assert.ok(Array.isArray(decoded), String(decoded));
+    assert.equal(decoded.length, Number(count));
+});
+
+Then("it fails", function() {
+    assert.ok(decoded instanceof Error);
+});
+
+When(
+    "garbage is sent to the ports of the agent of instance {int}",
+    async function(this: ProcessWorld, instance: number) {
+        const dump = await callHttp({ address: this.getInstance(instance).agentAdmin, path: "/dump" });
+        const { self } = JSON.parse(dump.body.toString()) as { self: { address: string; }; };
+        const hello = encodeFrame({ kind: "hello", from: "stranger" });
+        const bad = [
+            Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+            Buffer.concat([hello, encodeFrame({ kind: "no-such-kind" }), Buffer.alloc(64, 255)]),
+        ];
+        for (const bytes of bad) {
+            const socket = connect(parseAddress(self.address));
+            socket.on("error", () => socket.destroy());
+            await new Promise<void>(resolve => socket.write(bytes, () => resolve()));
+        }
+    },
+);
+
+Given("a platform stand-in", async function() {
+    const [text = ""] = await findAddresses(1);
+    const address = parseAddress(text);
+    const platform = new PlatformStandIn();
+    const opened = await openStandIn(platform, { address: text });
+    const client = new HttpPlatform({ address, timeoutMilliseconds: 300 });
+    state = { platform, opened, address, client, reply: undefined, results: [] };
+});
+
+/** What can be wrong with the platform, by the words of the table. */
+const SITUATIONS: Record<string, (contract: ContractState) => void> = {
+    "nothing is wrong": () => undefined,
+    "the key exists": ({ platform }) => void platform.store.handleCall({ kind: "create", key: "a/1", value: "text" }),
+    "the platform fails": ({ platform }) => void (platform.faults.isDown = true),
+    "the platform is silent": ({ platform }) => void (platform.faults.delayMilliseconds = 1000),
+    "the next answer is lost": ({ platform }) => void (platform.faults.lostAnswers = 1),
+    "the platform answers nonsense": ({ platform }) => {
+        platform.handleRequest = async (_request, response) => void response.writeHead(200).end("{\"nonsense\":");
+    },
+};
+
+When(
+    /^(nothing is wrong|the key exists|the platform fails|the platform is silent|the next answer is lost|the platform answers nonsense)$/,
+    function(situation: string) {
+        SITUATIONS[situation]?.(getState());
+    },
+);
+
+When("the open connections go silent", async function() {
+    const { address } = getState();
+    await callHttp({
+        address: `${address.host}:${address.port}`,
+        method: "PUT",
+        path: "/faults",
+        body: JSON.stringify({ isSilent: true }),
+    });
+});
+
+const CALLS: Record<PlatformRequest["kind"], (key: string) => PlatformRequest> = {
+    create: key => ({ kind: "create", key, value: "other" }),
+    replace: key => ({ kind: "replace", key, value: "other", version: 99 }),
+    read: key => ({ kind: "read", key }),
+    watch: key => ({ kind: "watch", key, version: 1, waitMilliseconds: 50 }),
+    list: () => ({ kind: "list", prefix: "a/", after: "" }),
+    remove: key => ({ kind: "remove", key }),
+    instances: () => ({ kind: "instances" }),
+};
+
+When("a {string} is called for the key {string}", async function(kind: PlatformRequest["kind"], key: string) {
+    const contract = getState();
+    contract.reply = await contract.client.call(CALLS[kind](key));
+});
+
+Then("the reply is {string}", function(kind: string) {
+    assert.equal(getState().reply?.kind, kind);
+});
+
+When(
+    "the example of {string} is checked with {string} changed to {string}",
+    async function(deployment: string, from: string, to: string) {
+        const folder = await mkdtemp(join(tmpdir(), "knapweed-"));
+        const file = join(folder, "inventory.yaml");
+        const text = await readFile(`examples/${deployment}/inventory.yaml`, "utf8");
+        await writeFile(file, text.replace(from, to));
+        problems = await readInventoryFiles([file, `examples/${deployment}/rules.yaml`]).then(
+            () => [],
+            (error: unknown) => error instanceof DocumentError ? error.problems : [String(error)],
+        );
+        await rm(folder, { recursive: true });
+    },
+);
+
+Then(/^the check fails at a line with "(.+)"$/, function(reason: string) {
+    assert.match(problems[0] ?? "", /inventory\.yaml:\d+: /);
+    assert.ok(problems[0]?.includes(reason), problems[0]);
+});
+
+Then("the check passes", function() {
+    assert.deepEqual(problems, []);
+});
+
+function createSmallInventory(): ReturnType<typeof createInventory> {
+    const engines = Array.from({ length: 6 }, (_unused, index) => `10.0.0.${index + 1}:80`);
+    return createInventory(BAGMATI, { engines, services: [] });
+}
+
+async function applyFirst(): Promise<void> {
+    const { client } = getState();
+    const base = await fetchConfiguration(client);
+    const result = await applyInventory(client, { inventory: createSmallInventory(), author: "first", base });
+    assert.equal(result.kind, "accepted");
+}
+
+When("the first configuration is applied", applyFirst);
+
+When("two operators apply changes to the same generation", async function() {
+    await applyFirst();
+    const { client } = getState();
+    const base = await fetchConfiguration(client);
+    const changes = ["a", "b"].map(author =>
+        applyInventory(client, { inventory: { ...base.inventory, rules: [] }, author, base })
+    );
+    getState().results = await Promise.all(changes);
+});
+
+Then("one change is accepted and the other is a conflict", function() {
+    assert.deepEqual(getState().results.map(result => result.kind).sort(), ["accepted", "conflict"]);
+});
+
+When("{int} operators withdraw different targets at once", async function(count: number) {
+    await applyFirst();
+    const { client } = getState();
+    const edits = Array.from({ length: count }, (_unused, index) => {
+        const rule = { kind: "withdraw" as const, selector: { target: `engine-${index + 1}` } };
+        return applyRuleEdit(client, { rule, author: `operator-${index}` });
+    });
+    getState().results = await Promise.all(edits);
+});
+
+Then("{int} withdrawals are in the configuration", async function(count: number) {
+    assert.deepEqual(getState().results.map(result => result.kind), Array.from({ length: count }, () => "accepted"));
+    assert.equal((await fetchConfiguration(getState().client)).inventory.rules.length, count);
+});
+
+When("an operator applies a change whose answer is lost", async function() {
+    const { client, platform } = getState();
+    const base = await fetchConfiguration(client);
+    const handle = platform.handleRequest.bind(platform);
+    platform.handleRequest = async (request, response, body) => {
+        const isManifest = request.method === "PUT" && request.url?.endsWith("/manifest") === true;
+        platform.faults.lostAnswers = isManifest ? 1 : 0;
+        await handle(request, response, body);
+    };
+    const inventory = { ...base.inventory, rules: [{ name: "out", action: "withdraw" as const, target: "engine-1" }] };
+    getState().results = [await applyInventory(client, { inventory, author: "lost", base })];
+});
+
+Then("the change is accepted", function() {
+    assert.equal(getState().results[0]?.kind, "accepted");
+});
--- a/network/http_server.ts
+++ b/network/http_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
 import type { Address } from "./address.ts";
 
 /** Handles one HTTP request. */
@@ -32,6 +33,7 @@
 export async function openHttpServer(options: OpenHttpServerOptions): Promise<Server> {
     const { address, handler, headersTimeout = 5000, requestTimeout = 30_000, maxHeaderSize = 16_384 } = options;
     const server = createServer({ headersTimeout, requestTimeout, maxHeaderSize, connectionsCheckingInterval: 1000 });
+    server.on("clientError", (error, socket) => answerClientError(error, socket));
     server.on("request", (request, response) => {
         Promise.resolve(handler(request, response)).catch(() => response.destroy());
     });
@@ -42,6 +44,38 @@
     return server;
 }
 
+/** Errors of a request that never became whole, by the code that Node.js gives. */
+const CLIENT_ERRORS: Record<string, { status: string; code: string; message: string; }> = {
+    HPE_HEADER_OVERFLOW: {
+        status: "431 Request Header Fields Too Large",
+        code: "headers_too_large",
+        message: "Cannot read the request: its headers are too long.",
+    },
+    ERR_HTTP_REQUEST_TIMEOUT: {
+        status: "408 Request Timeout",
+        code: "body_timeout",
+        message: "Cannot read the request: it was not whole in time.",
+    },
+};
+const BAD_REQUEST = {
+    status: "400 Bad Request",
+    code: "bad_request",
+    message: "Cannot read the request: it is no HTTP.",
+};
+
+/** Answers a request that never became whole; nothing of it can have run. */
+function answerClientError(error: Error, socket: Duplex): void {
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const { code = "" } = error as NodeJS.ErrnoException;
+    const { status, ...rest } = CLIENT_ERRORS[code] ?? BAD_REQUEST;
+    const body = JSON.stringify({ error: { ...rest, verdict: "not-run" } });
+    const headers = `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close`;
+    socket.end(`HTTP/1.1 ${status}\r\n${headers}\r\n\r\n${body}`);
+}
+
 /** Thrown where a body is longer than allowed. */
 export class BodyTooLargeError extends Error {
     override name = "BodyTooLargeError";
--- a/support/processes/fleet.ts
+++ b/support/processes/fleet.ts
@@ -85,8 +85,8 @@
     return fileURLToPath(new URL(`../../${path}`, import.meta.url));
 }
 
-/** Finds ports that are free now. */
-async function findAddresses(count: number): Promise<string[]> {
+/** Finds addresses on loopback whose ports are free now. */
+export async function findAddresses(count: number): Promise<string[]> {
     const servers = await Promise.all(Array.from({ length: count }, async () => {
         const server = createServer();
         await new Promise<void>(resolve => server.listen(0, HOST, resolve));
