--- a/measure/placement/run_placement.ts
+++ b/measure/placement/run_placement.ts
@@ -45,7 +45,7 @@
     { title: "reads %", compute: result => 100 * result.readsInTime / Math.max(1, result.reads) },
 ];
 
-const CELL_WIDTH = 17;
+const CELL_WIDTH = 22;
 
 function formatCell(values: readonly number[]): string {
     const sorted = [...values].sort((a, b) => a - b);
