Give orders to targets under a lease, with one budget for loads

Cause: the inventory names models, but nothing brought a target to them, and two owners' orders could have crossed.

Change: a lease by conditional update gives each holder a higher fencing number; targets that ignore numbers are ordered only after the lease before and the longest pause have passed; loads take slots from one object.

Ruled out: ordering from the owner alone, without a lease, because a paused owner orders after it was replaced.

Adapters, versions and roles are not ordered yet.

--- a/agent/agent_process.ts
+++ b/agent/agent_process.ts
@@ -19,6 +19,7 @@
 import { type ChangeLogger, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { AgentSettings } from "./agent_settings.ts";
 import { LoadPoller } from "./load_poller.ts";
+import { sendOrder } from "./order_client.ts";
 
 /** Options of an {@linkcode AgentProcess}. */
 export interface AgentProcessOptions {
@@ -134,6 +135,11 @@
                     this.#handle({ kind: "target-report", callId: effect.callId, report });
                 });
                 return;
+            case "order-target":
+                void sendOrder(effect.address, effect.order).then(reply => {
+                    this.#handle({ kind: "order-reply", callId: effect.callId, reply });
+                });
+                return;
             case "log":
                 this.#logger.logChange(effect.message, effect.fields);
                 return;
@@ -203,6 +209,7 @@
         pollMilliseconds: settings.pollMilliseconds,
         settleMilliseconds: settings.settleMilliseconds,
         claimShards: settings.claimShards,
+        maxLoads: settings.maxLoads,
         claimHorizon: settings.claimHorizonSeconds * 1000,
     });
 }
--- a/agent/agent_settings.ts
+++ b/agent/agent_settings.ts
@@ -49,6 +49,12 @@
         min: 500,
         max: 60_000,
     }),
+    maxLoads: createNumberSetting({
+        description: "Loads from the weight store that may run at one time; the same on every instance",
+        fallback: 2,
+        min: 1,
+        max: 1000,
+    }),
     drainSeconds: createNumberSetting({
         description: "Seconds that a stopping agent waits for its gateways to finish",
         fallback: 86_400,
--- a/agent/load_poller.ts
+++ b/agent/load_poller.ts
@@ -36,6 +36,7 @@
     memoryUsed: v.number(),
     preemptions: v.number(),
     stepMilliseconds: v.number(),
+    models: v.optional(v.array(v.string())),
 });
 
 /** Polls targets, one connection each. */
--- /dev/null
+++ b/agent/order_client.ts
@@ -0,0 +1,39 @@
+/**
+ * The adapter by which orders reach targets.
+ *
+ * @module
+ */
+import { request as startRequest } from "node:http";
+import type { ModelOrder, OrderReply } from "../core/orders/mod.ts";
+import { parseAddress } from "../network/mod.ts";
+
+const ORDER_TIMEOUT = 2000;
+const STATUS_ACCEPTED = 202;
+const STATUS_STALE = 409;
+
+/**
+ * Gives an order to the target at `address`, on a connection of its own.
+ *
+ * @param address Address of the target, as `IP:port`.
+ * @param order Order to give.
+ * @returns How the target answered.
+ */
+export function sendOrder(address: string, order: ModelOrder): Promise<OrderReply> {
+    return new Promise(resolve => {
+        const body = JSON.stringify(order);
+        const call = startRequest({
+            ...parseAddress(address),
+            agent: false,
+            method: "POST",
+            path: "/orders",
+            headers: { "content-type": "application/json", "content-length": Buffer.byteLength(body) },
+            signal: AbortSignal.timeout(ORDER_TIMEOUT),
+        }, response => {
+            response.resume();
+            const { statusCode } = response;
+            resolve(statusCode === STATUS_ACCEPTED ? "accepted" : statusCode === STATUS_STALE ? "stale" : "failed");
+        });
+        call.on("error", () => resolve("failed"));
+        call.end(body);
+    });
+}
--- a/core/admission/admission_types.ts
+++ b/core/admission/admission_types.ts
@@ -130,4 +130,6 @@
     preemptions: number;
     /** Time of one decode step, in milliseconds; 0 where unknown. */
     stepMilliseconds: number;
+    /** Models that the target holds; absent where it takes no orders. */
+    models?: string[];
 }
--- a/core/agent/agent_core.ts
+++ b/core/agent/agent_core.ts
@@ -6,11 +6,13 @@
 import type { LoadReport } from "../admission/mod.ts";
 import { buildRoutingTable, type RoutingTable } from "../inventory/mod.ts";
 import { Membership } from "../membership/mod.ts";
+import type { OrderReply } from "../orders/mod.ts";
 import type { PlatformReply } from "../platform/mod.ts";
 import type { AgentToGateway, GatewayToAgent, PeerMessage } from "./agent_messages.ts";
 import type { AgentOptions } from "./agent_options.ts";
 import { ClaimBook } from "./claim_book.ts";
 import { ConfigurationSync } from "./configuration_sync.ts";
+import { OrderDesk } from "./order_desk.ts";
 import { type AgentEffect, Outbox } from "./outbox.ts";
 import { PermitBroker } from "./permit_broker.ts";
 import { TargetOwner } from "./target_owner.ts";
@@ -25,6 +27,7 @@
     | { kind: "platform-reply"; callId: number; reply: PlatformReply; }
     | { kind: "target-report"; callId: number; report: LoadReport | undefined; }
     | { kind: "target-closed"; address: string; }
+    | { kind: "order-reply"; callId: number; reply: OrderReply; }
     | { kind: "leave"; };
 
 type EventHandlers = { [Kind in AgentEvent["kind"]]: (event: Extract<AgentEvent, { kind: Kind; }>) => void; };
@@ -44,6 +47,7 @@
     readonly #owner: TargetOwner;
     readonly #broker: PermitBroker;
     readonly #claims: ClaimBook;
+    readonly #orders: OrderDesk;
     /** Addresses of the parts that each gateway was sent, by connection. */
     readonly #gateways = new Map<string, ReadonlySet<string>>();
     #table: RoutingTable = buildRoutingTable({
@@ -80,7 +84,9 @@
             send,
             getTable: () => this.#table,
             isServing: () => this.isServing,
+            onReport: (target, report) => this.#orders.handleReport(target, report),
         });
+        this.#orders = new OrderDesk({ options, outbox, findTarget: name => this.#table.targets.get(name) });
         this.#broker = new PermitBroker({
             self: options.self.id,
             findOwner: target => this.#owner.findOwner(target),
@@ -140,6 +146,7 @@
             targets: this.#owner.dumpState(now),
             permits: this.#broker.dumpState(),
             claims: this.#claims.dumpState(),
+            orders: this.#orders.dumpState(),
             counts: Object.fromEntries(this.getCounts()),
         };
     }
@@ -156,6 +163,7 @@
         "gateway-closed": event => this.#handleGatewayClosed(event.connection),
         "platform-reply": event => this.#outbox.handlePlatformReply(event.callId, event.reply),
         "target-report": event => this.#outbox.handleReport(event.callId, event.report),
+        "order-reply": event => this.#outbox.handleOrderReply(event.callId, event.reply),
         "target-closed": event => this.#owner.handleTargetClosed(event.address, this.#now),
         "leave": () => this.#handleLeave(),
     };
@@ -217,6 +225,7 @@
         this.#owner.handleTick(now);
         this.#broker.handleTick(now);
         this.#claims.handleTick(now);
+        this.#orders.handleTick(new Set(this.isServing ? this.#owner.listOwned() : []));
         this.#publishServing();
     }
 
--- a/core/agent/agent_options.ts
+++ b/core/agent/agent_options.ts
@@ -6,6 +6,7 @@
 import type { TargetAdmissionOptions } from "../admission/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import type { Member } from "../membership/mod.ts";
+import type { TargetOrdersOptions } from "../orders/mod.ts";
 
 /** Options of an {@linkcode AgentCore}. */
 export interface AgentOptions {
@@ -31,6 +32,10 @@
     claimHorizon?: number;
     /** Instances that hold a watch on the manifest. Defaults to 3. */
     watchHolders?: number;
+    /** Loads from the weight store that may run at one time in the whole fleet. Defaults to 2. */
+    maxLoads?: number;
+    /** Times of the leases on orders. Defaults to those of {@linkcode TargetOrdersOptions}. */
+    orders?: Pick<TargetOrdersOptions, "leaseMilliseconds" | "maxPauseMilliseconds">;
     /** Options of each target's admission. */
     admission?: TargetAdmissionOptions;
 }
--- a/core/agent/outbox.ts
+++ b/core/agent/outbox.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { LoadReport } from "../admission/mod.ts";
+import type { ModelOrder, OrderReply } from "../orders/mod.ts";
 import type { PlatformReply, PlatformRequest } from "../platform/mod.ts";
 import type { AgentToGateway, PeerMessage } from "./agent_messages.ts";
 
@@ -13,6 +14,7 @@
     | { kind: "send-gateway"; connection: string; message: AgentToGateway; }
     | { kind: "call-platform"; callId: number; request: PlatformRequest; }
     | { kind: "poll-target"; callId: number; address: string; }
+    | { kind: "order-target"; callId: number; address: string; order: ModelOrder; }
     | { kind: "log"; message: string; fields: Record<string, unknown>; };
 
 /** Handles the platform's answer to a call. */
@@ -20,6 +22,9 @@
 /** Handles a target's load report, or its absence. */
 export type ReportHandler = (report: LoadReport | undefined) => void;
 
+/** Handles a target's answer to an order. */
+export type OrderReplyHandler = (reply: OrderReply) => void;
+
 /** Options of an {@linkcode Outbox}. */
 export interface OutboxOptions {
     /** Finds the address of a peer; `undefined` where it is unknown. */
@@ -31,6 +36,7 @@
     readonly #findAddress: (id: string) => string | undefined;
     readonly #platformCalls = new Map<number, PlatformReplyHandler>();
     readonly #polls = new Map<number, ReportHandler>();
+    readonly #orders = new Map<number, OrderReplyHandler>();
     readonly #counts = new Map<string, number>();
     #effects: AgentEffect[] = [];
     #nextCallId = 1;
@@ -68,6 +74,14 @@
         this.#effects.push({ kind: "poll-target", callId, address });
     }
 
+    /** Gives an order to the target at `address`. */
+    orderTarget(address: string, order: ModelOrder, handler: OrderReplyHandler): void {
+        const callId = this.#takeCallId();
+        this.#orders.set(callId, handler);
+        this.#effects.push({ kind: "order-target", callId, address, order });
+        this.countEvent("target_order");
+    }
+
     /** Logs a change of state. */
     logChange(message: string, fields: Record<string, unknown> = {}): void {
         this.#effects.push({ kind: "log", message, fields });
@@ -97,6 +111,13 @@
         handler?.(report);
     }
 
+    /** Routes a target's answer to whoever gave the order. */
+    handleOrderReply(callId: number, reply: OrderReply): void {
+        const handler = this.#orders.get(callId);
+        this.#orders.delete(callId);
+        handler?.(reply);
+    }
+
     /** Takes the effects collected so far. */
     takeEffects(): AgentEffect[] {
         const effects = this.#effects;
--- a/core/agent/target_owner.ts
+++ b/core/agent/target_owner.ts
@@ -32,6 +32,8 @@
     getTable: () => RoutingTable;
     /** Tells whether this instance knows the newest configuration. */
     isServing: () => boolean;
+    /** Called with the models that an owned target reports to hold. */
+    onReport: (target: RoutedTarget, report: { models: readonly string[]; askedAt: number; }) => void;
     /** Sends a message to an instance, this one too. */
     send: (to: string, message: PeerMessage) => void;
 }
@@ -345,6 +347,9 @@
         outbox.pollTarget(target.address, report => {
             const times = { askedAt: now, now: options.clock.getMonotonic() };
             this.#findOwned(target.name, times.now);
+            if (report?.models !== undefined && this.#owned.get(target.name) === owned) {
+                this.#context.onReport(target, { models: report.models, askedAt: now });
+            }
             this.#answer(owned.admission.handleReport(report, times));
         });
     }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
     "classify", "close", "collect", "compare", "compute", "connect", "count", "create", "decide", "decode", "dequeue",
     "describe", "diff", "drain", "drop", "dump", "encode", "enqueue", "estimate", "expire", "fail", "fetch", "filter",
     "find", "finish", "format", "get", "grant", "handle", "hash", "is", "has", "list", "load", "log", "mark", "match",
-    "measure", "merge", "observe", "open", "parse", "pause", "pick", "poll", "print", "publish", "push", "queue", "read", "record",
+    "measure", "merge", "observe", "open", "order", "parse", "pause", "pick", "poll", "print", "publish", "push", "queue", "read", "record",
     "refuse", "relay", "release", "remove", "report", "request", "resolve", "restart", "resume", "run", "send", "serve", "set",
     "settle", "split", "start", "step", "stop", "take", "update", "validate", "wait", "watch", "write",
 ];
--- a/features/steps/bench_steps.ts
+++ b/features/steps/bench_steps.ts
@@ -12,6 +12,8 @@
 
 /** Time in which an accepted configuration must be in force, in milliseconds. */
 const IN_FORCE_MILLISECONDS = 3000;
+/** Time that a load takes where targets take orders; long enough for faults to come between. */
+const LOAD_MILLISECONDS = 15_000;
 
 Given(
     "{int} instances and {int} engines with seed {int}",
@@ -27,6 +29,31 @@
     },
 );
 
+Given(
+    /^(\d+) instances, and (\d+) engines without models that (check|ignore) fencing numbers, with seed (\d+)$/,
+    function(this: ProcessWorld, nodes: string, engines: string, checks: string, seed: string) {
+        const orders = { models: [], checksFencing: checks === "check", loadMilliseconds: LOAD_MILLISECONDS };
+        this.bench = new BenchWorld({ nodes: Number(nodes), engines: Number(engines), seed: Number(seed), orders });
+    },
+);
+
+Then("every engine holds its models", function(this: ProcessWorld) {
+    for (const target of this.bench.inventory.targets) {
+        const held = this.bench.bench.targets.get(target.address)?.models;
+        assert.deepEqual([...held ?? []], target.models, target.name);
+    }
+});
+
+Then("no engine followed an order older than one that it had seen", function(this: ProcessWorld) {
+    for (const target of this.bench.bench.targets.values()) {
+        assert.equal(target.oldOrders, 0);
+    }
+});
+
+Then("at most {int} loads ran at one time", function(this: ProcessWorld, count: number) {
+    assert.ok(this.bench.bench.greatestLoads <= count, `${this.bench.bench.greatestLoads} loads ran`);
+});
+
 When("the instances whose work engine {int} holds are killed", function(this: ProcessWorld, engine: number) {
     const target = `engine-${engine}`;
     const holders = this.bench.bench.nodes.filter(node => [...node.work.values()].some(work => work.target === target));
--- a/features/support/bench_world.ts
+++ b/features/support/bench_world.ts
@@ -5,7 +5,7 @@
  */
 import { hashText, Rendezvous } from "../../core/hashing/mod.ts";
 import type { Inventory, Rule } from "../../core/inventory/mod.ts";
-import { type BenchNode, type BenchTarget, CoreBench } from "../../support/bench/mod.ts";
+import { type BenchNode, type BenchTarget, type BenchTargetOptions, CoreBench } from "../../support/bench/mod.ts";
 import { BAGMATI, createInventory } from "../../support/fixtures/inventories.ts";
 
 /** Options of a {@linkcode BenchWorld}. */
@@ -16,6 +16,8 @@
     engines: number;
     /** Seed of all random numbers. */
     seed: number;
+    /** What the targets hold and check, where they take orders. Defaults to targets that take none. */
+    orders?: Pick<BenchTargetOptions, "models" | "checksFencing" | "loadMilliseconds">;
     /** Time for which a target is cold after a restart, in milliseconds. Defaults to 6000. */
     coldMilliseconds?: number;
 }
@@ -23,6 +25,8 @@
 /** Time in which all instances of a new bench serve, in milliseconds. */
 const WARM_UP = 9000;
 const CLAIM_SHARDS = 8;
+/** Times of the leases on orders; short, so that scenarios end soon. */
+const ORDER_TIMES = { leaseMilliseconds: 6000, maxPauseMilliseconds: 8000 };
 /** Requests that a cold target of the bench bears. */
 export const BENCH_COLD_CONCURRENT = 2;
 
@@ -36,9 +40,16 @@
     constructor(options: BenchWorldOptions) {
         const { nodes, seed, coldMilliseconds = 6000 } = options;
         const engines = Array.from({ length: options.engines }, (_unused, index) => `10.0.0.${index + 1}:80`);
-        this.inventory = createInventory(BAGMATI, { engines, services: [] });
-        const target = { coldConcurrent: BENCH_COLD_CONCURRENT, coldMilliseconds, lagMilliseconds: 1000 };
-        this.bench = new CoreBench({ nodes, seed, inventory: this.inventory, target });
+        const inventory = createInventory(BAGMATI, { engines, services: [] });
+        const checksFencing = options.orders?.checksFencing ?? false;
+        this.inventory = { ...inventory, targets: inventory.targets.map(each => ({ ...each, checksFencing })) };
+        const target = {
+            coldConcurrent: BENCH_COLD_CONCURRENT,
+            coldMilliseconds,
+            lagMilliseconds: 1000,
+            ...options.orders,
+        };
+        this.bench = new CoreBench({ nodes, seed, inventory: this.inventory, target, orders: ORDER_TIMES });
         this.bench.runFor(WARM_UP);
     }
 
--- a/support/bench/bench_target.ts
+++ b/support/bench/bench_target.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { LoadReport } from "../../core/admission/mod.ts";
+import type { ModelOrder, OrderReply } from "../../core/orders/mod.ts";
 
 /** Options of a {@linkcode BenchTarget}. */
 export interface BenchTargetOptions {
@@ -13,20 +14,37 @@
     coldMilliseconds: number;
     /** Time by which its reports lag, in milliseconds. */
     lagMilliseconds: number;
+    /** Models that it holds at first; absent where it takes no orders. Defaults to absent. */
+    models?: string[];
+    /** True where it refuses old fencing numbers. Defaults to false. */
+    checksFencing?: boolean;
+    /** Time that a load takes, in milliseconds. Defaults to 2000. */
+    loadMilliseconds?: number;
     /** Time after a restart for which it accepts no connections, in milliseconds. Defaults to 300. */
     bootMilliseconds?: number;
 }
 
 const DEFAULT_BOOT = 300;
+const DEFAULT_LOAD = 2000;
 
 /** A target that records whether it was ever given more than it bears. */
 export class BenchTarget {
     readonly #options: BenchTargetOptions;
     /** What is told when a request is lost, by request. */
     readonly #held = new Map<string, () => void>();
+    /** Instance that gave the last order. */
+    #orderedBy = "";
     #reports: { at: number; report: LoadReport; }[] = [];
     #life = 1;
     #bornAt: number;
+    /** Models that it holds. */
+    readonly models: Set<string> | undefined;
+    /** Models that it is loading, with the times at which they are held. */
+    readonly loading = new Map<string, number>();
+    /** Greatest fencing number seen. */
+    fence = 0;
+    /** Orders that were followed although their number was seen from another instance, or a higher one was. */
+    oldOrders = 0;
     /** True while load reports do not come. */
     isMute = false;
     /** Most requests that it held at one time while cold. */
@@ -39,6 +57,26 @@
     constructor(options: BenchTargetOptions, now: number) {
         this.#options = options;
         this.#bornAt = now;
+        this.models = options.models === undefined ? undefined : new Set(options.models);
+    }
+
+    /** Takes an order from the instance `from`. */
+    handleOrder(order: ModelOrder, context: { from: string; now: number; }): OrderReply {
+        const { from, now } = context;
+        if (order.fence < this.fence && this.#options.checksFencing === true) {
+            return "stale";
+        }
+        const isShared = order.fence === this.fence && from !== this.#orderedBy;
+        this.oldOrders += order.fence < this.fence || isShared ? 1 : 0;
+        this.#orderedBy = from;
+        this.fence = Math.max(this.fence, order.fence);
+        this.loading.set(order.model, now + (this.#options.loadMilliseconds ?? DEFAULT_LOAD));
+        return "accepted";
+    }
+
+    /** Counts the models that are being loaded. */
+    countLoading(now: number): number {
+        return [...this.loading.values()].filter(until => until > now).length;
     }
 
     get held(): number {
@@ -97,7 +135,9 @@
     }
 
     #buildReport(now: number): LoadReport {
+        const models = this.models === undefined ? {} : { models: this.#listModels(now) };
         return {
+            ...models,
             incarnation: `life-${this.#life}`,
             isCold: this.isCold(now),
             isLeaving: false,
@@ -107,4 +147,14 @@
             stepMilliseconds: 0,
         };
     }
+
+    #listModels(now: number): string[] {
+        for (const [model, until] of this.loading) {
+            if (until <= now) {
+                this.models?.add(model);
+                this.loading.delete(model);
+            }
+        }
+        return [...this.models ?? []];
+    }
 }
--- a/support/bench/core_bench.ts
+++ b/support/bench/core_bench.ts
@@ -8,6 +8,7 @@
     AgentCore,
     type AgentEffect,
     type AgentEvent,
+    type AgentOptions,
     type AgentToGateway,
     type GatewayToAgent,
 } from "../../core/agent/mod.ts";
@@ -33,6 +34,8 @@
     inventory?: Inventory;
     /** Behaviour of each target. Defaults to warm ones whose reports lag a second. */
     target?: BenchTargetOptions;
+    /** Times of the leases on orders. Defaults to the core's. */
+    orders?: NonNullable<AgentOptions["orders"]>;
     /** Zones that the instances are spread over. Defaults to 3. */
     zones?: number;
     /** Time between ticks of a core, in milliseconds. Defaults to 50. */
@@ -91,6 +94,8 @@
     /** Problems with the promises that are checked at each event. */
     readonly violations: string[] = [];
     readonly random: Random;
+    /** Most loads from the weight store at one time. */
+    greatestLoads = 0;
     /** Messages and bytes that each kind of message cost, where counting is on. */
     readonly traffic = new Map<string, { messages: number; bytes: number; }>();
     /** Time that all cores have spent in handling events, in milliseconds. */
@@ -334,6 +339,7 @@
             random: this.random,
             createId: () => this.createId(),
             hashContent,
+            ...this.#options.orders === undefined ? {} : { orders: this.#options.orders },
             ...settleMilliseconds === undefined ? {} : { settleMilliseconds },
         });
     }
@@ -377,6 +383,14 @@
                 this.addEvent(2, () => this.handle(node, { kind: "target-report", callId: effect.callId, report }));
                 return;
             }
+            case "order-target": {
+                const { callId, address, order } = effect;
+                const reply = this.targets.get(address)?.handleOrder(order, { from: node.id, now: this.now })
+                    ?? "failed";
+                this.#checkLoads();
+                this.addEvent(2, () => this.handle(node, { kind: "order-reply", callId, reply }));
+                return;
+            }
             case "log":
                 this.recordTrace(`${node.id} ${effect.message} ${JSON.stringify(effect.fields)}`);
                 return;
@@ -505,6 +519,11 @@
         }
     }
 
+    #checkLoads(): void {
+        const loads = [...this.targets.values()].reduce((sum, target) => sum + target.countLoading(this.now), 0);
+        this.greatestLoads = Math.max(this.greatestLoads, loads);
+    }
+
     #handleClaimResult(node: BenchNode, answer: { holder: string; result: string; }): void {
         const key = node.keysByHolder.get(answer.holder) ?? "";
         node.claimResults.set(answer.holder, answer.result);
