--- a/agent/agent_process.ts
+++ b/agent/agent_process.ts
@@ -14,7 +14,7 @@
     type PeerMessage,
 } from "../core/agent/mod.ts";
 import type { Clock } from "../core/clock/mod.ts";
-import { type FrameClient, FrameServer, PeerLinks } from "../network/mod.ts";
+import { type FrameClient, FrameServer, PeerLinks, waitMilliseconds } from "../network/mod.ts";
 import { HttpPlatform, type PlatformClient } from "../platform/mod.ts";
 import { type ChangeLogger, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { AgentSettings } from "./agent_settings.ts";
@@ -213,7 +213,3 @@
         claimHorizon: settings.claimHorizonSeconds * 1000,
     });
 }
-
-function waitMilliseconds(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/control/configuration_store.ts
+++ b/control/configuration_store.ts
@@ -7,6 +7,7 @@
 import { type Manifest, MANIFEST_KEY, parseManifest, PART_PREFIX } from "../core/configuration/mod.ts";
 import { type Inventory, mergeParts, splitInventory } from "../core/inventory/mod.ts";
 import type { PlatformReply } from "../core/platform/mod.ts";
+import { waitMilliseconds } from "../network/mod.ts";
 import type { PlatformClient } from "../platform/mod.ts";
 import { pushConfiguration } from "./push_configuration.ts";
 
@@ -153,7 +154,3 @@
     }
     throw new PlatformUnavailableError(`Cannot read "${key}": the platform gives no answer.`);
 }
-
-function waitMilliseconds(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/core/agent/target_owner.ts
+++ b/core/agent/target_owner.ts
@@ -77,7 +77,7 @@
     /** Owners found since the members changed last. */
     readonly #owners = new Map<string, string | undefined>();
     #rendezvous = new Rendezvous([]);
-    #liveKey = "";
+    #liveSignature: number | undefined;
     #live: string[] = [];
     #table: RoutingTable | undefined;
     #nextDigestAt = 0;
@@ -209,14 +209,14 @@
 
     #updateOwnership(now: number): void {
         const { membership, options, getTable } = this.#context;
-        const live = membership.listLive(now).map(member => member.id).sort();
-        const liveKey = live.join(",");
+        const signature = membership.computeLiveSignature(now);
         const table = getTable();
         this.#dropGiven(now);
-        if (liveKey === this.#liveKey && table === this.#table) {
+        if (signature === this.#liveSignature && table === this.#table) {
             return;
         }
-        this.#liveKey = liveKey;
+        const live = membership.listLive(now).map(member => member.id);
+        this.#liveSignature = signature;
         this.#live = live;
         this.#table = table;
         this.#rendezvous = new Rendezvous(live);
--- a/core/membership/membership.ts
+++ b/core/membership/membership.ts
@@ -65,6 +65,8 @@
     readonly #listed = new Set<string>();
     #order: string[] = [];
     #roster = 0;
+    #freshAge = 0;
+    #deadAge = 0;
     /** Share of members in contact, as computed at `#shareAt`. */
     #share = 0;
     #shareAt = -Infinity;
@@ -162,12 +164,12 @@
 
     /** Age of a sign of life above which its member is not counted as in contact, in milliseconds. */
     get freshAge(): number {
-        return this.#interval * (BASE_ROUNDS + ROUNDS_PER_DOUBLING * Math.log2(Math.max(2, this.#members.size)));
+        return this.#freshAge;
     }
 
     /** Age of a sign of life above which its member counts as dead, in milliseconds. */
     get deadAge(): number {
-        return this.freshAge * DEAD_FACTOR;
+        return this.#deadAge;
     }
 
     /** Lists the members that live and stay; they own targets and shards. */
@@ -175,9 +177,21 @@
         return this.listPresent(now).filter(member => !member.isLeaving);
     }
 
+    /** Computes a number that changes with the set of members that live and stay, without listing them. */
+    computeLiveSignature(now: number): number {
+        let signature = this.#roster;
+        for (const [index, id] of this.#order.entries()) {
+            const member = this.#members.get(id);
+            if (member !== undefined && !member.isLeaving && this.#computeAge(member, now) < this.#deadAge) {
+                signature = Math.imul(signature, 31) + index | 0;
+            }
+        }
+        return signature;
+    }
+
     /** Lists all members that live, leaving ones too. */
     listPresent(now: number): Member[] {
-        return [...this.#members.values()].filter(member => this.#computeAge(member, now) < this.deadAge);
+        return [...this.#members.values()].filter(member => this.#computeAge(member, now) < this.#deadAge);
     }
 
     /** Tells whether more than half of the known members, this one too, are in contact. */
@@ -190,7 +204,7 @@
         if (now >= this.#shareAt && now - this.#shareAt < SHARE_MILLISECONDS) {
             return this.#share;
         }
-        const { freshAge } = this;
+        const freshAge = this.#freshAge;
         let known = 0;
         let fresh = 0;
         for (const member of this.#members.values()) {
@@ -297,6 +311,9 @@
     }
 
     #updateRoster(): void {
+        const rounds = BASE_ROUNDS + ROUNDS_PER_DOUBLING * Math.log2(Math.max(2, this.#members.size));
+        this.#freshAge = this.#interval * rounds;
+        this.#deadAge = this.#freshAge * DEAD_FACTOR;
         this.#shareAt = -Infinity;
         this.#order = [...this.#members.keys()].sort();
         const parts = this.#order.map(id => {
--- a/gateway/dispatcher.ts
+++ b/gateway/dispatcher.ts
@@ -9,6 +9,7 @@
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import { type Candidate, chooseTarget, computeOwnerWait } from "../core/placement/mod.ts";
 import type { LengthDistribution } from "../core/prediction/mod.ts";
+import { waitMilliseconds } from "../network/mod.ts";
 import type { AgentLink } from "./agent_link.ts";
 import type { RoutingState } from "./routing_state.ts";
 import { createRefusal, ServingError } from "./serving_error.ts";
@@ -227,7 +228,3 @@
         return createRefusal(message, { code, random: this.#options.random });
     }
 }
-
-function waitMilliseconds(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/gateway/gateway_process.ts
+++ b/gateway/gateway_process.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { LengthPredictor } from "../core/prediction/mod.ts";
 import { RetryBudget } from "../core/verdict/mod.ts";
-import { BodyTooLargeError, openHttpServer, readBody } from "../network/mod.ts";
+import { BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
 import { type ChangeLogger, openAdminServer } from "../telemetry/mod.ts";
 import { AgentLink } from "./agent_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -229,7 +229,3 @@
         };
     }
 }
-
-function waitMilliseconds(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/gateway/generation_relay.ts
+++ b/gateway/generation_relay.ts
@@ -5,6 +5,7 @@
  */
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import type { BreakDecision, StreamRelay } from "../core/relay/mod.ts";
+import { waitMilliseconds } from "../network/mod.ts";
 import type { AnswerSink } from "./answer_sink.ts";
 import { type EngineEvent, EngineStreamError, openEngineStream } from "./engine_client.ts";
 
@@ -125,7 +126,3 @@
         throw new EngineStreamError(message, { progress: "answering" });
     }
 }
-
-function waitMilliseconds(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/measure/overhead/run_overhead.ts
+++ b/measure/overhead/run_overhead.ts
@@ -7,8 +7,9 @@
  */
 import { Command } from "commander";
 import { randomUUID } from "node:crypto";
+import { waitMilliseconds } from "../../network/mod.ts";
 import { BAGMATI, createAccountKey } from "../../support/fixtures/inventories.ts";
-import { callHttp, type Fleet, type FleetInstance, startFleet, waitMilliseconds } from "../../support/processes/mod.ts";
+import { callHttp, type Fleet, type FleetInstance, startFleet } from "../../support/processes/mod.ts";
 import { pickPercentile } from "../placement/placement_run.ts";
 
 interface StreamTimes {
--- a/network/mod.ts
+++ b/network/mod.ts
@@ -8,3 +8,4 @@
 export * from "./frame_server.ts";
 export * from "./http_server.ts";
 export * from "./peer_links.ts";
+export * from "./wait_milliseconds.ts";
--- a/support/demo/run_demo.ts
+++ b/support/demo/run_demo.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { applyRuleEdit } from "../../control/mod.ts";
-import { parseAddress } from "../../network/mod.ts";
+import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { HttpPlatform } from "../../platform/mod.ts";
 import { BAGMATI, createAccountKey } from "../fixtures/inventories.ts";
-import { callHttp, type Fleet, type FleetInstance, startFleet, waitMilliseconds } from "../processes/mod.ts";
+import { callHttp, type Fleet, type FleetInstance, startFleet } from "../processes/mod.ts";
 
 function printLine(text: string): void {
     process.stdout.write(`${text}\n`);
--- a/support/processes/wait_until.ts
+++ b/support/processes/wait_until.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { waitMilliseconds } from "../../network/mod.ts";
 
 /** Options of {@linkcode waitUntil}. */
 export interface WaitUntilOptions {
@@ -35,12 +36,3 @@
     }
     throw new Error(`Cannot go on: ${label} did not come about in ${timeoutMilliseconds} ms.`);
 }
-
-/**
- * Waits for some time.
- *
- * @param milliseconds Time to wait.
- */
-export function waitMilliseconds(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
