Split the claim shard from the trail of its segments

Change: core/claims/segment_trail.ts and claim_shard_types.ts; one startScenarioFleet(); measure/placement/pick_percentile.ts. Behaviour is the same.

Measured: @at-most-once 35 passed, 0 failed. Ruled out: nothing.

--- a/core/claims/claim_shard.ts
+++ b/core/claims/claim_shard.ts
@@ -6,46 +6,11 @@
  *
  * @module
  */
-import * as v from "valibot";
-import type { PlatformObject, PlatformReply, PlatformRequest } from "../platform/mod.ts";
+import type { PlatformReply, PlatformRequest } from "../platform/mod.ts";
 import { ClaimIndex } from "./claim_index.ts";
-import {
-    type ClaimEntry,
-    type ClaimRequest,
-    type ClaimResult,
-    type ClaimSegment,
-    ClaimSegmentSchema,
-} from "./claim_types.ts";
-
-/** Options of a {@linkcode ClaimShard}. */
-export interface ClaimShardOptions {
-    /** Name of the instance that appends. */
-    author: string;
-    /** Makes a name that no other segment has. */
-    createNonce: () => string;
-    /** Time for which a key is remembered, in milliseconds. Defaults to 24 hours. */
-    horizonMilliseconds?: number;
-    /** Time after which an unsettled claim is answered as unavailable, in milliseconds. Defaults to 1500. */
-    claimTimeout?: number;
-    /** Least time between two appends, in milliseconds. Defaults to 15. */
-    lingerMilliseconds?: number;
-    /** Time after which the log's head is read again before an append, in milliseconds. Defaults to 10 minutes. */
-    maxQuietMilliseconds?: number;
-}
-
-/** What the shard wants done. */
-export type ClaimShardEffect =
-    | { kind: "platform"; request: PlatformRequest; }
-    | { kind: "result"; holder: string; result: ClaimResult; }
-    | { kind: "settled"; holder: string; };
-
-/** Times that a shard's decisions depend on, in milliseconds. */
-export interface ShardTimes {
-    /** Reading of the monotonic clock. */
-    now: number;
-    /** Milliseconds since the epoch. */
-    wallTime: number;
-}
+import type { ClaimShardEffect, ClaimShardOptions, ShardTimes } from "./claim_shard_types.ts";
+import type { ClaimEntry, ClaimRequest, ClaimResult, ClaimSegment } from "./claim_types.ts";
+import { parseSegment, SegmentTrail } from "./segment_trail.ts";
 
 interface PendingClaim {
     request: ClaimRequest;
@@ -55,11 +20,6 @@
 
 type ShardCall = "list" | "append" | "read" | "remove";
 
-interface SegmentAge {
-    sequence: number;
-    at: number;
-}
-
 interface Append {
     sequence: number;
     segment: ClaimSegment;
@@ -77,7 +37,6 @@
 const MAX_QUEUED_SETTLEMENTS = 20_000;
 const MIN_BACKOFF = 100;
 const MAX_BACKOFF = 1000;
-const SEQUENCE_DIGITS = 12;
 /** Horizons after which a segment is removed. */
 const RETENTION_FACTOR = 2;
 /** Age of the index above which the log is read before a key is called held, in milliseconds. */
@@ -89,8 +48,7 @@
     readonly #options: ClaimShardOptions;
     #index = new ClaimIndex();
     #state: "unloaded" | "loading" | "ready" = "unloaded";
-    #nextSequence = 0;
-    #segments: SegmentAge[] = [];
+    #trail: SegmentTrail;
     #verifiedAt: ShardTimes | undefined;
     #claims: PendingClaim[] = [];
     #settlements: ClaimEntry[] = [];
@@ -103,6 +61,7 @@
     constructor(name: string, options: ClaimShardOptions) {
         this.#name = name;
         this.#options = options;
+        this.#trail = new SegmentTrail(name);
     }
 
     /** True where nothing is being claimed or settled. */
@@ -175,7 +134,7 @@
             name: this.#name,
             state: this.#state,
             keys: this.#index.size,
-            nextSequence: this.#nextSequence,
+            nextSequence: this.#trail.nextSequence,
             waitingClaims: this.#claims.length,
             waitingSettlements: this.#settlements.length,
             isAppending: this.#append !== undefined,
@@ -222,11 +181,10 @@
         if (this.#state !== "loading") {
             this.#state = "loading";
             this.#index = new ClaimIndex();
-            this.#nextSequence = 0;
-            this.#segments = [];
+            this.#trail = new SegmentTrail(this.#name);
         }
         this.#call = "list";
-        return { kind: "list", prefix: this.#prefix, after: this.#lastKey };
+        return { kind: "list", prefix: this.#trail.prefix, after: this.#trail.lastKey };
     }
 
     /** Tells whether another owner may have recorded how the request ended since the log was last read. */
@@ -245,7 +203,9 @@
             return [];
         }
         for (const object of reply.objects) {
-            this.#applyObject(object);
+            for (const entry of this.#trail.addObject(object)?.entries ?? []) {
+                this.#index.applyEntry(entry);
+            }
         }
         if (!reply.hasMore) {
             this.#state = "ready";
@@ -254,16 +214,6 @@
         return [];
     }
 
-    #applyObject(object: PlatformObject): void {
-        const sequence = Number(object.key.slice(this.#prefix.length));
-        const segment = parseSegment(object.value);
-        for (const entry of segment?.entries ?? []) {
-            this.#index.applyEntry(entry);
-        }
-        this.#segments.push({ sequence, at: segment?.at ?? 0 });
-        this.#nextSequence = Math.max(this.#nextSequence, sequence + 1);
-    }
-
     /** Answers the claims whose keys the index knows. */
     #answerKnown(): ClaimShardEffect[] {
         const effects: ClaimShardEffect[] = [];
@@ -299,7 +249,7 @@
         ];
         const { author } = this.#options;
         const segment = { nonce: this.#options.createNonce(), author, at: times.wallTime, entries };
-        return { sequence: this.#nextSequence, segment, claims, startedAt: times, isInDoubt: false };
+        return { sequence: this.#trail.nextSequence, segment, claims, startedAt: times, isInDoubt: false };
     }
 
     #sendAppend(): PlatformRequest {
@@ -308,12 +258,12 @@
             throw new Error("Cannot append to the claim log: nothing is waiting.");
         }
         this.#call = "append";
-        return { kind: "create", key: this.#formatKey(append.sequence), value: JSON.stringify(append.segment) };
+        return { kind: "create", key: this.#trail.formatKey(append.sequence), value: JSON.stringify(append.segment) };
     }
 
     #readBack(): PlatformRequest {
         this.#call = "read";
-        return { kind: "read", key: this.#formatKey(this.#append?.sequence ?? 0) };
+        return { kind: "read", key: this.#trail.formatKey(this.#append?.sequence ?? 0) };
     }
 
     #handleUnavailable(call: ShardCall | undefined, times: ShardTimes): void {
@@ -366,8 +316,7 @@
         for (const entry of append.segment.entries) {
             this.#index.applyEntry(entry);
         }
-        this.#segments.push({ sequence: append.sequence, at: append.segment.at });
-        this.#nextSequence = append.sequence + 1;
+        this.#trail.addSegment(append.sequence, append.segment.at);
         this.#verifiedAt = append.startedAt;
         this.#notBefore = times.now + (this.#options.lingerMilliseconds ?? DEFAULT_LINGER);
         return this.#answerAppended(append);
@@ -421,37 +370,13 @@
         }
     }
 
-    /** Removes the oldest segment once its claims are forgotten; the newest one always stays, to show the head. */
+    /** Removes the oldest segment once its claims are forgotten. */
     #removeOldest(times: ShardTimes): PlatformRequest | undefined {
-        const oldest = this.#segments[0];
-        const isForgotten = oldest !== undefined && oldest.at < times.wallTime - RETENTION_FACTOR * this.#horizon;
-        if (!isForgotten || this.#segments.length < 2) {
+        const key = this.#trail.takeOlder(times.wallTime - RETENTION_FACTOR * this.#horizon);
+        if (key === undefined) {
             return undefined;
         }
-        this.#segments.shift();
         this.#call = "remove";
-        return { kind: "remove", key: this.#formatKey(oldest.sequence) };
-    }
-
-    get #prefix(): string {
-        return `claims/${this.#name}/`;
-    }
-
-    get #lastKey(): string {
-        return this.#nextSequence === 0 ? "" : this.#formatKey(this.#nextSequence - 1);
-    }
-
-    #formatKey(sequence: number): string {
-        return this.#prefix + String(sequence).padStart(SEQUENCE_DIGITS, "0");
-    }
-}
-
-function parseSegment(text: string): ClaimSegment | undefined {
-    try {
-        const parsed = v.safeParse(ClaimSegmentSchema, JSON.parse(text));
-        return parsed.success ? parsed.output : undefined;
-    }
-    catch {
-        return undefined;
+        return { kind: "remove", key };
     }
 }
--- a/core/claims/mod.ts
+++ b/core/claims/mod.ts
@@ -5,4 +5,5 @@
  */
 export * from "./claim_index.ts";
 export * from "./claim_shard.ts";
+export * from "./claim_shard_types.ts";
 export * from "./claim_types.ts";
--- a/features/steps/caller_steps.ts
+++ b/features/steps/caller_steps.ts
@@ -5,10 +5,9 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { BAGMATI } from "../../support/fixtures/inventories.ts";
-import { callHttp, startFleet } from "../../support/processes/mod.ts";
-import { AGENT_FLAGS, GATEWAY_FLAGS } from "../support/fleet_flags.ts";
+import { callHttp } from "../../support/processes/mod.ts";
 import type { ProcessWorld } from "../support/process_world.ts";
+import { startScenarioFleet } from "../support/scenario_fleet.ts";
 import { readStream } from "../support/sse.ts";
 
 /** Builds the body of a request for a generation. */
@@ -24,14 +23,7 @@
 Given(
     "a fleet of {int} instance(s), {int} engine(s) and {int} service(s)",
     async function(this: ProcessWorld, instances: number, engines: number, services: number) {
-        this.fleet = await startFleet({
-            plan: BAGMATI,
-            instances,
-            engines,
-            services,
-            agentFlags: AGENT_FLAGS,
-            gatewayFlags: GATEWAY_FLAGS,
-        });
+        this.fleet = await startScenarioFleet({ instances, engines, services });
     },
 );
 
--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -8,24 +8,20 @@
 import { applyRuleEdit } from "../../control/mod.ts";
 import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { HttpPlatform } from "../../platform/mod.ts";
-import { BAGMATI } from "../../support/fixtures/inventories.ts";
-import { callHttp, type HttpResult, setFaults, startFleet, waitUntil } from "../../support/processes/mod.ts";
+import { callHttp, type HttpResult, setFaults, waitUntil } from "../../support/processes/mod.ts";
 import { fetchEngineState } from "../support/engine_state.ts";
-import { AGENT_FLAGS, GATEWAY_FLAGS } from "../support/fleet_flags.ts";
 import type { ProcessWorld } from "../support/process_world.ts";
+import { startScenarioFleet } from "../support/scenario_fleet.ts";
 import { readStream } from "../support/sse.ts";
 import { buildGenerationBody, countStamps } from "./caller_steps.ts";
 
 Given(
     "a fleet of {int} instance(s), {int} engine(s) and {int} service(s) that keep no outcomes",
     async function(this: ProcessWorld, instances: number, engines: number, services: number) {
-        this.fleet = await startFleet({
-            plan: BAGMATI,
+        this.fleet = await startScenarioFleet({
             instances,
             engines,
             services,
-            agentFlags: AGENT_FLAGS,
-            gatewayFlags: GATEWAY_FLAGS,
             editInventory: inventory => ({
                 ...inventory,
                 targets: inventory.targets.map(({ outcomePath: _outcomePath, ...target }) => target),
@@ -38,13 +34,10 @@
     "a fleet of {int} instances, {int} engines and {int} service, and engines that are cold for {int} ms",
     async function(this: ProcessWorld, instances: number, engines: number, services: number, coldMilliseconds: number) {
         const engineSpec = { coldMilliseconds };
-        this.fleet = await startFleet({
-            plan: BAGMATI,
+        this.fleet = await startScenarioFleet({
             instances,
             engines,
             services,
-            agentFlags: AGENT_FLAGS,
-            gatewayFlags: GATEWAY_FLAGS,
             engineSpec,
         });
     },
@@ -54,13 +47,10 @@
     "a fleet of {int} instance, {int} engine and {int} service, and engines with memory for {int} tokens",
     async function(this: ProcessWorld, instances: number, engines: number, services: number, memoryTokens: number) {
         const engineSpec = { memoryTokens };
-        this.fleet = await startFleet({
-            plan: BAGMATI,
+        this.fleet = await startScenarioFleet({
             instances,
             engines,
             services,
-            agentFlags: AGENT_FLAGS,
-            gatewayFlags: GATEWAY_FLAGS,
             engineSpec,
         });
     },
--- a/measure/capacity/run_capacity.ts
+++ b/measure/capacity/run_capacity.ts
@@ -9,7 +9,7 @@
 import { encodeFrame } from "../../protocol/mod.ts";
 import { CoreBench } from "../../support/bench/mod.ts";
 import { BAGMATI, createInventory, type DeploymentPlan } from "../../support/fixtures/inventories.ts";
-import { pickPercentile } from "../placement/placement_run.ts";
+import { pickPercentile } from "../placement/pick_percentile.ts";
 import { measureClaims } from "./measure_claims.ts";
 import { measureState } from "./measure_state.ts";
 
--- a/measure/overhead/run_overhead.ts
+++ b/measure/overhead/run_overhead.ts
@@ -10,7 +10,7 @@
 import { waitMilliseconds } from "../../network/mod.ts";
 import { BAGMATI, createAccountKey } from "../../support/fixtures/inventories.ts";
 import { callHttp, type Fleet, type FleetInstance, startFleet } from "../../support/processes/mod.ts";
-import { pickPercentile } from "../placement/placement_run.ts";
+import { pickPercentile } from "../placement/pick_percentile.ts";
 
 interface StreamTimes {
     first: number;
--- a/measure/placement/placement_run.ts
+++ b/measure/placement/placement_run.ts
@@ -388,14 +388,3 @@
 export function runPlacement(options: PlacementRunOptions): PlacementResult {
     return new PlacementRun(options).run();
 }
-
-/**
- * Picks a percentile.
- *
- * @param sorted Values in rising order.
- * @param share Share of the values at or below the percentile.
- * @returns The value; 0 where there are none.
- */
-export function pickPercentile(sorted: readonly number[], share: number): number {
-    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
-}
--- a/measure/placement/run_placement.ts
+++ b/measure/placement/run_placement.ts
@@ -9,8 +9,9 @@
 import { createLeastOutstanding, createRoundRobin } from "./baseline_policies.ts";
 import { DEPLOYMENTS } from "./deployments.ts";
 import { createMemoryPolicy } from "./memory_policy.ts";
+import { pickPercentile } from "./pick_percentile.ts";
 import type { PolicyBuilder } from "./placement_policy.ts";
-import { pickPercentile, type PlacementResult, runPlacement } from "./placement_run.ts";
+import { type PlacementResult, runPlacement } from "./placement_run.ts";
 
 /** Policies by name; each run builds its policy anew. */
 const POLICIES: Record<string, () => PolicyBuilder> = {
