--- a/agent/agent_process.ts
+++ b/agent/agent_process.ts
@@ -31,7 +31,9 @@
     clock?: Clock;
 }
 
-const TICK_MILLISECONDS = 50;
+const TICK_MILLISECONDS = 100;
+/** Time between looks at the event loop's lag, in milliseconds; each costs processor time. */
+const EVENT_LOOP_PRECISION = 200;
 const DRAIN_POLL_MILLISECONDS = 100;
 /** Time in which the last messages leave before the process ends, in milliseconds. */
 const FAREWELL_MILLISECONDS = 300;
@@ -61,6 +63,7 @@
         this.#core = createCore(settings, clock);
         this.#poller = new LoadPoller({ onClosed: address => this.#handle({ kind: "target-closed", address }) });
         this.#peerServer = new FrameServer({
+            isQuietWhenIdle: true,
             onMessage: (client, message) => {
                 this.#handle({ kind: "peer-message", from: client.from, message: message as PeerMessage });
             },
@@ -158,7 +161,7 @@
 
     #createRegistry(): Registry {
         const registry = new Registry();
-        collectDefaultMetrics({ register: registry });
+        collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION });
         const core = this.#core;
         new Gauge({
             name: "knapweed_agent_events_total",
--- a/network/frame_connection.ts
+++ b/network/frame_connection.ts
@@ -12,6 +12,11 @@
     onMessage: (message: { kind: string; }) => void;
     /** Called once when the connection is closed. */
     onClose: () => void;
+    /**
+     * True where heartbeats only answer messages, so that an idle connection costs nothing. Silence is then counted from
+     * the first message that was not answered. Defaults to false.
+     */
+    isQuietWhenIdle?: boolean;
     /** Time between heartbeats, in milliseconds. Defaults to 500. */
     heartbeatMilliseconds?: number;
     /** Silence after which the connection is closed, in milliseconds. Defaults to 2000. */
@@ -30,8 +35,10 @@
     readonly #socket: Socket;
     readonly #options: FrameConnectionOptions;
     readonly #decoder = new FrameDecoder();
-    readonly #timer: NodeJS.Timeout;
-    #lastHeard = performance.now();
+    #timer: NodeJS.Timeout | undefined;
+    /** Time since which an answer is waited for; `undefined` where none is due. */
+    #waitingSince: number | undefined = performance.now();
+    #owesHeartbeat = false;
     #isClosed = false;
 
     /** @param socket Connected, or connecting, socket. */
@@ -42,7 +49,7 @@
         socket.on("data", chunk => this.#handleData(chunk));
         socket.on("error", () => this.close());
         socket.on("close", () => this.close());
-        this.#timer = setInterval(() => this.#handleTimer(), options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT);
+        this.#startTimer();
     }
 
     get isClosed(): boolean {
@@ -54,10 +61,9 @@
         if (this.#isClosed) {
             return;
         }
-        this.#socket.write(encodeFrame(message));
-        if (this.#socket.writableLength > (this.#options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED)) {
-            this.close();
-        }
+        this.#waitingSince ??= performance.now();
+        this.#write(message);
+        this.#startTimer();
     }
 
     /** Closes the connection at once. */
@@ -66,16 +72,24 @@
             return;
         }
         this.#isClosed = true;
-        clearInterval(this.#timer);
+        clearTimeout(this.#timer);
         this.#socket.destroy();
         this.#options.onClose();
     }
 
+    #write(message: { kind: string; }): void {
+        this.#socket.write(encodeFrame(message));
+        if (this.#socket.writableLength > (this.#options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED)) {
+            this.close();
+        }
+    }
+
     #handleData(chunk: Buffer): void {
-        this.#lastHeard = performance.now();
+        this.#waitingSince = this.#isQuiet ? undefined : performance.now();
         try {
             for (const message of this.#decoder.handleChunk(chunk)) {
                 if (message.kind !== HEARTBEAT) {
+                    this.#owesHeartbeat = true;
                     this.#options.onMessage(message);
                 }
             }
@@ -83,14 +97,35 @@
         catch {
             this.close();
         }
+        this.#startTimer();
+    }
+
+    get #isQuiet(): boolean {
+        return this.#options.isQuietWhenIdle ?? false;
+    }
+
+    /** Starts the timer where something is due. */
+    #startTimer(): void {
+        const isDue = !this.#isQuiet || this.#owesHeartbeat || this.#waitingSince !== undefined;
+        if (this.#timer === undefined && isDue && !this.#isClosed) {
+            this.#timer = setTimeout(
+                () => this.#handleTimer(),
+                this.#options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT,
+            );
+        }
     }
 
     #handleTimer(): void {
-        const silence = performance.now() - this.#lastHeard;
+        this.#timer = undefined;
+        const silence = performance.now() - (this.#waitingSince ?? Infinity);
         if (silence > (this.#options.silenceMilliseconds ?? DEFAULT_SILENCE)) {
             this.close();
             return;
         }
-        this.send({ kind: HEARTBEAT });
+        if (!this.#isQuiet || this.#owesHeartbeat) {
+            this.#owesHeartbeat = false;
+            this.#write({ kind: HEARTBEAT });
+        }
+        this.#startTimer();
     }
 }
--- a/network/frame_server.ts
+++ b/network/frame_server.ts
@@ -16,6 +16,8 @@
 
 /** Options of a {@linkcode FrameServer}. */
 export interface FrameServerOptions {
+    /** True where heartbeats only answer messages. Defaults to false. */
+    isQuietWhenIdle?: boolean;
     /** Called when a client has said who it is. */
     onOpen?: (client: FrameClient) => void;
     /** Called with each message after the first. */
@@ -48,6 +50,7 @@
             const id = String(this.#count);
             let client: FrameClient | undefined;
             const connection: FrameConnection = new FrameConnection(socket, {
+                isQuietWhenIdle: this.#options.isQuietWhenIdle ?? false,
                 onMessage: message => {
                     if (client !== undefined) {
                         this.#options.onMessage(client, message);
--- a/network/peer_links.ts
+++ b/network/peer_links.ts
@@ -56,6 +56,7 @@
 
     #openLink(address: string): PeerLink {
         const connection = new FrameConnection(connect(parseAddress(address)), {
+            isQuietWhenIdle: true,
             // The server's heartbeats are the only traffic that comes this way.
             onMessage: () => undefined,
             onClose: () => this.#links.delete(address),
