Let work that must arrive restart beyond the retry budget

Cause: an engine that dies with more whole narratives than the gateway's retry budget (20) lost the rest: they ended as target_failed although the kind is repeatable and its patience lasts ten minutes.

Ruled out: a larger budget, which would let a failing zone multiply calls of services and of streams.

Change: whole delivery is not held to the budget; each of its attempts waits for an owner's permit, so it can't multiply load.

--- a/features/promises/processes.feature
+++ b/features/promises/processes.feature
@@ -228,3 +228,12 @@
         When batch "batch-2" is withdrawn by the operators' command
         And generations are asked for without pause for 6000 ms
         Then engine 2 began nothing in the last 3000 ms
+
+    @one-generation
+    Scenario: more narratives than the retry budget arrive whole after their engine is killed
+        Given a fleet of 1 instance, 2 engines and 1 service, and engines with memory for 40000 tokens
+        When 80 callers begin whole narratives of 500 tokens through instance 1
+        And an engine holds 28 requests
+        And the engine that streams most is killed
+        And the streams have ended
+        Then every answer holds 500 tokens
--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -6,6 +6,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { applyRuleEdit } from "../../control/mod.ts";
+import type { Inventory } from "../../core/inventory/mod.ts";
 import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { HttpPlatform } from "../../platform/mod.ts";
 import { callHttp, type HttpResult, setFaults, waitUntil } from "../../support/processes/mod.ts";
@@ -44,10 +45,18 @@
 );
 
 Given(
-    "a fleet of {int} instance, {int} engine and {int} service, and engines with memory for {int} tokens",
+    "a fleet of {int} instance, {int} engine(s) and {int} service, and engines with memory for {int} tokens",
     async function(this: ProcessWorld, instances: number, engines: number, services: number, memoryTokens: number) {
         const engineSpec = { memoryTokens };
+        const editInventory = (inventory: Inventory): Inventory => ({
+            ...inventory,
+            targets: inventory.targets.map(each => ({
+                ...each,
+                memoryTokens: Math.max(each.memoryTokens, memoryTokens),
+            })),
+        });
         this.fleet = await startScenarioFleet({
+            editInventory,
             instances,
             engines,
             services,
@@ -243,6 +252,40 @@
     },
 );
 
+When(
+    "{int} callers begin whole narratives of {int} tokens through instance {int}",
+    function(this: ProcessWorld, callers: number, tokens: number, instance: number) {
+        const headers = { "x-kind": "narrative-whole" };
+        for (let caller = 0; caller < callers; caller += 1) {
+            const body = buildGenerationBody(tokens, { isStream: false, prompt: `Charge ${caller}` });
+            this.pending.push(this.call(instance, { method: "POST", path: "/v1/completions", headers, body }));
+        }
+    },
+);
+
+When("an engine holds {int} requests", async function(this: ProcessWorld, count: number) {
+    await waitUntil(async () => {
+        const states = await Promise.all(this.fleet.engines.map(engine => fetchEngineState(engine.address)));
+        return states.some(state => state.held >= count);
+    }, { label: `an engine with ${count} requests` });
+});
+
+When("the engine that streams most is killed", async function(this: ProcessWorld) {
+    const states = await Promise.all(this.fleet.engines.map(engine => fetchEngineState(engine.address)));
+    const greatest = Math.max(...states.map(state => state.held));
+    const busiest = this.fleet.engines[states.findIndex(state => state.held === greatest)];
+    busiest?.child.send("SIGKILL");
+    await busiest?.child.waitForExit();
+});
+
+Then("every answer holds {int} tokens", function(this: ProcessWorld, tokens: number) {
+    const counts = this.results.map(result => {
+        const answer = JSON.parse(result.body.toString()) as { choices?: { text: string; }[]; };
+        return answer.choices?.[0]?.text.trim().split(" ").length ?? 0;
+    });
+    assert.deepEqual(counts, this.results.map(() => tokens));
+});
+
 When("the streams have ended", async function(this: ProcessWorld) {
     this.results.push(...await Promise.all(this.pending));
 });
--- a/gateway/generation_handler.ts
+++ b/gateway/generation_handler.ts
@@ -187,7 +187,9 @@
             attempts: state.attempts,
             remainingMilliseconds: job.context.deadline - performance.now(),
         }, { maxAttempts: MAX_ATTEMPTS });
-        return mayStartAnew && isAllowed && this.#shared.retryBudget.takeRetry();
+        // Work that must arrive is not held to the budget: each attempt waits for a permit, so it can't multiply load.
+        const isBudgeted = job.sink.isWhole || this.#shared.retryBudget.takeRetry();
+        return mayStartAnew && isAllowed && isBudgeted;
     }
 
     #place(job: GenerationJob, options: { until: number; avoid: ReadonlySet<string>; }): Promise<Placement> {
