Judge a handover by the present majority, and drop what nothing calls

Cause: reading the ownership code again: a process that was paused gave a target up with the extent that it had before the pause. A new owner that asked it could then have granted at once while a third owner's grants, made meanwhile, were not accounted for. Four public methods had no caller.

Ruled out: a shorter age of handovers, which a pause would beat as well.

Change: the extent is chosen again when a target is given up.

--- a/core/agent/permit_broker.ts
+++ b/core/agent/permit_broker.ts
@@ -52,11 +52,6 @@
         this.#context = context;
     }
 
-    /** Number of permits that the local gateways hold. */
-    get heldCount(): number {
-        return this.#held.size;
-    }
-
     /** Passes a gateway's request to the target's owner. */
     handleAcquire(connection: string, request: PermitRequest, now: number): void {
         const owner = this.#context.findOwner(request.target);
--- a/core/agent/target_owner.ts
+++ b/core/agent/target_owner.ts
@@ -188,11 +188,6 @@
         this.#updateOwnership(now);
     }
 
-    /** Lists the headroom of the owned targets. */
-    listHeadroom(now: number): Headroom[] {
-        return [...this.#owned.values()].map(owned => owned.admission.estimateHeadroom(now));
-    }
-
     /** Names of the owned targets. */
     listOwned(): string[] {
         return [...this.#owned.keys()];
@@ -284,7 +279,9 @@
         this.#answer(owned.admission.closeWaiting(now));
         outbox.logChange("target given up", { target, successor });
         const permits = owned.admission.listPermits();
-        this.#given.set(target, { givenAt: now, permits, isSettled: owned.settledAt <= now });
+        // A process that was paused learns here that it has lost its majority meanwhile.
+        const isSettled = this.#chooseExtent(owned, now) === GrantExtent.full;
+        this.#given.set(target, { givenAt: now, permits, isSettled });
         if (successor !== undefined) {
             send(successor, { kind: "handover-offer", target });
         }
--- a/core/claims/claim_index.ts
+++ b/core/claims/claim_index.ts
@@ -56,11 +56,6 @@
         return state.holder === request.holder ? { kind: "claimed" } : { kind: "held", since: state.at };
     }
 
-    /** Tells whether `holder` holds `key`. */
-    isHeldBy(key: string, holder: string): boolean {
-        return this.#claims.get(key)?.holder === holder;
-    }
-
     /** Forgets claims made before `horizon`, in milliseconds since the epoch. */
     removeOlder(horizon: number): void {
         for (const [key, state] of this.#claims) {
--- a/core/relay/stream_relay.ts
+++ b/core/relay/stream_relay.ts
@@ -46,17 +46,15 @@
 export class StreamRelay {
     readonly #isWhole: boolean;
     readonly #maxResumes: number;
-    #generation: string;
+    readonly #generation: string;
     #nextIndex: number;
-    #firstIndex: number;
     #resumes = 0;
 
     /** @param generation Name of the generation. */
     constructor(generation: string, options: StreamRelayOptions = {}) {
         this.#generation = generation;
         this.#isWhole = options.isWhole ?? false;
-        this.#firstIndex = options.firstIndex ?? 0;
-        this.#nextIndex = this.#firstIndex;
+        this.#nextIndex = options.firstIndex ?? 0;
         this.#maxResumes = options.maxResumes ?? 5;
     }
 
@@ -100,15 +98,4 @@
     handleLoss(): BreakDecision {
         return this.hasReachedCaller ? BreakDecision.fail : BreakDecision.restart;
     }
-
-    /** Starts over with another generation. @throws {Error} Where tokens of this one have reached the caller. */
-    startGeneration(generation: string): void {
-        if (this.hasReachedCaller) {
-            throw new Error(`Cannot start generation "${generation}": tokens of "${this.#generation}" were delivered.`);
-        }
-        this.#generation = generation;
-        this.#firstIndex = 0;
-        this.#nextIndex = 0;
-        this.#resumes = 0;
-    }
 }
