Keep the verdict of earlier attempts when no other place is found

Cause: a generation that had begun and was lost with its engine waited for another place until its deadline, and was then told "not run", because the refusal of the queue carried its own verdict. That broke the promise that "not run" is true. Found by reading the handler as a newcomer.

Ruled out: marking every deadline as "may have run", which would be untrue for requests that only waited.

Change: mergeIntoError() in both handlers.

Before: the new scenario got "not-run". After: "may-have-run".

--- a/features/promises/processes.feature
+++ b/features/promises/processes.feature
@@ -237,3 +237,12 @@
         And the engine that streams most is killed
         And the streams have ended
         Then every answer holds 500 tokens
+
+    @not-run
+    Scenario: a generation that was lost and finds no other place is not told as not run
+        Given a fleet of 1 instance, 1 engine and 1 service
+        When a caller begins a whole narrative of 2000 tokens with a deadline of 4000 ms through instance 1
+        And tokens have been produced
+        And the engine that streams is killed
+        And the streams have ended
+        Then the answer has the verdict "may-have-run"
--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -286,6 +286,15 @@
     assert.deepEqual(counts, this.results.map(() => tokens));
 });
 
+When(
+    "a caller begins a whole narrative of {int} tokens with a deadline of {int} ms through instance {int}",
+    function(this: ProcessWorld, tokens: number, deadline: number, instance: number) {
+        const headers = { "x-kind": "narrative-whole", "x-deadline-milliseconds": String(deadline) };
+        const body = buildGenerationBody(tokens, { isStream: false });
+        this.pending.push(this.call(instance, { method: "POST", path: "/v1/completions", headers, body }));
+    },
+);
+
 When("the streams have ended", async function(this: ProcessWorld) {
     this.results.push(...await Promise.all(this.pending));
 });
--- a/gateway/generation_handler.ts
+++ b/gateway/generation_handler.ts
@@ -19,7 +19,7 @@
 import { type GenerationRequest, parseGenerationRequest } from "./generation_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { RoutingState } from "./routing_state.ts";
-import { chooseRetryAfter, ServingError } from "./serving_error.ts";
+import { chooseRetryAfter, mergeIntoError, ServingError } from "./serving_error.ts";
 
 /** What the handlers of a gateway share. */
 export interface HandlerContext {
@@ -154,7 +154,7 @@
         let verdict: Verdict = "not-run";
         this.#shared.retryBudget.recordAttempt();
         for (let attempts = 1;; attempts += 1) {
-            const placement = await this.#place(job, { until, avoid });
+            const placement = await this.#place(job, { until, avoid, verdict });
             const attempt = await this.#runAttempt(job, placement);
             if (attempt.result.kind === "finished") {
                 this.#shared.metrics.countEnd(kind.name, "finished");
@@ -192,12 +192,15 @@
         return mayStartAnew && isAllowed && isBudgeted;
     }
 
-    #place(job: GenerationJob, options: { until: number; avoid: ReadonlySet<string>; }): Promise<Placement> {
+    async #place(
+        job: GenerationJob,
+        options: { until: number; avoid: ReadonlySet<string>; verdict: Verdict; },
+    ): Promise<Placement> {
         const { context, request, kind } = job;
         const { routing, predictor, dispatcher } = this.#shared;
         const key = { account: context.account.name, kind: kind.name, model: request.model };
         const bound = request.maxTokens ?? Infinity;
-        return dispatcher.requestPlacement({
+        const placement = dispatcher.requestPlacement({
             lane: request.model,
             targets: () => routing.table.enginesByModel.get(request.model) ?? [],
             account: context.account.name,
@@ -210,6 +213,9 @@
             signal: AbortSignal.any([context.callerSignal, context.deadlineSignal]),
             avoid: options.avoid,
         });
+        return placement.catch((error: unknown) => {
+            throw mergeIntoError(error, options.verdict);
+        });
     }
 
     async #runAttempt(
--- a/gateway/service_handler.ts
+++ b/gateway/service_handler.ts
@@ -11,7 +11,7 @@
 import type { HandlerContext } from "./generation_handler.ts";
 import type { RequestContext } from "./request_context.ts";
 import { callService, pickHeaders, type ServiceAnswer, type ServiceAttempt } from "./service_client.ts";
-import { chooseRetryAfter, createRefusal, ServingError } from "./serving_error.ts";
+import { chooseRetryAfter, createRefusal, mergeIntoError, ServingError } from "./serving_error.ts";
 
 interface ServiceJob {
     context: RequestContext;
@@ -189,7 +189,7 @@
             case "unavailable":
                 throw this.#refuse(
                     "claim_unavailable",
-                    "Cannot claim the idempotency key: the platform gives no answer.",
+                    "Cannot claim the idempotency key: the platform gives no answer. This attempt did not run.",
                 );
         }
     }
@@ -258,11 +258,7 @@
             });
         }
         catch (error) {
-            if (!(error instanceof ServingError)) {
-                throw error;
-            }
-            const { code, message, retryAfterSeconds } = error;
-            throw new ServingError(message, { code, verdict: state.verdict, retryAfterSeconds });
+            throw mergeIntoError(error, state.verdict);
         }
     }
 
--- a/gateway/serving_error.ts
+++ b/gateway/serving_error.ts
@@ -5,7 +5,7 @@
  */
 import ModernError from "modern-errors";
 import type { ServerResponse } from "node:http";
-import type { Verdict } from "../core/verdict/mod.ts";
+import { mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
 
 /** Codes of errors, each with the HTTP status that it is sent with. */
@@ -78,6 +78,21 @@
     });
 }
 
+/**
+ * Merges what earlier attempts may have done into an error that ends a request.
+ *
+ * @param error Whatever a later attempt threw; what is no {@linkcode ServingError} is given back as it is.
+ * @param verdict Verdict of the earlier attempts.
+ * @returns The error to throw.
+ */
+export function mergeIntoError(error: unknown, verdict: Verdict): unknown {
+    if (!(error instanceof ServingError)) {
+        return error;
+    }
+    const { code, message, retryAfterSeconds } = error;
+    return new ServingError(message, { code, verdict: mergeVerdicts(error.verdict, verdict), retryAfterSeconds });
+}
+
 const MIN_RETRY_AFTER = 1;
 const RETRY_AFTER_SPREAD = 4;
 
