Give each priority its own lane, and give work up when its patience ends

Cause: a gateway's lane let 64 requests of a model ask for permits at one time. 80 patient narratives filled it, and an urgent request behind them waited for minutes, past its own patience.

Ruled out: more places in the lane, which only moves the number.

Change: a lane for each model and priority; work leaves its lane at the moment its patience ends, wherever it stands.

After: refused as busy and not run within 2.5 s.

--- a/features/promises/processes.feature
+++ b/features/promises/processes.feature
@@ -246,3 +246,13 @@
         And the engine that streams is killed
         And the streams have ended
         Then the answer has the verdict "may-have-run"
+
+    @not-run
+    Scenario: an urgent request is given up in time although patient ones fill the gateway
+        Given a fleet of 1 instance, 1 engine and 1 service
+        When all engines are killed
+        And 80 callers begin whole narratives of 20 tokens through instance 1
+        And 500 ms of real time pass
+        And a caller asks for a "hasty" generation through instance 1
+        Then the answer has the error "busy" and the verdict "not-run"
+        And the answer came within 2500 ms
--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -215,7 +215,11 @@
     "the answer has the error {string} and the verdict {string}",
     function(this: ProcessWorld, code: string, verdict: string) {
         const { code: actualCode, verdict: actualVerdict } = readError(this);
-        assert.deepEqual({ code: actualCode, verdict: actualVerdict }, { code, verdict });
+        assert.deepEqual(
+            { code: actualCode, verdict: actualVerdict },
+            { code, verdict },
+            this.lastResult.body.toString(),
+        );
     },
 );
 
@@ -295,6 +299,19 @@
     },
 );
 
+When(
+    "a caller asks for a {string} generation through instance {int}",
+    async function(this: ProcessWorld, kind: string, instance: number) {
+        const startedAt = performance.now();
+        const body = buildGenerationBody(10, { isStream: false });
+        this.results.push(
+            await this.call(instance, { method: "POST", path: "/v1/completions", headers: { "x-kind": kind }, body }),
+        );
+        this.elapsed = performance.now() - startedAt;
+        this.pending.forEach(call => void call.catch(() => undefined));
+    },
+);
+
 When("the streams have ended", async function(this: ProcessWorld) {
     this.results.push(...await Promise.all(this.pending));
 });
--- a/gateway/dispatcher.ts
+++ b/gateway/dispatcher.ts
@@ -77,6 +77,8 @@
 }
 
 const DEFAULT_LANE_CONCURRENCY = 64;
+/** Longest patience that a timer can hold, in milliseconds. */
+const MAX_PATIENCE = 2 ** 31 - 1;
 const MIN_ROUND_PAUSE = 40;
 const ROUND_PAUSE_SPREAD = 80;
 
@@ -95,23 +97,29 @@
      * @throws {ServingError} Where no place was found in time; the work did not run.
      */
     async requestPlacement(request: PlacementRequest): Promise<Placement> {
-        const lane = this.#getLane(request.lane);
+        const lane = this.#getLane(request);
         if (lane.size >= this.#options.maxQueue) {
             throw this.#refuse("queue_full", `Cannot queue the request: ${lane.size} wait for "${request.lane}".`);
         }
         const { account, weight, priority } = request;
         const cost = request.promptTokens / 8 + (request.lengths[2] ?? 1);
+        // Work that is given up leaves the lane at once, whatever is before it.
+        const patience = Math.ceil(Math.max(0, Math.min(MAX_PATIENCE, request.until - performance.now())));
+        const signal = AbortSignal.any([request.signal, AbortSignal.timeout(patience)]);
         try {
-            return await lane.add(() => this.#findPlace(request), {
+            return await lane.add(() => this.#findPlace({ ...request, signal }), {
                 account,
                 weight,
                 priority,
                 cost,
-                signal: request.signal,
+                signal,
             });
         }
         catch (error) {
-            throw error instanceof ServingError ? error : this.#describeAbort(request.signal);
+            if (error instanceof ServingError) {
+                throw error;
+            }
+            throw request.signal.aborted ? this.#describeAbort(request.signal) : this.#refuseBusy(request);
         }
     }
 
@@ -122,7 +130,9 @@
         );
     }
 
-    #getLane(name: string): PQueue<LaneQueue, LaneOptions> {
+    /** Gets the lane of a model or service and a priority; work that asks in one lane never holds up another. */
+    #getLane(request: PlacementRequest): PQueue<LaneQueue, LaneOptions> {
+        const name = `${request.lane}/${request.priority}`;
         const lane = this.#lanes.get(name) ?? new PQueue<LaneQueue, LaneOptions>({
             concurrency: this.#options.laneConcurrency ?? DEFAULT_LANE_CONCURRENCY,
             queueClass: LaneQueue,
@@ -154,15 +164,19 @@
 
     #checkWait(request: PlacementRequest): void {
         const { routing } = this.#options;
+        if (performance.now() >= request.until) {
+            throw this.#refuseBusy(request);
+        }
         if (request.signal.aborted) {
             throw this.#describeAbort(request.signal);
         }
         if (routing.notServing !== "") {
             throw this.#refuse("not_serving", `Cannot start new work: ${routing.notServing}.`);
         }
-        if (performance.now() >= request.until) {
-            throw this.#refuse("busy", `Cannot find a place for "${request.lane}" in time.`);
-        }
+    }
+
+    #refuseBusy(request: PlacementRequest): ServingError {
+        return this.#refuse("busy", `Cannot find a place for "${request.lane}" in time.`);
     }
 
     #listCandidates(request: PlacementRequest): Candidate[] {
--- a/measure/placement/memory_policy.ts
+++ b/measure/placement/memory_policy.ts
@@ -26,9 +26,14 @@
 const MIN_ROUND_PAUSE = 40;
 const ROUND_PAUSE_SPREAD = 80;
 
-interface Gateway {
-    lane: FairQueue<Work>;
+interface Lane {
+    queue: FairQueue<Work>;
     asking: number;
+}
+
+interface Gateway {
+    /** Lanes by priority. */
+    lanes: Map<number, Lane>;
     headroom: Map<string, Headroom>;
     predictor: LengthPredictor;
 }
@@ -64,8 +69,7 @@
             admission.setScope({ extent: "full", share: 1, isOpen: true }, context.getNow());
         }
         this.#gateways = Array.from({ length: context.gateways }, () => ({
-            lane: new FairQueue<Work>(),
-            asking: 0,
+            lanes: new Map<number, Lane>(),
             headroom: new Map<string, Headroom>(),
             predictor: new LengthPredictor(),
         }));
@@ -76,10 +80,13 @@
     }
 
     handleArrival(work: Work): void {
-        const gateway = this.#getGateway(work);
         const { account, kind } = work;
-        gateway.lane.enqueue(work, { account, priority: kind.priority, cost: this.#estimateLengths(work)[2] ?? 1 });
-        this.#askNext(gateway);
+        this.#getLane(work).queue.enqueue(work, {
+            account,
+            priority: kind.priority,
+            cost: this.#estimateLengths(work)[2] ?? 1,
+        });
+        this.#askNext(this.#getLane(work));
     }
 
     handleProgress(work: Work, produced: number): void {
@@ -136,12 +143,19 @@
             : this.#getGateway(work).predictor.estimateLengths({ account, kind: kind.name, model: "m" });
     }
 
-    #askNext(gateway: Gateway): void {
-        while (gateway.asking < LANE_CONCURRENCY && gateway.lane.size > 0) {
-            const work = gateway.lane.dequeue();
+    #getLane(work: Work): Lane {
+        const { lanes } = this.#getGateway(work);
+        const lane = lanes.get(work.kind.priority) ?? { queue: new FairQueue<Work>(), asking: 0 };
+        lanes.set(work.kind.priority, lane);
+        return lane;
+    }
+
+    #askNext(lane: Lane): void {
+        while (lane.asking < LANE_CONCURRENCY && lane.queue.size > 0) {
+            const work = lane.queue.dequeue();
             if (work !== undefined) {
-                gateway.asking += 1;
-                this.#ask({ work, gateway, tried: new Set(), attempts: 0 });
+                lane.asking += 1;
+                this.#ask({ work, gateway: this.#getGateway(work), tried: new Set(), attempts: 0 });
             }
         }
     }
@@ -150,7 +164,7 @@
         const { work, gateway, tried, attempts } = asking;
         const now = this.#context.getNow();
         if (now >= work.arrivedAt + work.kind.patience) {
-            this.#finishAsking(gateway);
+            this.#finishAsking(work);
             this.#context.refuseWork(work);
             return;
         }
@@ -207,14 +221,15 @@
             this.#ask({ work, gateway, tried: tried.add(request.target), attempts: attempts + 1 });
             return;
         }
-        this.#finishAsking(gateway);
+        this.#finishAsking(work);
         this.#permits.set(work.id, { permitId, target: request.target, produced: 0, gateway });
         this.#context.startWork(work, request.target);
     }
 
-    #finishAsking(gateway: Gateway): void {
-        gateway.asking -= 1;
-        this.#askNext(gateway);
+    #finishAsking(work: Work): void {
+        const lane = this.#getLane(work);
+        lane.asking -= 1;
+        this.#askNext(lane);
     }
 
     #runTick(): void {
