Let a repeat wait while the first answer is on its way into the log

Cause: a settlement that came within the linger after its claim waited for the next tick; a repeat of the key in that time was told that the key is held, and got the service's own record in place of the first answer.

Ruled out: a shorter tick, which costs the agent and only narrows the gap.

Change: a claim whose key is being settled waits for the append.

--- a/core/claims/claim_shard.ts
+++ b/core/claims/claim_shard.ts
@@ -220,7 +220,8 @@
         const free: PendingClaim[] = [];
         for (const claim of this.#claims) {
             const result = this.#index.findResult(claim.request);
-            if (result === undefined) {
+            const isSettling = result?.kind === "held" && this.#isSettling(claim.request.key);
+            if (result === undefined || isSettling) {
                 free.push(claim);
             }
             else {
@@ -231,6 +232,12 @@
         return effects;
     }
 
+    /** Tells whether the end of the request with `key` is on its way into the log; its repeats wait for it. */
+    #isSettling(key: string): boolean {
+        const entries = [...this.#settlements, ...this.#append?.segment.entries ?? []];
+        return entries.some(entry => entry.kind !== "claim" && entry.key === key);
+    }
+
     /** Takes waiting claims and settlements into one segment; a key is claimed at most once in it. */
     #buildAppend(times: ShardTimes): Append {
         const settlements = this.#settlements.splice(0, MAX_ENTRIES_PER_SEGMENT);
@@ -238,7 +245,8 @@
         const claims: PendingClaim[] = [];
         const later: PendingClaim[] = [];
         for (const claim of this.#claims) {
-            const isTaken = keys.has(claim.request.key) || claims.length >= MAX_ENTRIES_PER_SEGMENT;
+            const isKnown = this.#index.findResult(claim.request) !== undefined;
+            const isTaken = isKnown || keys.has(claim.request.key) || claims.length >= MAX_ENTRIES_PER_SEGMENT;
             (isTaken ? later : claims).push(claim);
             keys.add(claim.request.key);
         }
--- a/features/promises/at_most_once.feature
+++ b/features/promises/at_most_once.feature
@@ -77,3 +77,20 @@
         And 3000 ms pass
         Then "stamp-1" was dispatched 1 time
         And no promise was broken
+
+    Scenario Outline: a repeat that comes right after the first answer gets the same answer, seed <seed>
+        Given 7 instances and 3 engines with seed <seed>
+        When instance 1 claims "stamp-1"
+        And <answer> ms pass
+        And the holder of "stamp-1" settles it, and <repeat> ms later every live instance claims it
+        And 1000 ms pass
+        Then "stamp-1" was dispatched 1 time
+        And every repeat of "stamp-1" was answered
+
+        Examples:
+            | answer | repeat | seed |
+            | 100    | 5      | 12   |
+            | 40     | 20     | 13   |
+            | 35     | 20     | 14   |
+            | 35     | 16     | 15   |
+            | 30     | 20     | 16   |
--- a/features/steps/bench_steps.ts
+++ b/features/steps/bench_steps.ts
@@ -204,6 +204,32 @@
     this.bench.acceptedAt = this.bench.bench.now;
 });
 
+When(
+    "the holder of {string} settles it, and {int} ms later every live instance claims it",
+    function(this: ProcessWorld, key: string, milliseconds: number) {
+        const { bench } = this.bench;
+        const dispatch = bench.dispatches.find(each => each.key === key);
+        const holder = bench.nodes.find(node => node.keysByHolder.has(dispatch?.holder ?? ""));
+        assert.ok(dispatch !== undefined && holder !== undefined, "nobody holds the key");
+        const outcome = { status: 201, headers: {}, body: "" };
+        bench.sendFromGateway(holder, { kind: "settle", key, holder: dispatch.holder, outcome });
+        bench.runFor(milliseconds);
+        bench.nodes.filter(node => node.isUp).forEach(node => bench.requestClaim(node, key));
+    },
+);
+
+Then("every repeat of {string} was answered", function(this: ProcessWorld, key: string) {
+    const { bench } = this.bench;
+    const first = bench.dispatches.find(dispatch => dispatch.key === key)?.holder;
+    const results = bench.nodes.flatMap(node =>
+        [...node.keysByHolder].flatMap((
+            [holder, each],
+        ) => (each === key && holder !== first ? [node.claimResults.get(holder)] : []))
+    );
+    assert.deepEqual(results, results.map(() => "answered"));
+    assert.ok(results.length > 0, "nobody repeated the key");
+});
+
 Then("{string} was dispatched {int} time(s)", function(this: ProcessWorld, key: string, count: number) {
     assert.equal(this.bench.bench.dispatches.filter(dispatch => dispatch.key === key).length, count);
 });
