--- a/core/claims/segment_trail.ts
+++ b/core/claims/segment_trail.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import * as v from "valibot";
-import type { PlatformObject } from "../platform/mod.ts";
+import { parseBySchema, type PlatformObject } from "../platform/mod.ts";
 import { type ClaimSegment, ClaimSegmentSchema } from "./claim_types.ts";
 
 interface KnownSegment {
@@ -80,11 +79,5 @@
  * @returns The segment, or `undefined` where `text` is none.
  */
 export function parseSegment(text: string): ClaimSegment | undefined {
-    try {
-        const parsed = v.safeParse(ClaimSegmentSchema, JSON.parse(text));
-        return parsed.success ? parsed.output : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    return parseBySchema(ClaimSegmentSchema, text);
 }
--- a/core/configuration/manifest.ts
+++ b/core/configuration/manifest.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as v from "valibot";
+import { parseBySchema } from "../platform/mod.ts";
 
 /** Key of the manifest in the platform's object API. */
 export const MANIFEST_KEY = "configuration/manifest";
@@ -28,11 +29,5 @@
  * @returns The manifest, or `undefined` where `text` is none.
  */
 export function parseManifest(text: string): Manifest | undefined {
-    try {
-        const parsed = v.safeParse(ManifestSchema, JSON.parse(text));
-        return parsed.success ? parsed.output : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    return parseBySchema(ManifestSchema, text);
 }
--- a/core/orders/order_types.ts
+++ b/core/orders/order_types.ts
@@ -52,17 +52,3 @@
     /** Milliseconds since the epoch. */
     wallTime: number;
 }
-
-/** Parses a JSON text by a schema; `undefined` where it does not fit. */
-export function parseBySchema<Schema extends v.GenericSchema>(
-    schema: Schema,
-    text: string,
-): v.InferOutput<Schema> | undefined {
-    try {
-        const parsed = v.safeParse(schema, JSON.parse(text));
-        return parsed.success ? parsed.output : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/core/orders/target_orders.ts
+++ b/core/orders/target_orders.ts
@@ -7,15 +7,8 @@
  *
  * @module
  */
-import type { PlatformReply, PlatformRequest } from "../platform/mod.ts";
-import {
-    type ModelOrder,
-    type OrderLease,
-    OrderLeaseSchema,
-    type OrderReply,
-    type OrderTimes,
-    parseBySchema,
-} from "./order_types.ts";
+import { parseBySchema, type PlatformReply, type PlatformRequest } from "../platform/mod.ts";
+import { type ModelOrder, type OrderLease, OrderLeaseSchema, type OrderReply, type OrderTimes } from "./order_types.ts";
 import { type SlotStep, WeightSlot } from "./weight_budget.ts";
 
 /** What the orders are for. */
--- a/core/orders/weight_budget.ts
+++ b/core/orders/weight_budget.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { PlatformReply, PlatformRequest } from "../platform/mod.ts";
-import { type OrderTimes, parseBySchema, WeightBudgetSchema, type WeightBudgetState } from "./order_types.ts";
+import { parseBySchema, type PlatformReply, type PlatformRequest } from "../platform/mod.ts";
+import { type OrderTimes, WeightBudgetSchema, type WeightBudgetState } from "./order_types.ts";
 
 /** Key of the object that holds the slots. */
 export const WEIGHT_BUDGET_KEY = "orders/weight-store";
--- a/core/platform/mod.ts
+++ b/core/platform/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from "./parse_by_schema.ts";
 export * from "./platform_types.ts";
--- a/gateway/generation_handler.ts
+++ b/gateway/generation_handler.ts
@@ -165,7 +165,7 @@
             }
             avoid.add(placement.target.name);
             verdict = attempt.result.kind === "lost" ? "may-have-run" : verdict;
-            if (!this.#mayRetry(job, { attempts, verdict, until, result: attempt.result })) {
+            if (!this.#mayRetry(job, { attempts, verdict, result: attempt.result })) {
                 throw attempt.result.kind === "lost" && sink.hasStarted
                     ? createLoss(attempt.generation, "may-have-run")
                     : this.#createFailure(attempt.result.error, verdict);
@@ -177,7 +177,7 @@
 
     #mayRetry(
         job: GenerationJob,
-        state: { attempts: number; verdict: Verdict; until: number; result: RelayResult; },
+        state: { attempts: number; verdict: Verdict; result: RelayResult; },
     ): boolean {
         const mayStartAnew = state.result.kind !== "lost" || state.result.decision === "restart";
         const isAllowed = decideRetry({
