--- /dev/null
+++ b/core/serving/load_ledger.ts
@@ -0,0 +1,106 @@
+/**
+ * How much work each target holds, from this instance's own counts, its peers' digests and the targets' reports.
+ *
+ * Load pattern: a burst that all instances place at once on the target that a late report shows as free.
+ *
+ * @module
+ */
+
+/** Work that a target holds. */
+export interface HeldWork {
+    /** Requests that run or wait. */
+    requests: number;
+    /** Tokens of memory that they will need. */
+    tokens: number;
+    /** Prompt tokens of requests that have not answered yet. */
+    waitingPromptTokens: number;
+}
+
+/** One request's share of a target. */
+export interface WorkItem {
+    /** Tokens of the prompt; 0 for a plain service. */
+    promptTokens: number;
+    /** Expected tokens of the output. */
+    outputTokens: number;
+}
+
+/** What one instance holds at each target, by target. */
+export type WorkDigest = Record<string, [requests: number, tokens: number, waitingPromptTokens: number]>;
+
+interface PeerDigest {
+    work: WorkDigest;
+    receivedAt: number;
+}
+
+/** Age at which a peer's digest is no longer counted, in milliseconds: several times the interval between digests. */
+const DIGEST_LIFETIME = 2000;
+
+/** Adds up what is known of each target's work. */
+export class LoadLedger {
+    readonly #own = new Map<string, Map<object, WorkItem & { hasAnswered: boolean; }>>();
+    readonly #peers = new Map<string, PeerDigest>();
+
+    /** Adds one request to a target; the function returned takes it off again. */
+    addWork(target: string, item: WorkItem): { markAnswered: () => void; release: () => void; } {
+        const entry = { ...item, hasAnswered: false };
+        const entries = this.#own.get(target) ?? new Map<object, typeof entry>();
+        entries.set(entry, entry);
+        this.#own.set(target, entries);
+        return {
+            markAnswered: () => {
+                entry.hasAnswered = true;
+            },
+            release: () => {
+                entries.delete(entry);
+                if (entries.size === 0 && this.#own.get(target) === entries) {
+                    this.#own.delete(target);
+                }
+            },
+        };
+    }
+
+    /** Replaces what is known of a peer's work. */
+    applyDigest(peer: string, digest: { work: WorkDigest; receivedAt: number; }): void {
+        this.#peers.set(peer, digest);
+    }
+
+    /** Drops what is known of a peer's work. */
+    dropPeer(peer: string): void {
+        this.#peers.delete(peer);
+    }
+
+    /** Gives this instance's own counts. */
+    getDigest(): WorkDigest {
+        return Object.fromEntries([...this.#own.keys()].map(target => {
+            const { requests, tokens, waitingPromptTokens } = this.countOwn(target);
+            return [target, [requests, tokens, waitingPromptTokens]];
+        }));
+    }
+
+    /** Counts this instance's work at a target. */
+    countOwn(target: string): HeldWork {
+        const held = { requests: 0, tokens: 0, waitingPromptTokens: 0 };
+        for (const item of this.#own.get(target)?.values() ?? []) {
+            held.requests += 1;
+            held.tokens += item.promptTokens + item.outputTokens;
+            held.waitingPromptTokens += item.hasAnswered ? 0 : item.promptTokens;
+        }
+        return held;
+    }
+
+    /** Counts the work of all instances at a target. */
+    countWork(target: string, now: number): HeldWork {
+        const held = this.countOwn(target);
+        for (const [peer, digest] of this.#peers) {
+            if (now - digest.receivedAt > DIGEST_LIFETIME) {
+                this.#peers.delete(peer);
+                continue;
+            }
+            const [requests = 0, tokens = 0, waitingPromptTokens = 0] = digest.work[target] ?? [];
+            held.requests += requests;
+            held.tokens += tokens;
+            held.waitingPromptTokens += waitingPromptTokens;
+        }
+        return held;
+    }
+}
--- /dev/null
+++ b/core/serving/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Decisions of the serving process: routes, places, limits and moves.
+ *
+ * @module
+ */
+export * from "./choose_place.ts";
+export * from "./decide_wait.ts";
+export * from "./event_splitter.ts";
+export * from "./load_ledger.ts";
+export * from "./plan_move.ts";
+export * from "./route_table.ts";
+export * from "./serving_types.ts";
+export * from "./shared_limits.ts";
+export * from "./target_directory.ts";
+export * from "./target_health.ts";
--- /dev/null
+++ b/core/serving/shared_limits.ts
@@ -0,0 +1,121 @@
+/**
+ * Each instance's fixed share of the bounds that hold for all instances together.
+ *
+ * Load patterns: many targets fail at once and every instance retries; a zone comes back cold and every instance sends it
+ * work. Fixed shares need no owner, so that the loss of any instance stops nothing.
+ *
+ * @module
+ */
+
+/** Options of a {@linkcode RetryShare}. */
+export interface RetryShareOptions {
+    /** Repeats allowed for each request. */
+    ratio: number;
+    /** Length of the window, in milliseconds. */
+    windowMilliseconds: number;
+    /** Repeats allowed in each window beyond the ratio, for all instances together. */
+    slack: number;
+}
+
+/** Part of the ratio that is used; the rest allows for requests that move between windows. */
+const RATIO_MARGIN = 0.7;
+/** Part of the slack that is used; the rest allows for instances that are not known yet. */
+const SLACK_MARGIN = 0.8;
+
+/** Limits repeats to one service within a sliding window. */
+export class RetryShare {
+    readonly #options: RetryShareOptions;
+    readonly #requests: number[] = [];
+    readonly #repeats: number[] = [];
+
+    constructor(options: RetryShareOptions) {
+        this.#options = options;
+    }
+
+    /** Counts a request. */
+    recordRequest(now: number): void {
+        this.#requests.push(now);
+    }
+
+    /** Takes one repeat; false where this instance's share is used up. */
+    takeRepeat(now: number, instances: number): boolean {
+        this.#dropOld(now);
+        const share = this.#options.slack * SLACK_MARGIN / Math.max(1, instances);
+        if (this.#repeats.length + 1 > this.#options.ratio * RATIO_MARGIN * this.#requests.length + share) {
+            return false;
+        }
+        this.#repeats.push(now);
+        return true;
+    }
+
+    #dropOld(now: number): void {
+        for (const times of [this.#requests, this.#repeats]) {
+            while (times[0] !== undefined && now - times[0] > this.#options.windowMilliseconds) {
+                times.shift();
+            }
+        }
+    }
+}
+
+/** Options of a {@linkcode ColdShare}. */
+export interface ColdShareOptions {
+    /** Factor by which all instances together may exceed a cold target's rate. */
+    overage: number;
+    /** Requests that all instances together may send beyond that in each second. */
+    slack: number;
+}
+
+/** Length of the window in which requests to a cold target are counted, in milliseconds, with some margin. */
+const COLD_WINDOW = 1250;
+/** Part of the bound that is used. */
+const COLD_MARGIN = 0.8;
+
+/** Limits requests to cold targets. */
+export class ColdShare {
+    #options: ColdShareOptions;
+    readonly #sent = new Map<string, number[]>();
+    readonly #coldUntil = new Map<string, number>();
+
+    constructor(options: ColdShareOptions) {
+        this.#options = options;
+    }
+
+    /** Replaces the bound. */
+    setOptions(options: ColdShareOptions): void {
+        this.#options = options;
+    }
+
+    /** Notes how much longer a target is cold. */
+    markCold(target: string, state: { now: number; milliseconds: number; }): void {
+        if (state.milliseconds > 0) {
+            this.#coldUntil.set(target, Math.max(this.#coldUntil.get(target) ?? 0, state.now + state.milliseconds));
+        }
+    }
+
+    /** Tells whether a target is cold and this instance's share of it is used up. */
+    isFull(target: string, state: { now: number; ratePerSecond: number; instances: number; }): boolean {
+        const { now, ratePerSecond, instances } = state;
+        if (ratePerSecond <= 0 || (this.#coldUntil.get(target) ?? 0) <= now) {
+            return false;
+        }
+        const bound = (ratePerSecond * this.#options.overage + this.#options.slack) * COLD_MARGIN;
+        return this.#listRecent(target, now).length >= Math.max(1, Math.floor(bound / Math.max(1, instances)));
+    }
+
+    /** Counts a request that is sent to a target. */
+    recordSend(target: string, now: number): void {
+        const recent = this.#listRecent(target, now);
+        recent.push(now);
+        this.#sent.set(target, recent);
+    }
+
+    /** Forgets a target that is gone. */
+    removeTarget(target: string): void {
+        this.#sent.delete(target);
+        this.#coldUntil.delete(target);
+    }
+
+    #listRecent(target: string, now: number): number[] {
+        return (this.#sent.get(target) ?? []).filter(time => now - time < COLD_WINDOW);
+    }
+}
--- /dev/null
+++ b/core/serving/target_directory.ts
@@ -0,0 +1,161 @@
+/**
+ * Which targets may get new work, from the platform's list, its gaps and the zones that operators have emptied.
+ *
+ * Load pattern: the platform's store goes down and its entries lapse, then come back while requests keep coming. Dropping
+ * every lapsed target would refuse all of them, although the targets still serve.
+ *
+ * @module
+ */
+import type { ServingTarget } from "./serving_types.ts";
+
+/** A change to a target that running work has to know of. */
+export interface TargetChange {
+    /** The target as it was last listed. */
+    target: ServingTarget;
+    /** What happened to it. */
+    kind: "added" | "leaving" | "removed";
+}
+
+/** A list of all targets at one revision of the store. */
+export interface TargetSnapshot {
+    /** Revision of the store's latest change to the list. */
+    revision: number;
+    /** Targets. */
+    targets: ServingTarget[];
+}
+
+/** Options of a {@linkcode TargetDirectory}. */
+export interface TargetDirectoryOptions {
+    /** Time for which a lapsed target stays in use after the store's return, in milliseconds. Defaults to 2000. */
+    lapseMilliseconds?: number;
+}
+
+/** Entries that lapsed are back within about two seconds of the store's return (platform's service discovery). */
+const DEFAULT_LAPSE = 2000;
+/** Removals without notice in one answer from which on they count as lapsed: a planned release removes one or two. */
+const MASS_REMOVAL = 3;
+
+/** Keeps the list of targets. */
+export class TargetDirectory {
+    readonly #lapseMilliseconds: number;
+    readonly #targets = new Map<string, ServingTarget>();
+    /** Time until which a lapsed target stays in use, by target. */
+    readonly #lapsedUntil = new Map<string, number>();
+    #emptiedZones = new Set<string>();
+    #isKnown = false;
+    #revision = 0;
+    #changeRevision = 0;
+    #regainedAt = Number.NEGATIVE_INFINITY;
+
+    constructor(options: TargetDirectoryOptions = {}) {
+        this.#lapseMilliseconds = options.lapseMilliseconds ?? DEFAULT_LAPSE;
+    }
+
+    /** True once a whole list has come. */
+    get isKnown(): boolean {
+        return this.#isKnown;
+    }
+
+    /** Revision of the store up to which the list is known. */
+    get revision(): number {
+        return this.#revision;
+    }
+
+    /** Revision of the latest change that is in the list. */
+    get changeRevision(): number {
+        return this.#changeRevision;
+    }
+
+    /** Zones that get no new work. */
+    get emptiedZones(): ReadonlySet<string> {
+        return this.#emptiedZones;
+    }
+
+    /** Notes that the store answers again after an outage. */
+    markRegained(now: number): void {
+        this.#regainedAt = now;
+    }
+
+    /** Sets the zones that get no new work. */
+    setEmptiedZones(zones: Iterable<string>): void {
+        this.#emptiedZones = new Set(zones);
+    }
+
+    /** Replaces the list by a newer snapshot and tells what changed; an older snapshot changes nothing. */
+    applySnapshot(snapshot: TargetSnapshot, now: number): TargetChange[] {
+        if (snapshot.revision < this.#revision) {
+            return [];
+        }
+        this.#isKnown = true;
+        const listed = new Set(snapshot.targets.map(target => target.id));
+        const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
+        return this.applyEvents({ revision: snapshot.revision, changed: snapshot.targets, removed }, now);
+    }
+
+    /** Applies changes up to a revision and tells what they mean for running work. */
+    applyEvents(
+        events: { revision: number; changed: ServingTarget[]; removed: string[]; },
+        now: number,
+    ): TargetChange[] {
+        this.#revision = Math.max(this.#revision, events.revision);
+        if (events.changed.length > 0 || events.removed.length > 0) {
+            this.#changeRevision = this.#revision;
+        }
+        const changes = events.changed.flatMap(target => this.#applyTarget(target));
+        const unannounced = events.removed.filter(id => this.#targets.get(id)?.isLeaving === false);
+        const hasLapsed = now - this.#regainedAt < this.#lapseMilliseconds || unannounced.length >= MASS_REMOVAL;
+        for (const id of events.removed) {
+            const isLapsed = hasLapsed && unannounced.includes(id);
+            if (isLapsed && !this.#lapsedUntil.has(id)) {
+                this.#lapsedUntil.set(id, Math.max(now, this.#regainedAt) + this.#lapseMilliseconds);
+            }
+            else if (!isLapsed) {
+                changes.push(...this.#removeTarget(id));
+            }
+        }
+        return [...changes, ...this.expireLapsed(now)];
+    }
+
+    /** Removes lapsed targets that did not come back in time. */
+    expireLapsed(now: number): TargetChange[] {
+        const expired = [...this.#lapsedUntil].filter(([, until]) => until <= now);
+        return expired.flatMap(([id]) => this.#removeTarget(id));
+    }
+
+    /** Finds a target, whether it takes new work or not. */
+    findTarget(id: string): ServingTarget | undefined {
+        return this.#targets.get(id);
+    }
+
+    /** Lists the targets of `service` that take new work. */
+    listOpen(service: string): ServingTarget[] {
+        return [...this.#targets.values()].filter(target =>
+            target.service === service && !target.isLeaving && !this.#emptiedZones.has(target.zone)
+        );
+    }
+
+    /** Gives the whole list, for peers that are behind. */
+    getSnapshot(): TargetSnapshot {
+        return { revision: this.#revision, targets: [...this.#targets.values()] };
+    }
+
+    #applyTarget(target: ServingTarget): TargetChange[] {
+        const known = this.#targets.get(target.id);
+        this.#targets.set(target.id, target);
+        this.#lapsedUntil.delete(target.id);
+        if (known !== undefined && known.startedAt !== target.startedAt) {
+            return [{ kind: "removed", target: known }, { kind: "added", target }];
+        }
+        if (known === undefined) {
+            return [{ kind: target.isLeaving ? "leaving" : "added", target }];
+        }
+        return target.isLeaving && !known.isLeaving ? [{ kind: "leaving", target }] : [];
+    }
+
+    #removeTarget(id: string): TargetChange[] {
+        const target = this.#targets.get(id);
+        this.#targets.delete(id);
+        this.#lapsedUntil.delete(id);
+        return target === undefined ? [] : [{ kind: "removed", target }];
+    }
+}
--- /dev/null
+++ b/serving/caller_exchange.ts
@@ -0,0 +1,117 @@
+/**
+ * One request of a caller with everything that its handling needs.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { Clock } from "../core/clock/mod.ts";
+import type { ClientAccount, Route, ServiceDefinition } from "../core/serving/mod.ts";
+import type { Verdict } from "../core/verdict/mod.ts";
+import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../gateway/serving_error.ts";
+import { sendJson } from "../network/mod.ts";
+import type { CallerRequest } from "../platform/mod.ts";
+import type { DecisionLog } from "../telemetry/mod.ts";
+import type { PlaceFinder } from "./place_finder.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+import type { ServingState } from "./serving_state.ts";
+import type { TargetConnections } from "./target_connections.ts";
+
+/** What all handlers of a serving process share. */
+export interface ServingContext {
+    /** What is known. */
+    state: ServingState;
+    /** Finds places. */
+    finder: PlaceFinder;
+    /** Connections to targets. */
+    connections: TargetConnections;
+    /** Log of decisions. */
+    log: DecisionLog;
+    /** Counters. */
+    metrics: ServingMetrics;
+    /** Source of time. */
+    clock: Clock;
+    /** Source of random numbers from 0 up to 1. */
+    random: () => number;
+    /** True once the process is to stop. */
+    isStopping: () => boolean;
+}
+
+/** A routed request of a caller and the answer to it. */
+export interface CallerExchange {
+    /** The request. */
+    request: CallerRequest;
+    /** The answer. */
+    response: ServerResponse;
+    /** Route of the request. */
+    route: Route;
+    /** Service that takes it. */
+    service: ServiceDefinition;
+    /** Account of the caller; `undefined` where none is asked for. */
+    account: ClientAccount | undefined;
+    /** Version of the configuration that decided. */
+    version: number;
+    /** Time of arrival, on the monotonic clock in milliseconds. */
+    arrivedAt: number;
+    /** Time at which the caller or the route gives up, on the same clock. */
+    deadline: number;
+    /** Aborted when the caller has gone or the deadline has passed. */
+    signal: AbortSignal;
+    /** True once the caller has gone. */
+    isCallerGone: () => boolean;
+}
+
+/** How one attempt at a target went, for the log. */
+export interface AttemptRecord {
+    /** Target. */
+    target: string;
+    /** How it ended. */
+    result: string;
+    /** Load of the target when it was chosen, 1 being full. */
+    load: number;
+    /** Duration, in milliseconds. */
+    milliseconds: number;
+}
+
+/** Logs and counts the end of a request. */
+export function recordEnd(
+    context: ServingContext,
+    exchange: CallerExchange,
+    end: { name: string; isTrouble: boolean; attempts: AttemptRecord[]; detail?: Record<string, unknown>; },
+): void {
+    const { request, route, service, account, version, arrivedAt } = exchange;
+    context.metrics.countEnd(route.name, end.name);
+    context.log.record(end.isTrouble ? "trouble" : "request", "request ended", {
+        request: request.id,
+        end: end.name,
+        route: route.name,
+        service: service.name,
+        account: account?.name,
+        configuration: version,
+        targetsRevision: context.state.directory.revision,
+        milliseconds: Math.round(context.clock.getMonotonic() - arrivedAt),
+        attempts: end.attempts,
+        ...end.detail,
+    });
+}
+
+/** Answers a request with an error whose status is true to its verdict. */
+export function answerError(
+    exchange: Pick<CallerExchange, "response"> & { request: Pick<CallerRequest, "id">; },
+    error: { message: string; code: ErrorCode; verdict: Verdict; retryAfterSeconds?: number; },
+): void {
+    const { response } = exchange;
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const { message, ...props } = error;
+    const headers: Record<string, string> = { "attempt-id": exchange.request.id, "x-verdict": error.verdict };
+    if (error.retryAfterSeconds !== undefined) {
+        headers["retry-after"] = error.retryAfterSeconds.toFixed(2);
+    }
+    sendJson(response, {
+        status: ERROR_STATUS[error.code],
+        value: describeError(new ServingError(message, props)),
+        headers,
+    });
+}
--- /dev/null
+++ b/serving/caller_server.ts
@@ -0,0 +1,199 @@
+/**
+ * Accepts callers' requests and leads each to its handler.
+ *
+ * @module
+ */
+import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type CallerLimits, pickService, type Route, type RouteResult } from "../core/serving/mod.ts";
+import { type Address, BodyTooLargeError, openHttpServer, readBody } from "../network/mod.ts";
+import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
+import { answerError, type CallerExchange, type ServingContext } from "./caller_exchange.ts";
+import { handlePlainCall } from "./plain_call.ts";
+import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
+
+/** Time kept back from a caller's patience for the answer's way to it, in milliseconds. */
+const ANSWER_RESERVE = 15;
+/** Patience assumed where neither caller nor route names one, in milliseconds. */
+const DEFAULT_PATIENCE = 60_000;
+/** Time after which a caller comes back that an instance without beliefs has refused, in seconds. */
+const NOT_READY_RETRY = 0.5;
+/** Limits in force before a configuration is known. */
+const INITIAL_LIMITS: CallerLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMilliseconds: 5000,
+    idleTimeoutMilliseconds: 15_000,
+};
+
+type RouteFailure = Exclude<RouteResult, { kind: "routed"; }>["kind"];
+
+const ROUTE_FAILURES: Record<RouteFailure, { code: "not_found" | "unauthorized"; message: string; }> = {
+    "no-route": { code: "not_found", message: "Cannot find a route for this host and path." },
+    "unknown-key": { code: "unauthorized", message: "Cannot accept the key: no account holds it." },
+};
+
+/** Serves callers. */
+export class CallerServer {
+    readonly #context: ServingContext;
+    readonly #active = new Set<ActiveStream>();
+    #server: Server | undefined;
+    #activeRequests = 0;
+
+    constructor(context: ServingContext) {
+        this.#context = context;
+    }
+
+    /** Streams that are being relayed. */
+    get activeStreams(): ReadonlySet<ActiveStream> {
+        return this.#active;
+    }
+
+    /** Number of requests being served. */
+    get activeRequests(): number {
+        return this.#activeRequests;
+    }
+
+    /** Starts to listen. */
+    async open(address: Address): Promise<void> {
+        this.#server = await openHttpServer({
+            address,
+            handler: (request, response) => this.#handleRequest(request, response),
+        });
+        this.#server.requestTimeout = 0;
+        this.applyLimits(INITIAL_LIMITS);
+    }
+
+    /** Applies the configuration's bounds to connections. */
+    applyLimits(limits: CallerLimits): void {
+        if (this.#server !== undefined) {
+            this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
+            this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
+        }
+    }
+
+    /** Stops to listen and closes the connections that are idle. */
+    close(): void {
+        this.#server?.close();
+        this.#server?.closeIdleConnections();
+    }
+
+    async #handleRequest(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+        const arrivedAt = this.#context.clock.getMonotonic();
+        const gone = new AbortController();
+        response.on("close", () => gone.abort());
+        response.on("error", () => gone.abort());
+        if (this.#context.isStopping()) {
+            response.shouldKeepAlive = false;
+        }
+        const request = await this.#readRequest(incoming, response);
+        if (request === undefined) {
+            return;
+        }
+        this.#activeRequests += 1;
+        try {
+            await this.#serve({ request, response, arrivedAt, gone: gone.signal });
+        }
+        catch (error) {
+            this.#context.log.record("trouble", "request handler failed", {
+                request: request.id,
+                error: String(error),
+            });
+            response.destroy();
+        }
+        finally {
+            this.#activeRequests -= 1;
+        }
+    }
+
+    async #readRequest(incoming: IncomingMessage, response: ServerResponse): Promise<CallerRequest | undefined> {
+        const maxBytes = this.#context.state.table?.configuration.limits.maxBodyBytes ?? INITIAL_LIMITS.maxBodyBytes;
+        try {
+            const request = decodeCallerRequest(incoming, await readBody(incoming, { maxBytes }));
+            if (request.id === "") {
+                this.#refuse({ request, response }, {
+                    code: "bad_request",
+                    message: "Cannot serve a request without an id.",
+                });
+                return undefined;
+            }
+            return request;
+        }
+        catch (error) {
+            if (error instanceof BodyTooLargeError) {
+                const request = decodeCallerRequest(incoming, Buffer.alloc(0));
+                this.#refuse({ request, response }, { code: "body_too_large", message: error.message });
+                return undefined;
+            }
+            this.#context.log.record("trouble", "request not read", { error: String(error) });
+            response.destroy();
+            return undefined;
+        }
+    }
+
+    async #serve(
+        call: { request: CallerRequest; response: ServerResponse; arrivedAt: number; gone: AbortSignal; },
+    ): Promise<void> {
+        const { request } = call;
+        const { state } = this.#context;
+        const { table } = state;
+        if (table === undefined || state.missing !== "") {
+            this.#refuse(call, {
+                code: "not_serving",
+                message: `Cannot serve requests: ${state.missing}.`,
+                retryAfterSeconds: NOT_READY_RETRY * (0.7 + 0.6 * this.#context.random()),
+            });
+            return;
+        }
+        const result = table.findRoute({ host: request.host, path: request.path, key: request.key });
+        if (result.kind !== "routed") {
+            this.#refuse(call, ROUTE_FAILURES[result.kind]);
+            return;
+        }
+        const service = table.findService(pickService(result.route, this.#context.random));
+        if (service === undefined) {
+            this.#refuse(call, { code: "no_target", message: "Cannot serve the route: it names no known service." });
+            return;
+        }
+        const { route, account } = result;
+        const { version } = table.configuration;
+        const deadline = computeDeadline(call, route);
+        const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(deadline - this.#context.clock.getMonotonic())));
+        const exchange: CallerExchange = {
+            ...call,
+            route,
+            service,
+            account,
+            version,
+            deadline,
+            signal: AbortSignal.any([call.gone, timeout]),
+            isCallerGone: () => call.gone.aborted,
+        };
+        await (route.kind === "stream"
+            ? handleStreamCall(this.#context, { exchange, active: this.#active })
+            : handlePlainCall(this.#context, exchange));
+    }
+
+    /** Refuses a request that no target has seen. */
+    #refuse(
+        call: { request: CallerRequest; response: ServerResponse; },
+        error: { code: Parameters<typeof answerError>[1]["code"]; message: string; retryAfterSeconds?: number; },
+    ): void {
+        const { state, metrics, log } = this.#context;
+        metrics.countEnd("none", error.code);
+        log.record("trouble", "request refused", {
+            request: call.request.id,
+            code: error.code,
+            host: call.request.host,
+            path: call.request.path,
+            configuration: state.table?.configuration.version ?? -1,
+            reason: error.message,
+        });
+        answerError(call, { ...error, verdict: "not-run" });
+    }
+}
+
+function computeDeadline(call: { request: CallerRequest; arrivedAt: number; }, route: Route): number {
+    const patience = call.request.patienceMilliseconds ?? DEFAULT_PATIENCE;
+    const own = Math.max(1, patience - ANSWER_RESERVE);
+    return call.arrivedAt + Math.min(own, route.timeoutMilliseconds ?? own);
+}
--- /dev/null
+++ b/serving/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The serving process on the platform.
+ *
+ * @module
+ */
+export * from "./serving_process.ts";
--- /dev/null
+++ b/serving/serving_metrics.ts
@@ -0,0 +1,113 @@
+/**
+ * Counters and latency histograms of the serving process.
+ *
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Options of a {@linkcode ServingMetrics}. */
+export interface ServingMetricsOptions {
+    /** Counts the requests being served. */
+    countActive: () => number;
+    /** Counts the log lines dropped since the start. */
+    countDroppedLines: () => number;
+    /** Gets the version of the configuration in use. */
+    getConfigurationVersion: () => number;
+}
+
+/** Bounds of the latency histograms, in seconds: from a fast plain call to the longest generation. */
+const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6];
+
+/** Counts what the serving process does. */
+export class ServingMetrics {
+    readonly registry = new Registry();
+    readonly #ends: Counter<"route" | "end">;
+    readonly #attempts: Counter<"service" | "result">;
+    readonly #moves: Counter<"result">;
+    readonly #storeCalls: Counter<"kind" | "result">;
+    readonly #latency: Histogram<"route">;
+    readonly #pauses: Histogram;
+
+    constructor(options: ServingMetricsOptions) {
+        const registers = [this.registry];
+        this.#ends = new Counter({
+            name: "knapweed_serving_requests_total",
+            help: "Requests by route and by how they ended.",
+            labelNames: ["route", "end"],
+            registers,
+        });
+        this.#attempts = new Counter({
+            name: "knapweed_serving_attempts_total",
+            help: "Attempts at targets by service and result.",
+            labelNames: ["service", "result"],
+            registers,
+        });
+        this.#moves = new Counter({
+            name: "knapweed_serving_moves_total",
+            help: "Moves of running generations by result.",
+            labelNames: ["result"],
+            registers,
+        });
+        this.#storeCalls = new Counter({
+            name: "knapweed_serving_store_calls_total",
+            help: "Calls to the platform's store by kind and result.",
+            labelNames: ["kind", "result"],
+            registers,
+        });
+        this.#latency = new Histogram({
+            name: "knapweed_serving_first_byte_seconds",
+            help: "Time from a request's arrival to the first byte of its answer's body.",
+            labelNames: ["route"],
+            buckets: LATENCY_BUCKETS,
+            registers,
+        });
+        this.#pauses = new Histogram({
+            name: "knapweed_serving_move_pause_seconds",
+            help: "Pause that a move makes in its caller's stream.",
+            buckets: [0.02, 0.05, 0.1, 0.15, 0.18, 0.25, 0.5, 1, 2],
+            registers,
+        });
+        registerGauges(registers, options);
+    }
+
+    /** Counts a request's end. */
+    countEnd(route: string, end: string): void {
+        this.#ends.inc({ route, end });
+    }
+
+    /** Counts an attempt's result. */
+    countAttempt(service: string, result: string): void {
+        this.#attempts.inc({ service, result });
+    }
+
+    /** Counts a move's result. */
+    countMove(result: string): void {
+        this.#moves.inc({ result });
+    }
+
+    /** Counts a call to the store. */
+    countStoreCall(kind: string, result: string): void {
+        this.#storeCalls.inc({ kind, result });
+    }
+
+    /** Observes the time to the first byte of an answer, in milliseconds. */
+    observeFirstByte(route: string, milliseconds: number): void {
+        this.#latency.observe({ route }, milliseconds / 1000);
+    }
+
+    /** Observes the pause that a move made, in milliseconds. */
+    observeMovePause(milliseconds: number): void {
+        this.#pauses.observe(milliseconds / 1000);
+    }
+}
+
+function registerGauges(registers: Registry[], options: ServingMetricsOptions): void {
+    const gauges: [name: string, help: string, read: () => number][] = [
+        ["knapweed_serving_active", "Requests being served.", options.countActive],
+        ["knapweed_serving_dropped_log_lines", "Log lines dropped since the start.", options.countDroppedLines],
+        ["knapweed_serving_configuration_version", "Version in use.", options.getConfigurationVersion],
+    ];
+    for (const [name, help, read] of gauges) {
+        const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) });
+    }
+}
--- /dev/null
+++ b/serving/serving_state.ts
@@ -0,0 +1,232 @@
+/**
+ * What one serving process believes, from the store, its peers and its targets' answers.
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock/mod.ts";
+import {
+    ColdShare,
+    LoadLedger,
+    type PlaceCandidate,
+    RetryShare,
+    RouteTable,
+    type ServiceDefinition,
+    type ServingConfiguration,
+    type ServingTarget,
+    type TargetChange,
+    TargetDirectory,
+    TargetHealth,
+    type TargetSnapshot,
+} from "../core/serving/mod.ts";
+import type { InstanceSettings } from "../platform/mod.ts";
+import type { DecisionLog } from "../telemetry/mod.ts";
+
+/** Options of a {@linkcode ServingState}. */
+export interface ServingStateOptions {
+    /** Settings of the instance. */
+    settings: InstanceSettings;
+    /** Source of time. */
+    clock: Clock;
+    /** Log of decisions. */
+    log: DecisionLog;
+}
+
+/** Zones that get no new work, at one revision of the store. */
+export interface ZoneSnapshot {
+    /** Revision of the store. */
+    revision: number;
+    /** Revision of the latest change. */
+    changeRevision: number;
+    /** Names of the zones. */
+    zones: string[];
+}
+
+/** Where a belief came from. */
+export type BeliefSource = "store" | `peer ${string}`;
+
+/** Instances assumed while it is not known how many there are: about the usual number, and some more. */
+const ASSUMED_INSTANCES = 10;
+/** Part of a target's connections that is used; the rest covers connections that are being closed. */
+const CONNECTION_MARGIN = 0.8;
+
+/** Keeps beliefs and tells listeners of changes to targets. */
+export class ServingState {
+    readonly directory = new TargetDirectory();
+    readonly ledger = new LoadLedger();
+    readonly health = new TargetHealth();
+    readonly cold: ColdShare;
+    #settings: InstanceSettings;
+    /** Called with each change to a target. */
+    readonly targetListeners: ((change: TargetChange) => void)[] = [];
+    /** Called when a belief changed that peers want to know at once. */
+    readonly beliefListeners: (() => void)[] = [];
+    readonly #options: ServingStateOptions;
+    readonly #retryShares = new Map<string, RetryShare>();
+    #table: RouteTable | undefined;
+    #zones: ZoneSnapshot | undefined;
+    #countInstances: () => number = () => 0;
+
+    constructor(options: ServingStateOptions) {
+        this.#options = options;
+        this.#settings = options.settings;
+        const { coldOverage, coldSlack } = options.settings.bounds;
+        this.cold = new ColdShare({ overage: coldOverage, slack: coldSlack });
+    }
+
+    /** Index of the configuration; `undefined` before the first one came. */
+    get table(): RouteTable | undefined {
+        return this.#table;
+    }
+
+    /** Zones that get no new work; `undefined` before they are known. */
+    get zones(): ZoneSnapshot | undefined {
+        return this.#zones;
+    }
+
+    /** Says what is missing before requests can be served; empty where nothing is. */
+    get missing(): string {
+        if (this.#table === undefined) {
+            return "no configuration yet";
+        }
+        if (!this.directory.isKnown) {
+            return "no list of targets yet";
+        }
+        return this.#zones === undefined ? "no list of emptied zones yet" : "";
+    }
+
+    /** Instances that share the common bounds. */
+    get instances(): number {
+        const known = this.#countInstances();
+        return known > 0 ? known : ASSUMED_INSTANCES;
+    }
+
+    /** Sets the function that counts the instances; 0 stands for not known. */
+    setInstanceCounter(countInstances: () => number): void {
+        this.#countInstances = countInstances;
+    }
+
+    /** Applies changed bounds. */
+    applySettings(settings: InstanceSettings): void {
+        const { coldOverage, coldSlack } = settings.bounds;
+        this.#settings = settings;
+        this.#retryShares.clear();
+        this.cold.setOptions({ overage: coldOverage, slack: coldSlack });
+    }
+
+    /** Adopts a configuration if it is newer than the one in use. */
+    adoptConfiguration(configuration: ServingConfiguration, source: BeliefSource): boolean {
+        const known = this.#table?.configuration.version ?? -1;
+        if (configuration.version <= known) {
+            return false;
+        }
+        this.#table = new RouteTable(configuration);
+        this.#options.log.record("belief", "configuration adopted", {
+            version: configuration.version,
+            previous: known,
+            source,
+            routes: configuration.routes.length,
+            accounts: configuration.accounts?.length ?? 0,
+        });
+        this.#announce();
+        return true;
+    }
+
+    /** Replaces the list of targets by a newer one. */
+    applySnapshot(snapshot: TargetSnapshot, source: BeliefSource): void {
+        this.#publish(this.directory.applySnapshot(snapshot, this.#now()), source);
+    }
+
+    /** Applies changes to the list of targets. */
+    applyEvents(events: { revision: number; changed: ServingTarget[]; removed: string[]; }): void {
+        this.#publish(this.directory.applyEvents(events, this.#now()), "store");
+        for (const target of events.changed) {
+            this.#markCold(target);
+        }
+    }
+
+    /** Removes lapsed targets whose time is over. */
+    expireLapsed(): void {
+        this.#publish(this.directory.expireLapsed(this.#now()), "store");
+    }
+
+    /** Replaces the zones that get no new work by a newer list. */
+    applyZones(snapshot: ZoneSnapshot, source: BeliefSource): void {
+        if (this.#zones !== undefined && snapshot.revision < this.#zones.revision) {
+            return;
+        }
+        const previous = this.#zones?.zones.join(",") ?? "";
+        this.#zones = snapshot;
+        this.directory.setEmptiedZones(snapshot.zones);
+        if (previous !== snapshot.zones.join(",")) {
+            const { zones, revision } = snapshot;
+            this.#options.log.record("belief", "emptied zones changed", { zones, revision, source });
+            this.#announce();
+        }
+    }
+
+    /** Gets this instance's share of the repeats to a service. */
+    getRetryShare(service: string): RetryShare {
+        const { retryRatio, retryWindowMilliseconds, retrySlack } = this.#settings.bounds;
+        const share = this.#retryShares.get(service) ?? new RetryShare({
+            ratio: retryRatio,
+            windowMilliseconds: retryWindowMilliseconds,
+            slack: retrySlack,
+        });
+        this.#retryShares.set(service, share);
+        return share;
+    }
+
+    /** Lists the targets of a service with what is known of their load. */
+    listCandidates(service: ServiceDefinition): PlaceCandidate[] {
+        const now = this.#now();
+        const { instances } = this;
+        const connections = Math.max(1, Math.floor(service.maxConnections * CONNECTION_MARGIN / instances));
+        return this.directory.listOpen(service.name).map(target => ({
+            target,
+            held: this.ledger.countWork(target.id, now),
+            penalty: this.health.computePenalty(target.id, now),
+            isLimited: this.ledger.countOwn(target.id).requests >= connections
+                || this.cold.isFull(target.id, { now, ratePerSecond: service.coldRequestsPerSecond, instances }),
+        }));
+    }
+
+    #publish(changes: TargetChange[], source: BeliefSource): void {
+        for (const change of changes) {
+            const { id, service, zone, address } = change.target;
+            const { revision } = this.directory;
+            this.#options.log.record("belief", `target ${change.kind}`, {
+                target: id,
+                service,
+                zone,
+                address,
+                revision,
+                source,
+            });
+            if (change.kind === "removed") {
+                this.health.removeTarget(id);
+                this.cold.removeTarget(id);
+            }
+            this.#markCold(change.target);
+            for (const listener of this.targetListeners) {
+                listener(change);
+            }
+        }
+        if (changes.length > 0) {
+            this.#announce();
+        }
+    }
+
+    #markCold(target: ServingTarget): void {
+        this.cold.markCold(target.id, { now: this.#now(), milliseconds: target.coldMilliseconds });
+    }
+
+    #announce(): void {
+        for (const listener of this.beliefListeners) {
+            listener();
+        }
+    }
+
+    #now(): number {
+        return this.#options.clock.getMonotonic();
+    }
+}
--- /dev/null
+++ b/serving/store_watcher.ts
@@ -0,0 +1,250 @@
+/**
+ * Keeps the state up to date with the platform's store by one watch for each kind of object.
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock/mod.ts";
+import type { ServingTarget } from "../core/serving/mod.ts";
+import { waitMilliseconds } from "../network/mod.ts";
+import {
+    decodeConfiguration,
+    decodeTarget,
+    type StoreClient,
+    type StoreEvents,
+    type StoreFailure,
+    StoreKind,
+    type StoreList,
+    type StoreObject,
+} from "../platform/mod.ts";
+import type { DecisionLog } from "../telemetry/mod.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+import type { ServingState } from "./serving_state.ts";
+
+/** Options of a {@linkcode StoreWatcher}. */
+export interface StoreWatcherOptions {
+    /** Client of the store. */
+    store: StoreClient;
+    /** State to keep up to date. */
+    state: ServingState;
+    /** Log of decisions. */
+    log: DecisionLog;
+    /** Counters. */
+    metrics: ServingMetrics;
+    /** Source of time. */
+    clock: Clock;
+    /** Source of random numbers from 0 up to 1. */
+    random: () => number;
+    /** Longest wait of one watch, in milliseconds. Defaults to 5000. */
+    watchMilliseconds?: number;
+}
+
+/** How the objects of one kind are taken in. */
+interface KindHandler {
+    applyList: (list: StoreList) => void;
+    applyEvents: (events: StoreEvents) => void;
+}
+
+/** A watch that went silent is noticed after this time and the call's own timeout; peers notice it sooner. */
+const DEFAULT_WATCH = 5000;
+/** First pause after a failed call, in milliseconds; it doubles with each further failure. */
+const MIN_PAUSE = 40;
+/** Longest pause after failed calls, in milliseconds: short beside the seconds in which the store must be back in use. */
+const MAX_PAUSE = 400;
+
+/** Watches the store. */
+export class StoreWatcher {
+    readonly #options: StoreWatcherOptions;
+    readonly #handlers: Record<string, KindHandler>;
+    /** Revision to watch from, by kind; absent where the kind has to be listed first. */
+    readonly #revisions = new Map<string, number>();
+    readonly #failing = new Map<string, { since: number; failures: number; }>();
+    #isStopped = false;
+
+    constructor(options: StoreWatcherOptions) {
+        this.#options = options;
+        this.#handlers = {
+            [StoreKind.configuration]: {
+                applyList: list => this.#applyConfigurations(list.objects),
+                applyEvents: events => this.#applyConfigurations(events.events.map(event => event.object)),
+            },
+            [StoreKind.targets]: {
+                applyList: list => this.#applyTargetList(list),
+                applyEvents: events => this.#applyTargetEvents(events),
+            },
+            [StoreKind.emptiedZones]: {
+                applyList: list => this.#applyZoneList(list),
+                applyEvents: events => this.#applyZoneEvents(events),
+            },
+        };
+    }
+
+    /** Time since which the store has not answered, in milliseconds; 0 while it answers. */
+    get outageMilliseconds(): number {
+        const since = [...this.#failing.values()].map(entry => entry.since);
+        return since.length === 0 ? 0 : this.#options.clock.getMonotonic() - Math.min(...since);
+    }
+
+    /** Starts to watch. */
+    start(): void {
+        for (const kind of Object.keys(this.#handlers)) {
+            void this.#run(kind);
+        }
+    }
+
+    /** Stops after the calls under way. */
+    stop(): void {
+        this.#isStopped = true;
+    }
+
+    /** Describes the watches, for a dump. */
+    dumpState(): Record<string, unknown> {
+        return { revisions: Object.fromEntries(this.#revisions), failing: Object.fromEntries(this.#failing) };
+    }
+
+    async #run(kind: string): Promise<void> {
+        while (!this.#isStopped) {
+            const failure = await this.#step(kind);
+            this.#options.metrics.countStoreCall(kind, failure?.kind ?? "ok");
+            if (failure === undefined) {
+                this.#markWorking(kind);
+            }
+            else if (failure.kind === "history-gone") {
+                this.#options.log.record("belief", "store history lost", { kind, revision: this.#revisions.get(kind) });
+                this.#revisions.delete(kind);
+            }
+            else {
+                await this.#pauseAfter(kind, failure);
+            }
+        }
+    }
+
+    async #step(kind: string): Promise<StoreFailure | undefined> {
+        const { store } = this.#options;
+        const handler = this.#handlers[kind];
+        const revision = this.#revisions.get(kind);
+        if (revision === undefined) {
+            const reply = await store.listObjects(kind);
+            if (reply.kind !== "ok") {
+                return reply;
+            }
+            this.#markWorking(kind);
+            handler?.applyList(reply.value);
+            this.#revisions.set(kind, reply.value.revision);
+            return undefined;
+        }
+        const reply = await store.watchObjects(kind, {
+            revision,
+            waitMilliseconds: this.#options.watchMilliseconds ?? DEFAULT_WATCH,
+        });
+        if (reply.kind !== "ok") {
+            return reply;
+        }
+        this.#markWorking(kind);
+        handler?.applyEvents(reply.value);
+        this.#revisions.set(kind, Math.max(revision, reply.value.revision));
+        return undefined;
+    }
+
+    #markWorking(kind: string): void {
+        const failing = this.#failing.get(kind);
+        if (failing === undefined) {
+            return;
+        }
+        this.#failing.delete(kind);
+        const now = this.#options.clock.getMonotonic();
+        this.#options.state.directory.markRegained(now);
+        const { failures } = failing;
+        this.#options.log.record("process", "store regained", {
+            kind,
+            failures,
+            outageMilliseconds: Math.round(now - failing.since),
+        });
+    }
+
+    async #pauseAfter(kind: string, failure: StoreFailure): Promise<void> {
+        const { clock, log, random } = this.#options;
+        const failing = this.#failing.get(kind) ?? { since: clock.getMonotonic(), failures: 0 };
+        failing.failures += 1;
+        this.#failing.set(kind, failing);
+        if (failing.failures === 1) {
+            log.record("process", "store lost", { ...failure, kind, failure: failure.kind });
+        }
+        const pause = Math.min(MAX_PAUSE, MIN_PAUSE * 2 ** (failing.failures - 1));
+        await waitMilliseconds(pause * (0.5 + random()));
+    }
+
+    #applyConfigurations(objects: StoreObject[]): void {
+        for (const object of objects) {
+            const configuration = decodeConfiguration(object);
+            if (configuration === undefined) {
+                this.#reportMalformed(StoreKind.configuration, object);
+                continue;
+            }
+            this.#options.state.adoptConfiguration(configuration, "store");
+        }
+    }
+
+    #applyTargetList(list: StoreList): void {
+        const targets = list.objects.flatMap(object => this.#decodeTargets(object));
+        this.#options.state.applySnapshot({ revision: list.revision, targets }, "store");
+    }
+
+    #applyTargetEvents({ events, revision }: StoreEvents): void {
+        const { directory } = this.#options.state;
+        if (revision <= directory.revision && events.length === 0) {
+            return;
+        }
+        // A peer's list can be ahead of this watch; what it already holds must not be undone.
+        const fresh = events.filter(event => event.isDeleted || event.object.revision > directory.revision);
+        const latest = new Map(fresh.map(event => [event.object.name, event]));
+        const changed = [...latest.values()].filter(event => !event.isDeleted);
+        const removed = [...latest.values()].filter(event => event.isDeleted).map(event => event.object.name);
+        const decoded = changed.map(event => ({ event, targets: this.#decodeTargets(event.object) }));
+        const unusable = decoded.filter(({ targets }) => targets.length === 0).map(({ event }) => event.object.name);
+        this.#options.state.applyEvents({
+            revision,
+            changed: decoded.flatMap(({ targets }) => targets),
+            removed: [...removed, ...unusable],
+        });
+    }
+
+    #decodeTargets(object: StoreObject): ServingTarget[] {
+        const target = decodeTarget(object);
+        if (target === undefined) {
+            this.#reportMalformed(StoreKind.targets, object);
+            return [];
+        }
+        return [target];
+    }
+
+    #applyZoneList(list: StoreList): void {
+        const zones = list.objects.map(object => object.name).sort();
+        this.#options.state.applyZones({ revision: list.revision, changeRevision: list.revision, zones }, "store");
+    }
+
+    #applyZoneEvents({ events, revision }: StoreEvents): void {
+        const known = this.#options.state.zones;
+        if (known === undefined || revision <= known.revision) {
+            return;
+        }
+        const zones = new Set(known.zones);
+        for (const event of events) {
+            if (event.isDeleted) {
+                zones.delete(event.object.name);
+            }
+            else {
+                zones.add(event.object.name);
+            }
+        }
+        const changeRevision = events.length > 0 ? revision : known.changeRevision;
+        this.#options.state.applyZones({ revision, changeRevision, zones: [...zones].sort() }, "store");
+    }
+
+    #reportMalformed(kind: string, object: StoreObject): void {
+        this.#options.log.record("belief", "store object unusable", {
+            kind,
+            name: object.name,
+            revision: object.revision,
+        });
+    }
+}
--- /dev/null
+++ b/serving/stream_call.ts
@@ -0,0 +1,477 @@
+/**
+ * Serves streams: relays whole events as they arrive, and goes on elsewhere where the stream may.
+ *
+ * @module
+ */
+import { EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
+import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
+import { readBody } from "../network/mod.ts";
+import { encodeTargetHeaders, type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
+import {
+    answerError,
+    type AttemptRecord,
+    type CallerExchange,
+    recordEnd,
+    type ServingContext,
+} from "./caller_exchange.ts";
+import type { HeldPlace } from "./place_finder.ts";
+import { type MovedRun, RunMove } from "./run_move.ts";
+import { type TargetAnswer, TargetCallError } from "./target_connections.ts";
+
+/** How one attempt at a target ended. */
+type AttemptResult =
+    /** The stream came to its end. */
+    | { kind: "complete"; }
+    /** The target answered with something else than a stream. */
+    | { kind: "answered"; head: TargetAnswerHead; body: Buffer; }
+    /** The run goes on at another target. */
+    | { kind: "moved"; to: MovedRun; }
+    /** The attempt gave no whole stream. */
+    | { kind: "failed"; verdict: Verdict; reason: string; };
+
+/** Streams that are being relayed, for those who move them. */
+export interface ActiveStream {
+    /** Identity of the target that runs the stream. */
+    readonly targetId: string;
+    /** Moves the run away from its target, which leaves. */
+    startMove(notice: { noticedAt: number; leavesInMilliseconds: () => Promise<number | undefined>; }): void;
+}
+
+/** Largest answer other than a stream, in bytes. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Most targets that are asked while each refuses before running. */
+const MAX_SENDS = 6;
+/** Silence after which a stream that may go on elsewhere does, in multiples of the route's longest timely pause. */
+const SILENCE_GAPS = 4;
+/** Silence assumed where the route names no pause, in milliseconds. */
+const DEFAULT_GAP = 250;
+/** Part of the objective after which a resumable stream without a first event is tried elsewhere. */
+const FIRST_EVENT_SHARE = 0.6;
+/** Output tokens assumed where the caller gives no estimate, as a share of the most it allows. */
+const UNHINTED_SHARE = 0.5;
+
+/** Serves one stream. */
+export async function handleStreamCall(
+    context: ServingContext,
+    options: { exchange: CallerExchange; active: Set<ActiveStream>; },
+): Promise<void> {
+    await new StreamCall(context, options).run();
+}
+
+class StreamCall implements ActiveStream {
+    readonly #context: ServingContext;
+    readonly #exchange: CallerExchange;
+    readonly #active: Set<ActiveStream>;
+    readonly #avoid = new Set<string>();
+    readonly #attempts: AttemptRecord[] = [];
+    readonly #item: WorkItem;
+    #verdict: Verdict = "not-run";
+    #runs = 0;
+    #retryAfterSeconds = 0.3;
+    #lastEventId: string | undefined;
+    #eventCount = 0;
+    #lastEventAt = 0;
+    #moves = 0;
+    /** Set while a target runs the stream. */
+    #place: HeldPlace | undefined;
+    #move: RunMove | undefined;
+
+    constructor(context: ServingContext, options: { exchange: CallerExchange; active: Set<ActiveStream>; }) {
+        this.#context = context;
+        this.#exchange = options.exchange;
+        this.#active = options.active;
+        this.#lastEventId = options.exchange.request.resumeAfter;
+        this.#item = computeItem(options.exchange);
+    }
+
+    get targetId(): string {
+        return this.#place?.target.id ?? "";
+    }
+
+    startMove(notice: { noticedAt: number; leavesInMilliseconds: () => Promise<number | undefined>; }): void {
+        const { service, route, request, account } = this.#exchange;
+        const place = this.#place;
+        const isMovable = service.engine?.canMove === true && !isRepeatable(route);
+        if (place === undefined || !isMovable || this.#move !== undefined) {
+            return;
+        }
+        this.#move = new RunMove(this.#context, {
+            requestId: request.id,
+            account: account?.name,
+            source: place.target,
+            service,
+            item: this.#item,
+            notice,
+            countEvents: () => this.#eventCount,
+        });
+        void this.#move.run();
+    }
+
+    async run(): Promise<void> {
+        this.#active.add(this);
+        try {
+            await this.#runAttempts();
+        }
+        finally {
+            this.#active.delete(this);
+            this.#move?.cancel();
+        }
+    }
+
+    async #runAttempts(): Promise<void> {
+        const { state, clock } = this.#context;
+        state.getRetryShare(this.#exchange.service.name).recordRequest(clock.getMonotonic());
+        let reason = "";
+        let moved: MovedRun | undefined;
+        for (let sends = 0; sends < MAX_SENDS + this.#moves; sends += 1) {
+            const place: HeldPlace | undefined = moved?.place ?? await this.#findPlace();
+            if (place === undefined) {
+                reason = "no target has room";
+                break;
+            }
+            const result = await this.#runAttempt(place, moved?.copy);
+            moved = undefined;
+            if (result.kind === "complete") {
+                this.#finish();
+                return;
+            }
+            if (result.kind === "answered") {
+                this.#sendAnswer(result);
+                return;
+            }
+            if (result.kind === "moved") {
+                moved = result.to;
+                this.#moves += 1;
+                continue;
+            }
+            reason = result.reason;
+            if (!this.#mayRepeat(result.verdict)) {
+                break;
+            }
+        }
+        this.#fail(reason);
+    }
+
+    async #findPlace(): Promise<HeldPlace | undefined> {
+        const { route, service, arrivedAt, signal } = this.#exchange;
+        const answer = await this.#context.finder.findPlace({
+            service,
+            item: this.#item,
+            priority: route.priority,
+            avoid: this.#avoid,
+            objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - this.#now),
+            remainingMilliseconds: this.#remaining,
+            signal,
+        });
+        if (answer.kind === "placed") {
+            return answer.place;
+        }
+        this.#retryAfterSeconds = answer.retryAfterSeconds;
+        return undefined;
+    }
+
+    async #runAttempt(place: HeldPlace, copy: MemoryCopy | undefined): Promise<AttemptResult> {
+        const startedAt = this.#now;
+        this.#place = place;
+        this.#move = undefined;
+        const result = await this.#relay(place, copy).finally(() => {
+            this.#place = undefined;
+            place.release();
+        });
+        this.#recordAttempt(place, { result, startedAt });
+        return result;
+    }
+
+    #recordAttempt(place: HeldPlace, attempt: { result: AttemptResult; startedAt: number; }): void {
+        const { state, metrics } = this.#context;
+        const { result, startedAt } = attempt;
+        const name = result.kind === "failed" ? result.reason : result.kind;
+        const milliseconds = Math.round(this.#now - startedAt);
+        this.#attempts.push({
+            target: place.target.id,
+            result: name,
+            load: Number(place.score.toFixed(2)),
+            milliseconds,
+        });
+        metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
+        if (result.kind !== "failed") {
+            state.health.recordSuccess(place.target.id, this.#now);
+            return;
+        }
+        this.#avoid.add(place.target.id);
+        this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
+        this.#runs += result.verdict === "not-run" ? 0 : 1;
+        if (!this.#exchange.isCallerGone()) {
+            state.health.recordFailure(place.target.id, { now: this.#now });
+        }
+    }
+
+    async #relay(place: HeldPlace, copy: MemoryCopy | undefined): Promise<AttemptResult> {
+        const { request, account, signal } = this.#exchange;
+        const { target } = place;
+        const stall = new AbortController();
+        try {
+            const timer = this.#startFirstEventTimer(stall);
+            const answer = await this.#context.connections.sendRequest({
+                targetId: target.id,
+                address: target.address,
+                requestId: request.id,
+                method: request.method,
+                path: request.path,
+                headers: encodeTargetHeaders(request, {
+                    targetId: target.id,
+                    account: account?.name,
+                    remainingMilliseconds: this.#remaining,
+                    resumeAfter: this.#lastEventId,
+                    copy,
+                }),
+                body: request.body,
+                signal: AbortSignal.any([signal, stall.signal]),
+            }).finally(() => clearTimeout(timer));
+            return await this.#handleAnswer(answer, { place, stall });
+        }
+        catch (error) {
+            const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
+            const reason = stall.signal.aborted
+                ? "stream is silent"
+                : error instanceof Error
+                ? error.message
+                : String(error);
+            return await this.#awaitMove() ?? { kind: "failed", verdict, reason };
+        }
+    }
+
+    async #handleAnswer(
+        answer: TargetAnswer,
+        attempt: { place: HeldPlace; stall: AbortController; },
+    ): Promise<AttemptResult> {
+        const { head, response } = answer;
+        if (head.status === 200 && head.isSealed && head.requestId === this.#exchange.request.id) {
+            this.#writeHead(head);
+            return this.#relayEvents(answer, attempt);
+        }
+        const body = await readBody(response, { maxBytes: MAX_ANSWER_BYTES });
+        if (head.isRefusal) {
+            return { kind: "failed", verdict: "not-run", reason: `refused with ${head.status}` };
+        }
+        if (!head.isSealed || !response.complete || head.requestId !== this.#exchange.request.id) {
+            return { kind: "failed", verdict: "may-have-run", reason: `unsigned answer ${head.status}` };
+        }
+        if (head.status >= 500 && isRepeatable(this.#exchange.route)) {
+            return { kind: "failed", verdict: "ran", reason: `failed with ${head.status}` };
+        }
+        return { kind: "answered", head, body };
+    }
+
+    async #relayEvents(
+        answer: TargetAnswer,
+        attempt: { place: HeldPlace; stall: AbortController; },
+    ): Promise<AttemptResult> {
+        const { response: source } = answer;
+        const splitter = new EventSplitter();
+        let timer: NodeJS.Timeout | undefined;
+        const watchSilence = (): void => {
+            clearTimeout(timer);
+            timer = this.#startSilenceTimer(attempt.stall);
+        };
+        let failure = "stream broke off";
+        try {
+            watchSilence();
+            for await (const chunk of source as AsyncIterable<Buffer>) {
+                const events = splitter.handleChunk(chunk);
+                if (events.length > 0) {
+                    attempt.place.markAnswered();
+                    watchSilence();
+                    await this.#sendEvents(events);
+                }
+            }
+        }
+        catch (error) {
+            failure = error instanceof Error ? error.message : String(error);
+        }
+        finally {
+            clearTimeout(timer);
+            answer.close();
+        }
+        // A run that a move has stopped ends its stream too; only the move's answer tells which it was.
+        const moved = await this.#awaitMove();
+        if (moved !== undefined) {
+            return moved;
+        }
+        if (source.complete && splitter.getRest().length === 0 && !this.#exchange.signal.aborted) {
+            return { kind: "complete" };
+        }
+        const reason = attempt.stall.signal.aborted ? "stream is silent" : failure;
+        return { kind: "failed", verdict: "may-have-run", reason };
+    }
+
+    async #awaitMove(): Promise<AttemptResult | undefined> {
+        const to = await this.#move?.waitForEnd();
+        return to === undefined || this.#exchange.signal.aborted ? undefined : { kind: "moved", to };
+    }
+
+    #writeHead(head: TargetAnswerHead): void {
+        const { response } = this.#exchange;
+        if (response.headersSent || response.destroyed) {
+            return;
+        }
+        response.writeHead(head.status, head.headers.flat());
+        response.flushHeaders();
+    }
+
+    async #sendEvents(events: readonly RelayedEvent[]): Promise<void> {
+        const { response, route, arrivedAt } = this.#exchange;
+        for (const event of events) {
+            if (!this.#isNext(event.id)) {
+                continue;
+            }
+            if (this.#eventCount === 0) {
+                this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
+            }
+            this.#eventCount += 1;
+            this.#lastEventId = event.id ?? this.#lastEventId;
+            this.#observePause();
+            if (!response.destroyed && !response.write(event.bytes)) {
+                await waitForDrain(response);
+            }
+        }
+    }
+
+    #observePause(): void {
+        const pause = this.#now - this.#lastEventAt;
+        const hasMoved = this.#moves > 0 && this.#lastEventAt > 0 && this.#place !== undefined && this.#isAfterMove;
+        if (hasMoved) {
+            this.#isAfterMove = false;
+            this.#context.metrics.observeMovePause(pause);
+            this.#context.log.record("trouble", "stream went on after a move", {
+                request: this.#exchange.request.id,
+                target: this.targetId,
+                pauseMilliseconds: Math.round(pause),
+                events: this.#eventCount,
+            });
+        }
+        this.#lastEventAt = this.#now;
+    }
+
+    #isAfterMove = false;
+
+    /** Tells whether an event goes on from the last one; a target may repeat what its predecessor had sent. */
+    #isNext(id: string | undefined): boolean {
+        if (id === undefined || this.#lastEventId === undefined) {
+            return true;
+        }
+        return !(Number(id) <= Number(this.#lastEventId));
+    }
+
+    #startFirstEventTimer(stall: AbortController): NodeJS.Timeout | undefined {
+        const { route, service } = this.#exchange;
+        if (!isRepeatable(route) || this.#runs + 1 >= route.maxAttempts || service.engine === undefined) {
+            return undefined;
+        }
+        return setTimeout(() => stall.abort(), route.objectiveMilliseconds * FIRST_EVENT_SHARE);
+    }
+
+    #startSilenceTimer(stall: AbortController): NodeJS.Timeout | undefined {
+        const { route } = this.#exchange;
+        if (!isRepeatable(route) || this.#runs + 1 >= route.maxAttempts) {
+            return undefined;
+        }
+        const silence = this.#eventCount === 0
+            ? route.objectiveMilliseconds * FIRST_EVENT_SHARE
+            : (route.maxGapMilliseconds ?? DEFAULT_GAP) * SILENCE_GAPS;
+        return setTimeout(() => stall.abort(), silence);
+    }
+
+    #mayRepeat(verdict: Verdict): boolean {
+        const { route, service, signal } = this.#exchange;
+        const { state, clock } = this.#context;
+        const isHarmless = verdict === "not-run" && this.#verdict === "not-run" || isRepeatable(route);
+        if (signal.aborted || !isHarmless || this.#runs >= Math.max(1, route.maxAttempts)) {
+            return false;
+        }
+        return state.getRetryShare(service.name).takeRepeat(clock.getMonotonic(), state.instances);
+    }
+
+    #finish(): void {
+        this.#exchange.response.end();
+        const detail = { events: this.#eventCount, moves: this.#moves };
+        const isTrouble = this.#attempts.length > 1;
+        recordEnd(this.#context, this.#exchange, { name: "complete", isTrouble, attempts: this.#attempts, detail });
+    }
+
+    #sendAnswer(answer: { head: TargetAnswerHead; body: Buffer; }): void {
+        const { response } = this.#exchange;
+        const { head, body } = answer;
+        if (response.headersSent || [408, 421, 429, 503].includes(head.status)) {
+            this.#verdict = "ran";
+            this.#fail(`failed with ${head.status}`);
+            return;
+        }
+        response.writeHead(head.status, [...head.headers, ["Content-Length", String(body.length)]].flat());
+        response.end(body);
+        const name = `answered ${head.status}`;
+        recordEnd(this.#context, this.#exchange, { name, isTrouble: true, attempts: this.#attempts });
+    }
+
+    #fail(reason: string): void {
+        const { response } = this.#exchange;
+        const isGone = this.#exchange.isCallerGone();
+        const verdict = this.#verdict;
+        const detail = { reason, verdict, events: this.#eventCount, moves: this.#moves };
+        if (response.headersSent) {
+            response.destroy();
+        }
+        else if (!isGone) {
+            const code = verdict === "not-run"
+                ? "busy" as const
+                : this.#remaining <= 0
+                ? "deadline" as const
+                : "target_failed" as const;
+            answerError(this.#exchange, {
+                message: `Cannot serve the stream: ${reason}.`,
+                code,
+                verdict,
+                ...verdict === "not-run" ? { retryAfterSeconds: this.#retryAfterSeconds } : {},
+            });
+        }
+        const name = isGone
+            ? "caller gone"
+            : verdict === "not-run"
+            ? "refused"
+            : response.headersSent
+            ? "broken off"
+            : "failed";
+        recordEnd(this.#context, this.#exchange, { name, isTrouble: true, attempts: this.#attempts, detail });
+    }
+
+    get #now(): number {
+        return this.#context.clock.getMonotonic();
+    }
+
+    get #remaining(): number {
+        return this.#exchange.deadline - this.#now;
+    }
+}
+
+/** Computes what a generation needs; a request that says nothing of its size counts as small. */
+function computeItem(exchange: CallerExchange): WorkItem {
+    const { size } = exchange.request;
+    if (size === undefined) {
+        return { promptTokens: 0, outputTokens: 0 };
+    }
+    const expected = size.hintTokens ?? size.maxOutputTokens * UNHINTED_SHARE;
+    return { promptTokens: size.promptTokens, outputTokens: Math.min(expected, size.maxOutputTokens) };
+}
+
+/** Waits until a caller that reads slowly takes more, or has gone. */
+function waitForDrain(response: CallerExchange["response"]): Promise<void> {
+    return new Promise(resolve => {
+        const end = (): void => {
+            response.off("drain", end);
+            response.off("close", end);
+            resolve();
+        };
+        response.once("drain", end);
+        response.once("close", end);
+    });
+}
--- /dev/null
+++ b/serving/target_connections.ts
@@ -0,0 +1,190 @@
+/**
+ * Kept connections to targets, and one request on them.
+ *
+ * @module
+ */
+import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
+import { connect, type Socket } from "node:net";
+import type { AttemptProgress } from "../core/verdict/mod.ts";
+import { parseAddress } from "../network/mod.ts";
+import { decodeAnswerHead, type HeaderPair, type TargetAnswerHead } from "../platform/mod.ts";
+
+/** Thrown where a request got no answer that belongs to it. */
+export class TargetCallError extends Error {
+    override name = "TargetCallError";
+    /** How far the request had come. */
+    readonly progress: AttemptProgress;
+
+    /** @param message What happened. */
+    constructor(message: string, progress: AttemptProgress) {
+        super(message);
+        this.progress = progress;
+    }
+}
+
+/** A request to a target. */
+export interface TargetCall {
+    /** Identity of the target; kept connections belong to one identity. */
+    targetId: string;
+    /** Address of the target, as `IP:port`. */
+    address: string;
+    /** Identity of the request, which the target repeats in its answer. */
+    requestId: string;
+    /** HTTP method. */
+    method: string;
+    /** Path with its query. */
+    path: string;
+    /** Headers. */
+    headers: HeaderPair[];
+    /** Whole body. */
+    body: Buffer;
+    /** Ends the call. */
+    signal: AbortSignal;
+}
+
+/** An answer whose body has yet to be read. */
+export interface TargetAnswer {
+    /** Decoded head. */
+    head: TargetAnswerHead;
+    /** Body. */
+    response: IncomingMessage;
+    /** Closes the connection, so that the target stops its work. */
+    close: () => void;
+}
+
+/** Targets answer a new connection within a few milliseconds; a lost packet is sent again after some hundred. */
+const CONNECT_TIMEOUT = 400;
+/** Time for which an idle connection is kept, in milliseconds; targets close theirs later. */
+const KEEP_IDLE = 4000;
+/** Idle connections that are kept to one target. */
+const MAX_IDLE = 8;
+/** Time for which connections to a target that sent bytes out of turn are not used again, in milliseconds. */
+const DISTRUST_TIME = 10_000;
+
+/** An agent that never uses a connection again on which bytes came out of turn. */
+class TargetAgent extends Agent {
+    #distrustedUntil = 0;
+
+    constructor() {
+        super({ keepAlive: true, maxFreeSockets: MAX_IDLE, scheduling: "lifo", timeout: KEEP_IDLE });
+    }
+
+    /** Stops to use connections twice for a while. */
+    markDistrusted(): void {
+        this.#distrustedUntil = performance.now() + DISTRUST_TIME;
+    }
+
+    override keepSocketAlive(socket: Socket): boolean {
+        const isTrusted = performance.now() >= this.#distrustedUntil && socket.readableLength === 0;
+        if (!isTrusted || !(super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket)) {
+            return false;
+        }
+        const destroy = (): void => {
+            this.markDistrusted();
+            socket.destroy();
+        };
+        socket.once("data", destroy);
+        idleListeners.set(socket, destroy);
+        return true;
+    }
+
+    override createConnection(options: { host: string; port: number; }): Socket {
+        const socket = connect({ host: options.host, port: options.port, noDelay: true });
+        const timer = setTimeout(
+            () => socket.destroy(new Error("connection was not accepted in time")),
+            CONNECT_TIMEOUT,
+        );
+        socket.once("connect", () => clearTimeout(timer));
+        socket.once("close", () => clearTimeout(timer));
+        return socket;
+    }
+
+    override reuseSocket(socket: Socket, request: ClientRequest): void {
+        const listener = idleListeners.get(socket);
+        if (listener !== undefined) {
+            socket.off("data", listener);
+        }
+        super.reuseSocket(socket, request);
+    }
+}
+
+const idleListeners = new WeakMap<Socket, () => void>();
+
+/** Keeps connections to targets. */
+export class TargetConnections {
+    readonly #agents = new Map<string, TargetAgent>();
+
+    /** Closes the idle connections to a target that is gone or leaving. */
+    dropTarget(targetId: string): void {
+        const agent = this.#agents.get(targetId);
+        this.#agents.delete(targetId);
+        for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+            sockets?.forEach(socket => socket.destroy());
+        }
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        for (const agent of this.#agents.values()) {
+            agent.destroy();
+        }
+    }
+
+    /**
+     * Sends a request and waits for the head of its answer.
+     *
+     * @throws {TargetCallError} Where no answer to this request came.
+     */
+    sendRequest(call: TargetCall): Promise<TargetAnswer> {
+        const agent = this.#getAgent(call.targetId);
+        return new Promise((resolve, reject) => {
+            let progress: AttemptProgress = "not-connected";
+            const headers: [string, string][] = [...call.headers, ["Connection", "keep-alive"]];
+            const request = startRequest({
+                ...parseAddress(call.address),
+                agent,
+                method: call.method,
+                path: call.path,
+                headers: headers.flat() as unknown as Record<string, string>,
+                setHost: false,
+                signal: call.signal,
+            });
+            const fail = (message: string): void => {
+                request.destroy();
+                reject(new TargetCallError(message, progress));
+            };
+            request.on("socket", socket => {
+                const markSent = (): void => {
+                    progress = "sent";
+                };
+                if (socket.connecting) {
+                    socket.once("connect", markSent);
+                }
+                else {
+                    markSent();
+                }
+            });
+            request.on("error", error => fail(error.message));
+            request.on("timeout", () => undefined);
+            request.on("response", response => {
+                const head = decodeAnswerHead(response);
+                progress = "answering";
+                if (head.requestId !== undefined && head.requestId !== call.requestId) {
+                    agent.markDistrusted();
+                    progress = "sent";
+                    fail(`answer belongs to another request "${head.requestId}"`);
+                    return;
+                }
+                response.on("error", () => undefined);
+                resolve({ head, response, close: () => request.destroy() });
+            });
+            request.end(call.body.length === 0 ? undefined : call.body);
+        });
+    }
+
+    #getAgent(targetId: string): TargetAgent {
+        const agent = this.#agents.get(targetId) ?? new TargetAgent();
+        this.#agents.set(targetId, agent);
+        return agent;
+    }
+}
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -4,5 +4,6 @@
  * @module
  */
 export * from "./admin_server.ts";
+export * from "./decision_log.ts";
 export * from "./logger.ts";
 export * from "./system_clock.ts";
