Plan the moves of all runs of the engines that leave as one

A refused move goes back to its source. A kind is listed anew after an outage; watches wait 3 s.

Ruled out: leaves_ms in reports, which is absent while an engine drains.

--- a/core/serving/serving_types.ts
+++ b/core/serving/serving_types.ts
@@ -61,6 +61,8 @@
     memoryTokens: number;
     /** Tokens in one event of a stream. */
     tokensPerEvent: number;
+    /** Time to copy one token's memory to another engine of the same zone, in milliseconds. */
+    copyMillisecondsPerToken: number;
     /** True where a running request can be moved to another engine. */
     canMove: boolean;
 }
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -5,9 +5,8 @@
  */
 import {
     decideMoveAction,
-    type MovePlan,
     type MoveStepResult,
-    planMove,
+    type PlannedMove,
     type ServiceDefinition,
     type ServingTarget,
     type WorkItem,
@@ -23,6 +22,16 @@
     place: HeldPlace;
     /** Its memory. */
     copy: MemoryCopy;
+    /** Takes a place at the engine that the run came from; absent where it goes on there. */
+    takeBack?: () => MovedRun;
+}
+
+/** Why and when a run moves. */
+export interface MoveNotice {
+    /** Time at which the engine's leaving was noticed, on the monotonic clock in milliseconds. */
+    noticedAt: number;
+    /** Steps of the move. */
+    plan: PlannedMove;
 }
 
 /** A run to move. */
@@ -37,8 +46,8 @@
     service: ServiceDefinition;
     /** Size of the request. */
     item: WorkItem;
-    /** When the engine's leaving was noticed, and how long it stays. */
-    notice: { noticedAt: number; leavesInMilliseconds: () => Promise<number | undefined>; };
+    /** Why and when the run moves. */
+    notice: MoveNotice;
     /** Counts the events that have reached the caller. */
     countEvents: () => number;
 }
@@ -51,6 +60,8 @@
 const RELEASE_TIMEOUT = 1000;
 /** Most destinations that are asked. */
 const MAX_DESTINATIONS = 4;
+/** Time after the notice at which no step is begun any more, in milliseconds: engines stay a few seconds at most. */
+const MAX_MOVE_TIME = 6000;
 
 /** Moves one run. */
 export class RunMove {
@@ -90,9 +101,8 @@
     /** Makes the steps. */
     async run(): Promise<void> {
         const { notice } = this.#options;
-        const [leavesInMilliseconds] = await Promise.all([notice.leavesInMilliseconds()]);
-        const plan = planMove({ noticedAt: notice.noticedAt, leavesInMilliseconds });
-        const { end, run } = await this.#makeSteps(plan);
+        await waitMilliseconds(Math.max(0, notice.noticedAt + notice.plan.startAt - this.#now));
+        const { end, run } = await this.#makeSteps();
         if (run === undefined) {
             this.#place?.release();
             this.#releaseCopy();
@@ -104,19 +114,20 @@
             source: this.#options.source.id,
             destination: run?.place.target.id ?? this.#place?.target.id,
             end,
-            leavesInMilliseconds,
+            plan: notice.plan,
             sinceNoticeMilliseconds: Math.round(this.#now - notice.noticedAt),
             events: this.#options.countEvents(),
         });
     }
 
-    async #makeSteps(plan: MovePlan): Promise<{ end: string; run: MovedRun | undefined; }> {
+    async #makeSteps(): Promise<{ end: string; run: MovedRun | undefined; }> {
+        const { notice } = this.#options;
         let isFinal = false;
         for (let destinations = 0; destinations < MAX_DESTINATIONS;) {
             if (this.#isCancelled && !this.#isStopping) {
                 return { end: "not needed", run: undefined };
             }
-            if (this.#now >= plan.giveUpAt) {
+            if (this.#now >= this.#options.notice.noticedAt + MAX_MOVE_TIME) {
                 return { end: "too late", run: undefined };
             }
             const place = this.#place ?? this.#takePlace();
@@ -129,14 +140,14 @@
             const action = decideMoveAction(classifyReply(reply, isFinal), { isFinal });
             switch (action) {
                 case "go-on":
-                    return { end: "moved", run: this.#buildRun(place) };
+                    return { end: "moved", run: { ...this.#buildRun(place), takeBack: () => this.#buildReturn() } };
                 case "go-back":
                     return { end: "went back", run: this.#buildReturn() };
                 case "stay":
                     return { end: `left: ${reply.kind}`, run: undefined };
                 case "copy-last":
                     isFinal = true;
-                    await waitMilliseconds(Math.max(0, plan.finalAt - this.#now));
+                    await waitMilliseconds(Math.max(0, notice.noticedAt + notice.plan.finalAt - this.#now));
                     break;
                 case "choose-another":
                     destinations += 1;
@@ -169,7 +180,11 @@
     }
 
     #takePlace(): HeldPlace | undefined {
-        const { service, item } = this.#options;
+        const { service, item, notice } = this.#options;
+        const planned = this.#context.state.directory.findTarget(notice.plan.destination ?? "");
+        if (planned !== undefined && !planned.isLeaving && !this.#refused.has(planned.id)) {
+            return this.#context.finder.takePlace(planned, item);
+        }
         const result = this.#context.finder.chooseTarget({
             service,
             item: { ...item, promptTokens: 0 },
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -9,7 +9,7 @@
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import { CallerServer } from "./caller_server.ts";
-import { handleTargetChange } from "./move_watch.ts";
+import { MoveWatch } from "./move_watch.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { PlaceFinder } from "./place_finder.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
@@ -82,8 +82,9 @@
             isStopping: () => this.#stopAskedAt !== undefined,
         };
         this.#callers = new CallerServer(this.#context);
+        const moves = new MoveWatch({ context: this.#context, listStreams: () => this.#callers.activeStreams });
         this.#state.targetListeners.push(change => {
-            handleTargetChange(this.#context, { change, active: this.#callers.activeStreams });
+            moves.handleChange(change);
             if (change.kind !== "added") {
                 this.#connections.dropTarget(change.target.id);
             }
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -44,8 +44,11 @@
     applyEvents: (events: StoreEvents) => void;
 }
 
-/** A watch that went silent is noticed after this time and the call's own timeout; peers notice it sooner. */
-const DEFAULT_WATCH = 5000;
+/**
+ * A watch on a connection that went silent is noticed after this time and the call's own timeout. Together they stay
+ * under the sum of the time after which an instance counts as in touch again and the time to apply a configuration.
+ */
+const DEFAULT_WATCH = 3000;
 /** First pause after a failed call, in milliseconds; it doubles with each further failure. */
 const MIN_PAUSE = 40;
 /** Longest pause after failed calls, in milliseconds: short beside the seconds in which the store must be back in use. */
@@ -113,6 +116,8 @@
                 this.#revisions.delete(kind);
             }
             else {
+                // A watch from an old revision can stay silent after an outage, so the kind is listed anew.
+                this.#revisions.delete(kind);
                 await this.#pauseAfter(kind, failure);
             }
         }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -15,7 +15,7 @@
     type ServingContext,
 } from "./caller_exchange.ts";
 import type { HeldPlace } from "./place_finder.ts";
-import { type MovedRun, RunMove } from "./run_move.ts";
+import { type MovedRun, type MoveNotice, RunMove } from "./run_move.ts";
 import { type TargetAnswer, TargetCallError } from "./target_connections.ts";
 
 /** How one attempt at a target ended. */
@@ -33,8 +33,10 @@
 export interface ActiveStream {
     /** Identity of the target that runs the stream. */
     readonly targetId: string;
+    /** Identity of the request. */
+    readonly requestId: string;
     /** Moves the run away from its target, which leaves. */
-    startMove(notice: { noticedAt: number; leavesInMilliseconds: () => Promise<number | undefined>; }): void;
+    startMove(notice: MoveNotice): void;
 }
 
 /** Largest answer other than a stream, in bytes. */
@@ -84,11 +86,15 @@
         this.#item = computeItem(options.exchange);
     }
 
+    get requestId(): string {
+        return this.#exchange.request.id;
+    }
+
     get targetId(): string {
         return this.#place?.target.id ?? "";
     }
 
-    startMove(notice: { noticedAt: number; leavesInMilliseconds: () => Promise<number | undefined>; }): void {
+    startMove(notice: MoveNotice): void {
         const { service, route, request, account } = this.#exchange;
         const place = this.#place;
         const isMovable = service.engine?.canMove === true && !isRepeatable(route);
@@ -130,6 +136,7 @@
                 break;
             }
             const result = await this.#runAttempt(place, moved?.copy);
+            const origin: MovedRun | undefined = moved;
             moved = undefined;
             if (result.kind === "complete") {
                 this.#finish();
@@ -141,10 +148,19 @@
             }
             if (result.kind === "moved") {
                 moved = result.to;
+                this.#isAfterMove = true;
                 this.#moves += 1;
                 continue;
             }
             reason = result.reason;
+            if (origin !== undefined && result.verdict === "not-run") {
+                // The destination refused the copy; the source has stopped the run and still keeps its memory.
+                moved = origin.takeBack?.();
+                if (moved !== undefined) {
+                    this.#moves += 1;
+                    continue;
+                }
+            }
             if (!this.#mayRepeat(result.verdict)) {
                 break;
             }
@@ -194,6 +210,9 @@
             milliseconds,
         });
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
+        if (result.kind === "moved" || this.#eventCount > 0) {
+            this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
+        }
         if (result.kind !== "failed") {
             state.health.recordSuccess(place.target.id, this.#now);
             return;
