Pass on an answer that ends with its connection in the same way

Node.js counts such an answer as complete even where its connection was reset.

Change: such answers go on without a length, a reset connection is never a whole answer, and an answer that is broken off is reset.

--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -9,7 +9,7 @@
 import type { Verdict } from "../core/verdict/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../gateway/serving_error.ts";
 import { sendJson } from "../network/mod.ts";
-import type { CallerRequest } from "../platform/mod.ts";
+import type { CallerRequest, TargetAnswerHead } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { PlaceFinder } from "./place_finder.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
@@ -94,6 +94,36 @@
     });
 }
 
+/**
+ * Writes the head of a target's answer.
+ *
+ * An answer that ends with its connection is passed on in the same way: only the target knows where it ends, and a length
+ * of this system's own would claim that it came whole.
+ */
+export function writeAnswerHead(
+    response: ServerResponse,
+    answer: { head: TargetAnswerHead; length?: number; },
+): void {
+    const { head, length } = answer;
+    const headers = head.headers.flat();
+    if (!head.isFramed) {
+        response.useChunkedEncodingByDefault = false;
+        response.shouldKeepAlive = false;
+    }
+    else if (length !== undefined) {
+        headers.push("Content-Length", String(length));
+    }
+    response.writeHead(head.status, headers);
+}
+
+/** Breaks an answer off so that it cannot look whole, however it is framed. */
+export function breakOff(response: ServerResponse): void {
+    if (response.socket?.destroyed === false) {
+        response.socket.resetAndDestroy();
+    }
+    response.destroy();
+}
+
 /** Answers a request with an error whose status is true to its verdict. */
 export function answerError(
     exchange: Pick<CallerExchange, "response"> & { request: Pick<CallerRequest, "id">; },
@@ -101,7 +131,7 @@
 ): void {
     const { response } = exchange;
     if (response.headersSent || response.destroyed) {
-        response.destroy();
+        breakOff(response);
         return;
     }
     const { message, ...props } = error;
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -7,7 +7,7 @@
 import { type CallerLimits, pickService, type Route, type RouteResult } from "../core/serving/mod.ts";
 import { type Address, BodyTooLargeError, openHttpServer, readBody } from "../network/mod.ts";
 import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
-import { answerError, type CallerExchange, type ServingContext } from "./caller_exchange.ts";
+import { answerError, breakOff, type CallerExchange, type ServingContext } from "./caller_exchange.ts";
 import { handlePlainCall } from "./plain_call.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
 
@@ -98,7 +98,7 @@
                 request: request.id,
                 error: String(error),
             });
-            response.destroy();
+            breakOff(response);
         }
         finally {
             this.#activeRequests -= 1;
@@ -125,7 +125,7 @@
                 return undefined;
             }
             this.#context.log.record("trouble", "request not read", { error: String(error) });
-            response.destroy();
+            breakOff(response);
             return undefined;
         }
     }
--- a/serving/plain_call.ts
+++ b/serving/plain_call.ts
@@ -13,6 +13,7 @@
     type CallerExchange,
     recordEnd,
     type ServingContext,
+    writeAnswerHead,
 } from "./caller_exchange.ts";
 import type { HeldPlace } from "./place_finder.ts";
 import { TargetCallError } from "./target_connections.ts";
@@ -137,7 +138,7 @@
                 signal: AbortSignal.any([signal, timeout]),
             });
             const body = await readBody(answer.response, { maxBytes: MAX_ANSWER_BYTES });
-            return this.#classifyAnswer({ head: answer.head, body, isComplete: answer.response.complete });
+            return this.#classifyAnswer({ head: answer.head, body, isComplete: answer.isWhole() });
         }
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
@@ -191,8 +192,7 @@
             return;
         }
         if (!response.destroyed) {
-            const headers = [...head.headers, ["Content-Length", String(body.length)]].flat();
-            response.writeHead(head.status, headers);
+            writeAnswerHead(response, { head, length: body.length });
             response.end(body);
         }
         this.#context.metrics.observeFirstByte(route.name, this.#context.clock.getMonotonic() - arrivedAt);
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -10,9 +10,11 @@
 import {
     answerError,
     type AttemptRecord,
+    breakOff,
     type CallerExchange,
     recordEnd,
     type ServingContext,
+    writeAnswerHead,
 } from "./caller_exchange.ts";
 import type { HeldPlace } from "./place_finder.ts";
 import { type MovedRun, type MoveNotice, RunMove } from "./run_move.ts";
@@ -74,6 +76,7 @@
     #eventCount = 0;
     #lastEventAt = 0;
     #moves = 0;
+    #isFramed = true;
     /** Set while a target runs the stream. */
     #place: HeldPlace | undefined;
     #move: RunMove | undefined;
@@ -273,7 +276,7 @@
         if (head.isRefusal) {
             return { kind: "failed", verdict: "not-run", reason: `refused with ${head.status}` };
         }
-        if (!head.isSealed || !response.complete || head.requestId !== this.#exchange.request.id) {
+        if (!head.isSealed || !answer.isWhole() || head.requestId !== this.#exchange.request.id) {
             return { kind: "failed", verdict: "may-have-run", reason: `unsigned answer ${head.status}` };
         }
         if (head.status >= 500 && isRepeatable(this.#exchange.route)) {
@@ -317,7 +320,9 @@
         if (moved !== undefined) {
             return moved;
         }
-        if (source.complete && splitter.getRest().length === 0 && !this.#exchange.signal.aborted) {
+        // Where an answer in chunks goes on with one that only its connection ends, its end can't be told from a break.
+        const isEndCertain = answer.head.isFramed || !this.#isFramed;
+        if (isEndCertain && answer.isWhole() && splitter.getRest().length === 0 && !this.#exchange.signal.aborted) {
             return { kind: "complete" };
         }
         const reason = attempt.stall.signal.aborted ? "stream is silent" : failure;
@@ -334,8 +339,9 @@
         if (response.headersSent || response.destroyed) {
             return;
         }
-        response.writeHead(head.status, head.headers.flat());
+        writeAnswerHead(response, { head });
         response.flushHeaders();
+        this.#isFramed = head.isFramed;
     }
 
     async #sendEvents(events: readonly RelayedEvent[]): Promise<void> {
@@ -426,7 +432,7 @@
             this.#fail(`failed with ${head.status}`);
             return;
         }
-        response.writeHead(head.status, [...head.headers, ["Content-Length", String(body.length)]].flat());
+        writeAnswerHead(response, { head, length: body.length });
         response.end(body);
         const name = `answered ${head.status}`;
         recordEnd(this.#context, this.#exchange, { name, isTrouble: true, attempts: this.#attempts });
@@ -438,7 +444,7 @@
         const verdict = this.#verdict;
         const detail = { reason, verdict, events: this.#eventCount, moves: this.#moves };
         if (response.headersSent) {
-            response.destroy();
+            breakOff(response);
         }
         else if (!isGone) {
             const code = verdict === "not-run"
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -48,6 +48,8 @@
     head: TargetAnswerHead;
     /** Body. */
     response: IncomingMessage;
+    /** Tells whether the whole body came; an answer without a length ends with its connection, unless that was reset. */
+    isWhole: () => boolean;
     /** Closes the connection, so that the target stops its work. */
     close: () => void;
 }
@@ -176,7 +178,14 @@
                     return;
                 }
                 response.on("error", () => undefined);
-                resolve({ head, response, close: () => request.destroy() });
+                const { socket } = response;
+                resolve({
+                    head,
+                    response,
+                    // Node.js counts an answer without a length as complete also where its connection was reset.
+                    isWhole: () => response.complete && !socket.errored,
+                    close: () => request.destroy(),
+                });
             });
             request.end(call.body.length === 0 ? undefined : call.body);
         });
