--- a/core/serving/decide_wait.ts
+++ b/core/serving/decide_wait.ts
@@ -32,6 +32,10 @@
 const REMAINING_SHARE = 0.25;
 /** Least time after which a refused caller comes back, in seconds: new places are found within this time. */
 const MIN_RETRY_AFTER = 0.15;
+/** Latest return of a refused caller, in multiples of the time until there is room. */
+const LONGEST_RETURN = 1.3;
+/** Part of that time over which refused callers are spread. */
+const RETURN_SPREAD = 0.5;
 /** Callers follow a time to come back only up to a third of the time that they have left. */
 const MAX_RETRY_SHARE = 0.3;
 
@@ -52,6 +56,6 @@
 ): number {
     const latest = question.remainingMilliseconds * MAX_RETRY_SHARE / 1000;
     const expected = question.expectedMilliseconds / 1000;
-    const spread = Math.max(MIN_RETRY_AFTER, expected) * (0.7 + 0.6 * question.random());
-    return Math.max(0, Math.min(latest, spread));
+    const longest = Math.min(latest, Math.max(MIN_RETRY_AFTER, expected) * LONGEST_RETURN);
+    return Math.max(0, longest * (1 - RETURN_SPREAD * question.random()));
 }
--- a/core/serving/event_splitter.ts
+++ b/core/serving/event_splitter.ts
@@ -21,7 +21,7 @@
 
     /** Takes `chunk` and gives the events that it completes. */
     handleChunk(chunk: Uint8Array): RelayedEvent[] {
-        let rest = this.#pending.length === 0 ? chunk : joinBytes(this.#pending, chunk);
+        let rest = this.#pending.length === 0 ? chunk : mergeBytes(this.#pending, chunk);
         const events: RelayedEvent[] = [];
         for (let end = findEventEnd(rest); end > 0; end = findEventEnd(rest)) {
             const bytes = rest.subarray(0, end);
@@ -38,7 +38,7 @@
     }
 }
 
-function joinBytes(first: Uint8Array, second: Uint8Array): Uint8Array {
+function mergeBytes(first: Uint8Array, second: Uint8Array): Uint8Array {
     const joined = new Uint8Array(first.length + second.length);
     joined.set(first);
     joined.set(second, first.length);
--- a/core/serving/plan_departure.ts
+++ b/core/serving/plan_departure.ts
@@ -116,9 +116,11 @@
         plan.set(entry.run.requestId, { destination, startAt, finalAt: finalAt + rank * FINAL_SPACING });
     }
     for (const entry of late) {
-        const startAt = Math.max(finalAt, links.getFreeAt(entry.source.id))
-            + (finals.get(entry.source.id) ?? 0) * FINAL_SPACING;
-        plan.set(entry.run.requestId, { destination: undefined, startAt, finalAt: startAt });
+        const lastCopies = (finals.get(entry.source.id) ?? 0) * FINAL_SPACING;
+        links.holdLink(entry.source.id, finalAt + lastCopies);
+        const move = links.scheduleCopy(entry, Infinity);
+        const startAt = move?.startAt ?? finalAt + lastCopies;
+        plan.set(entry.run.requestId, { destination: move?.destination, startAt, finalAt: startAt });
     }
     return plan;
 }
@@ -144,6 +146,11 @@
         return this.#freeAt.get(engine) ?? 0;
     }
 
+    /** Keeps an engine's link from first copies until a time. */
+    holdLink(engine: string, until: number): void {
+        this.#freeAt.set(engine, Math.max(this.getFreeAt(engine), until));
+    }
+
     /** Schedules a copy to the destination that is best for it and for those after it; not past `latest`. */
     scheduleCopy({ run, source }: Entry, latest: number): ScheduledCopy | undefined {
         let best: ScheduledCopy | undefined;
--- /dev/null
+++ b/features/platform/decisions.feature
@@ -0,0 +1,62 @@
+@platform
+Feature: Decisions replayed under the load that each answers
+
+    Scenario Outline: planned departures save more generations than copies all at once: <engines> engines with <runs> runs each
+        When <engines> engines with <runs> runs each get 1700 ms of notice
+        Then planned moves save at least <share> of the runs that fit, and more in time than copies all at once
+        And 9 in 10 pauses of planned moves are under 180 ms
+
+        Examples:
+            | engines | runs | share |
+            | 1       | 6    | 0.97  |
+            | 2       | 5    | 0.97  |
+            | 3       | 4    | 0.97  |
+
+    Scenario: a burst placed by memory preempts less than one placed by fewest requests
+        When 60 generations come at once to 9 engines
+        Then the fullest engine by memory holds less than by fewest requests
+
+    Scenario: a failing target that answers fast draws few requests
+        When one of 3 targets fails at once for 600 requests
+        Then it gets less than a sixth of them
+        And it gets its share again 20 seconds after it recovered
+
+    Scenario: repeats of all instances stay within the common budget
+        When 8 instances see every request fail for 30 seconds
+        Then no window of 10 seconds has more repeats than the budget
+
+    Scenario: requests to a cold target stay within the common bound
+        When 8 instances place a burst on 1 cold target
+        Then it gets no more in any second than the common bound
+
+    Scenario: lapsed targets stay in use for two seconds after the store's return
+        When the store returns without half of the targets
+        Then they are in use until 2000 ms later and not after
+
+    Scenario: a target that leaves gets nothing new at once
+        When a target says that it leaves
+        Then it is not open
+
+    Scenario: a single removal without notice takes effect at once
+        When one target is no longer listed
+        Then it is not open
+
+    Scenario Outline: a request that finds <waiting> waiting while <freed> places a second become free is told to <decision>
+        When it has an objective of 1000 ms
+        Then it is told to <decision> with <waiting> waiting and <freed> freed
+
+        Examples:
+            | waiting | freed | decision |
+            | 0       | 10    | wait     |
+            | 2       | 10    | wait     |
+            | 30      | 10    | refuse   |
+            | 0       | 0     | wait     |
+            | 5       | 0     | refuse   |
+
+    Scenario: refused callers come back spread out and within a third of their time
+        When 200 callers with 6000 ms are refused with 50 waiting
+        Then their times to come back differ and none is over 2 seconds
+
+    Scenario: events that are cut in any place come out whole and once
+        When a stream of 20 events is cut into random pieces
+        Then the events come out as they were
--- /dev/null
+++ b/features/steps/decision_steps.ts
@@ -0,0 +1,343 @@
+/**
+ * Steps that replay loads against the decisions of the serving process, without input or output.
+ *
+ * @module
+ */
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import {
+    choosePlace,
+    ColdShare,
+    decideWait,
+    type DepartingEngine,
+    type DestinationEngine,
+    EventSplitter,
+    LoadLedger,
+    planDeparture,
+    RetryShare,
+    type ServingTarget,
+    TargetDirectory,
+    TargetHealth,
+    type WaitDecision,
+} from "../../core/serving/mod.ts";
+import { createRandom } from "../../support/fixtures/random.ts";
+import { type MoveOutcome, replayMoves } from "../../support/platform/move_replay.ts";
+
+function createTarget(id: string, changes: Partial<ServingTarget> = {}): ServingTarget {
+    return {
+        id,
+        service: "engines",
+        address: "127.0.0.1:1",
+        zone: "zone-a",
+        slots: 24,
+        isLeaving: false,
+        coldMilliseconds: 0,
+        startedAt: 1,
+        ...changes,
+    };
+}
+
+const ENGINE = { slots: 24, memoryTokens: 34_000, tokensPerEvent: 4, copyMillisecondsPerToken: 0.055, canMove: true };
+const SEEDS = 20;
+
+let planned: MoveOutcome[] = [];
+let naive: MoveOutcome[] = [];
+/** Runs that any order of copies within their zone could save. */
+let savable = 0;
+
+/** Counts the runs whose copies fit one after the other on their engine's link before it is gone. */
+function countSavable(source: DepartingEngine, notice: number): number {
+    const lengths = source.runs.map(run => run.tokens * 0.055).sort((a, b) => a - b);
+    let used = 25;
+    return lengths.filter(length => {
+        used += length + 6;
+        return used <= notice;
+    }).length;
+}
+
+When(
+    "{int} engines with {int} runs each get {int} ms of notice",
+    function(engineCount: number, runCount: number, notice: number) {
+        planned = [];
+        naive = [];
+        savable = 0;
+        for (let seed = 0; seed < SEEDS; seed += 1) {
+            const random = createRandom(seed);
+            const zones = ["zone-a", "zone-b", "zone-c"];
+            const sources: DepartingEngine[] = Array.from({ length: engineCount }, (_, index) => ({
+                id: `source-${index}`,
+                zone: zones[index % 3] ?? "",
+                runs: Array.from({ length: runCount }, (_run, run) => ({
+                    requestId: `run-${index}-${run}`,
+                    tokens: 2500 + Math.floor(random() * 2500),
+                    events: Math.floor(random() * 400),
+                })),
+            }));
+            const destinations: DestinationEngine[] = Array.from({ length: 7 }, (_, index) => ({
+                id: `stays-${index}`,
+                zone: zones[index % 3] ?? "",
+                freeTokens: 12_000 + random() * 6000,
+            }));
+            const question = { sources, destinations, millisecondsPerToken: 0.055, noticeMilliseconds: 1500 };
+            planned.push(...replayMoves({ sources, destinations, plan: planDeparture(question), notice }));
+            savable += sources.reduce((sum, source) => sum + countSavable(source, notice), 0);
+            naive.push(...replayMoves({ sources, destinations, plan: undefined, notice }));
+        }
+    },
+);
+
+Then(
+    "planned moves save at least {float} of the runs that fit, and more in time than copies all at once",
+    function(share: number) {
+        const saved = planned.filter(outcome => outcome.isSaved).length / savable;
+        const timely = (outcomes: MoveOutcome[]): number =>
+            outcomes.filter(outcome => outcome.isSaved && outcome.pause <= 180).length / outcomes.length;
+        assert.ok(saved >= share, `saved ${saved} of ${savable}`);
+        assert.ok(timely(planned) > timely(naive), `timely ${timely(planned)} beside ${timely(naive)}`);
+    },
+);
+
+Then("9 in 10 pauses of planned moves are under {int} ms", function(most: number) {
+    const pauses = planned.filter(outcome => outcome.isSaved).map(outcome => outcome.pause).sort((a, b) => a - b);
+    const pause = pauses[Math.floor(pauses.length * 0.9)] ?? Infinity;
+    assert.ok(pause < most, `9 in 10 pauses are under ${pause}`);
+});
+
+/** Memory of the fullest engine after a burst, by policy. */
+let fullest: Record<"memory" | "requests", number> = { memory: 0, requests: 0 };
+
+When("{int} generations come at once to {int} engines", function(count: number, engines: number) {
+    fullest = { memory: 0, requests: 0 };
+    for (const policy of ["memory", "requests"] as const) {
+        const random = createRandom(7);
+        const ledger = new LoadLedger();
+        const targets = Array.from({ length: engines }, (_, index) => createTarget(`engine-${index}`));
+        for (let index = 0; index < count; index += 1) {
+            const item = { promptTokens: 500 + Math.floor(random() * 5500), outputTokens: Math.floor(random() * 2000) };
+            const candidates = targets.map(target => ({
+                target,
+                held: ledger.countWork(target.id, 0),
+                penalty: 0,
+                isLimited: false,
+            }));
+            const byRequests = [...candidates].sort((a, b) => a.held.requests - b.held.requests)[0]?.target;
+            const question = { item, engine: ENGINE, zone: "zone-a", avoid: new Set<string>(), random };
+            const chosen = choosePlace(candidates, question);
+            const target = policy === "requests" ? byRequests : chosen.kind === "placed" ? chosen.target : undefined;
+            ledger.addWork(target?.id ?? "", item);
+        }
+        fullest[policy] = Math.max(...targets.map(target => ledger.countWork(target.id, 0).tokens));
+    }
+});
+
+Then("the fullest engine by memory holds less than by fewest requests", function() {
+    assert.ok(fullest.memory < fullest.requests, JSON.stringify(fullest));
+});
+
+let drawn = new Map<string, number>();
+const health = { current: new TargetHealth() };
+
+function runPlainLoad(options: { from: number; count: number; failing: string; }): Map<string, number> {
+    const random = createRandom(3);
+    const targets = ["a", "b", "c"].map(id => createTarget(id, { service: "ledger", slots: 6 }));
+    const counts = new Map<string, number>();
+    const busyUntil = new Map<string, number[]>();
+    for (let index = 0; index < options.count; index += 1) {
+        const now = options.from + index * 10;
+        const candidates = targets.map(target => {
+            const busy = (busyUntil.get(target.id) ?? []).filter(until => until > now);
+            busyUntil.set(target.id, busy);
+            const held = { requests: busy.length, tokens: 0, waitingPromptTokens: 0 };
+            return { target, held, penalty: health.current.computePenalty(target.id, now), isLimited: false };
+        });
+        const result = choosePlace(candidates, {
+            item: { promptTokens: 0, outputTokens: 0 },
+            engine: undefined,
+            zone: "zone-a",
+            avoid: new Set(),
+            random,
+        });
+        const id = result.kind === "placed" ? result.target.id : "none";
+        counts.set(id, (counts.get(id) ?? 0) + 1);
+        if (id === options.failing) {
+            health.current.recordFailure(id, { now });
+        }
+        else {
+            health.current.recordSuccess(id, now);
+            busyUntil.get(id)?.push(now + 85);
+        }
+    }
+    return counts;
+}
+
+When("one of 3 targets fails at once for {int} requests", function(count: number) {
+    health.current = new TargetHealth();
+    drawn = runPlainLoad({ from: 0, count, failing: "b" });
+});
+
+Then("it gets less than a sixth of them", function() {
+    assert.ok((drawn.get("b") ?? 0) < 100, JSON.stringify([...drawn]));
+});
+
+Then("it gets its share again {int} seconds after it recovered", function(seconds: number) {
+    const after = runPlainLoad({ from: 6000 + seconds * 1000, count: 600, failing: "" });
+    assert.ok((after.get("b") ?? 0) > 150, JSON.stringify([...after]));
+});
+
+const BUDGET = { ratio: 0.2, windowMilliseconds: 10_000, slack: 56 };
+let repeats: number[] = [];
+const INTERVAL = 40;
+
+When("{int} instances see every request fail for {int} seconds", function(instances: number, seconds: number) {
+    repeats = [];
+    const shares = Array.from({ length: instances }, () => new RetryShare(BUDGET));
+    for (let now = 0; now < seconds * 1000; now += INTERVAL) {
+        for (const share of shares) {
+            share.recordRequest(now);
+            if (share.takeRepeat(now, instances)) {
+                repeats.push(now);
+            }
+        }
+    }
+});
+
+Then("no window of 10 seconds has more repeats than the budget", function() {
+    const requestsInWindow = 8 * BUDGET.windowMilliseconds / INTERVAL;
+    for (const start of repeats) {
+        const count = repeats.filter(time => time >= start && time < start + BUDGET.windowMilliseconds).length;
+        assert.ok(count <= BUDGET.ratio * requestsInWindow + BUDGET.slack, `${count} repeats after ${start} ms`);
+    }
+    assert.ok(repeats.length > 0);
+});
+
+let coldSends: number[] = [];
+
+When("{int} instances place a burst on 1 cold target", function(instances: number) {
+    coldSends = [];
+    const shares = Array.from({ length: instances }, () => new ColdShare({ overage: 1.5, slack: 5 }));
+    for (const share of shares) {
+        share.markCold("cold", { now: 0, milliseconds: 4000 });
+    }
+    for (let now = 0; now < 4000; now += 5) {
+        for (const share of shares) {
+            if (!share.isFull("cold", { now, ratePerSecond: 26, instances })) {
+                share.recordSend("cold", now);
+                coldSends.push(now);
+            }
+        }
+    }
+});
+
+Then("it gets no more in any second than the common bound", function() {
+    for (const start of coldSends) {
+        const count = coldSends.filter(time => time >= start && time < start + 1000).length;
+        assert.ok(count <= 26 * 1.5 + 5, `${count} in the second after ${start} ms`);
+    }
+    assert.ok(coldSends.length > 50, `only ${coldSends.length} sent`);
+});
+
+let directory = new TargetDirectory();
+
+function listOpenIds(): string[] {
+    return directory.listOpen("engines").map(target => target.id);
+}
+
+When("the store returns without half of the targets", function() {
+    directory = new TargetDirectory();
+    const targets = ["a", "b", "c", "d"].map(id => createTarget(id));
+    directory.applySnapshot({ revision: 1, targets }, 0);
+    directory.markRegained(10_000);
+    directory.applySnapshot({ revision: 2, targets: targets.slice(0, 2) }, 10_000);
+});
+
+Then("they are in use until {int} ms later and not after", function(milliseconds: number) {
+    directory.expireLapsed(10_000 + milliseconds - 1);
+    assert.deepEqual(listOpenIds(), ["a", "b", "c", "d"]);
+    directory.expireLapsed(10_000 + milliseconds);
+    assert.deepEqual(listOpenIds(), ["a", "b"]);
+});
+
+When("a target says that it leaves", function() {
+    directory = new TargetDirectory();
+    directory.applySnapshot({ revision: 1, targets: [createTarget("a"), createTarget("b")] }, 0);
+    const changed = [createTarget("a", { isLeaving: true })];
+    const changes = directory.applyEvents({ revision: 2, changed, removed: [] }, 5000);
+    assert.deepEqual(changes.map(change => change.kind), ["leaving"]);
+});
+
+When("one target is no longer listed", function() {
+    directory = new TargetDirectory();
+    directory.applySnapshot({ revision: 1, targets: [createTarget("a"), createTarget("b")] }, 0);
+    const changes = directory.applyEvents({ revision: 2, changed: [], removed: ["a"] }, 5000);
+    assert.deepEqual(changes.map(change => change.kind), ["removed"]);
+});
+
+Then("it is not open", function() {
+    assert.deepEqual(listOpenIds(), ["b"]);
+});
+
+let objective = 0;
+let returns: number[] = [];
+
+When("it has an objective of {int} ms", function(milliseconds: number) {
+    objective = milliseconds;
+});
+
+Then(
+    /^it is told to (wait|refuse) with (\d+) waiting and (\d+) freed$/,
+    function(kind: string, waiting: string, freed: string) {
+        const decision = decideWait({
+            waiting: Number(waiting),
+            freedPerSecond: Number(freed),
+            objectiveMilliseconds: objective,
+            remainingMilliseconds: 6000,
+            random: () => 0.5,
+        });
+        assert.equal(decision.kind, kind);
+    },
+);
+
+When(
+    "{int} callers with {int} ms are refused with {int} waiting",
+    function(count: number, remaining: number, waiting: number) {
+        const random = createRandom(1);
+        const decide = (): WaitDecision =>
+            decideWait({
+                waiting,
+                freedPerSecond: 20,
+                objectiveMilliseconds: 1000,
+                remainingMilliseconds: remaining,
+                random,
+            });
+        returns = Array.from({ length: count }, decide)
+            .flatMap(decision => decision.kind === "refuse" ? [decision.retryAfterSeconds] : []);
+        assert.equal(returns.length, count);
+    },
+);
+
+Then("their times to come back differ and none is over {int} seconds", function(seconds: number) {
+    assert.ok(Math.max(...returns) <= seconds, `the latest comes back after ${Math.max(...returns)} s`);
+    assert.ok(new Set(returns.map(time => time.toFixed(3))).size > returns.length / 4);
+});
+
+let cutEvents: string[] = [];
+let sentEvents: string[] = [];
+
+When("a stream of {int} events is cut into random pieces", function(count: number) {
+    const random = createRandom(11);
+    sentEvents = Array.from({ length: count }, (_, index) => `id: ${index + 1}\ndata: é${index}\r\n\n`);
+    const bytes = Buffer.from(sentEvents.join(""));
+    const splitter = new EventSplitter();
+    cutEvents = [];
+    for (let at = 0; at < bytes.length;) {
+        const end = at + 1 + Math.floor(random() * 9);
+        const events = splitter.handleChunk(bytes.subarray(at, end));
+        cutEvents.push(...events.map(event => Buffer.from(event.bytes).toString()));
+        at = end;
+    }
+    assert.equal(splitter.getRest().length, 0);
+});
+
+Then("the events come out as they were", function() {
+    assert.deepEqual(cutEvents, sentEvents);
+});
--- a/serving/plain_call.ts
+++ b/serving/plain_call.ts
@@ -188,6 +188,7 @@
         const { response, route, arrivedAt } = this.#exchange;
         const { head, body } = answer;
         if (isUntruePromise(head)) {
+            this.#verdict = "ran";
             this.#fail(`failed with ${head.status} after it may have run`);
             return;
         }
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -67,7 +67,7 @@
             buckets: [0.02, 0.05, 0.1, 0.15, 0.18, 0.25, 0.5, 1, 2],
             registers,
         });
-        registerGauges(registers, options);
+        addGauges(registers, options);
     }
 
     /** Counts a request's end. */
@@ -101,7 +101,7 @@
     }
 }
 
-function registerGauges(registers: Registry[], options: ServingMetricsOptions): void {
+function addGauges(registers: Registry[], options: ServingMetricsOptions): void {
     const gauges: [name: string, help: string, read: () => number][] = [
         ["knapweed_serving_active", "Requests being served.", options.countActive],
         ["knapweed_serving_dropped_log_lines", "Log lines dropped since the start.", options.countDroppedLines],
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Server } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
 import { openHttpServer, waitMilliseconds } from "../network/mod.ts";
 import { decodePeer, encodePeer, type InstanceSettings, StoreClient, StoreKind } from "../platform/mod.ts";
@@ -52,6 +53,7 @@
     readonly #metrics: ServingMetrics;
     readonly #callers: CallerServer;
     readonly #context: ServingContext;
+    readonly #servers: Server[] = [];
     #timer: NodeJS.Timeout | undefined;
     #stopAskedAt: number | undefined;
     #wasReady = false;
@@ -98,12 +100,14 @@
         await this.#callers.open(settings.callerAddress);
         await this.#openReadiness();
         await this.#peers.open();
-        await openAdminServer({
-            address: settings.adminAddress,
-            registry: this.#metrics.registry,
-            dumpState: () => this.dumpState(),
-            describeReadiness: () => this.#describeUnreadiness(),
-        });
+        this.#servers.push(
+            await openAdminServer({
+                address: settings.adminAddress,
+                registry: this.#metrics.registry,
+                dumpState: () => this.dumpState(),
+                describeReadiness: () => this.#describeUnreadiness(),
+            }),
+        );
         for (const seed of settings.seedAddresses) {
             this.#peers.sendGreeting(seed);
         }
@@ -129,10 +133,22 @@
             await waitMilliseconds(20);
         }
         this.#log.record("process", "stopped", { cut: this.#callers.activeRequests });
+        this.close();
+    }
+
+    /** Closes everything at once. */
+    close(): void {
+        this.#stopAskedAt ??= this.#clock.getMonotonic();
         this.#watcher.stop();
         this.#callers.close();
         this.#peers.close();
-        clearTimeout(this.#timer);
+        this.#connections.close();
+        this.#store.close();
+        for (const server of this.#servers) {
+            server.close();
+            server.closeAllConnections();
+        }
+        clearInterval(this.#timer);
     }
 
     /** Describes the whole state without keys. */
@@ -154,14 +170,16 @@
     }
 
     async #openReadiness(): Promise<void> {
-        await openHttpServer({
-            address: this.#settings.readinessAddress,
-            handler: (_, response) => {
-                const reason = this.#describeUnreadiness();
-                response.writeHead(reason === "" ? 200 : 503, { "content-length": Buffer.byteLength(reason) });
-                response.end(reason);
-            },
-        });
+        this.#servers.push(
+            await openHttpServer({
+                address: this.#settings.readinessAddress,
+                handler: (_, response) => {
+                    const reason = this.#describeUnreadiness();
+                    response.writeHead(reason === "" ? 200 : 503, { "content-length": Buffer.byteLength(reason) });
+                    response.end(reason);
+                },
+            }),
+        );
     }
 
     /** Says why this instance should get no new callers; empty where it should. */
