Let a few instances watch the store and tell the others

Change: decideWatching() ranks the instances; three watch and send what changed to the rest, one that hears no watcher watches itself. Digests go out as an engine's work changes, spaced by the number of peers.

--- a/core/serving/choose_place.ts
+++ b/core/serving/choose_place.ts
@@ -29,6 +29,8 @@
     engine: EngineLimits | undefined;
     /** Availability zone of this instance. */
     zone: string;
+    /** Number of instances that place work on the same targets. */
+    instances: number;
     /** Targets that have failed the request already. */
     avoid: ReadonlySet<string>;
     /** Source of a number from 0 up to 1. */
@@ -49,6 +51,8 @@
 const ZONE_COST = 0.04;
 /** Spread of the random part, in units of a full target's load; it keeps instances from choosing alike. */
 const JITTER = 0.03;
+/** Further spread for each instance: the more instances place work, the more of it is not known of yet. */
+const JITTER_PER_INSTANCE = 0.004;
 /** Requests that a plain target may hold, in multiples of its slots, before it counts as full. */
 const PLAIN_QUEUE_FACTOR = 4;
 /** Requests that an engine may hold, in multiples of its slots, before it counts as full. */
@@ -72,7 +76,7 @@
         const score = computeLoad(candidate, question)
             + candidate.penalty
             + (candidate.target.zone === question.zone ? 0 : ZONE_COST)
-            + question.random() * JITTER;
+            + question.random() * (JITTER + JITTER_PER_INSTANCE * (question.instances - 1));
         if (score < bestScore) {
             best = candidate;
             bestScore = score;
--- a/core/serving/load_ledger.ts
+++ b/core/serving/load_ledger.ts
@@ -32,11 +32,13 @@
     receivedAt: number;
 }
 
-/** Age at which a peer's digest is no longer counted, in milliseconds: several times the interval between digests. */
-const DIGEST_LIFETIME = 2000;
+/** Age at which a peer's digest is no longer counted, in milliseconds: several times the interval in a large fleet. */
+const DIGEST_LIFETIME = 6000;
 
 /** Adds up what is known of each target's work. */
 export class LoadLedger {
+    /** Called when an engine's work has changed; plain requests are too short to tell of each. */
+    onEngineChange: () => void = () => undefined;
     readonly #own = new Map<string, Map<object, WorkItem & { hasAnswered: boolean; }>>();
     readonly #peers = new Map<string, PeerDigest>();
 
@@ -46,12 +48,22 @@
         const entries = this.#own.get(target) ?? new Map<object, typeof entry>();
         entries.set(entry, entry);
         this.#own.set(target, entries);
+        const announce = (): void => {
+            if (item.promptTokens > 0) {
+                this.onEngineChange();
+            }
+        };
+        announce();
         return {
             markAnswered: () => {
-                entry.hasAnswered = true;
+                if (!entry.hasAnswered) {
+                    entry.hasAnswered = true;
+                    announce();
+                }
             },
             release: () => {
                 entries.delete(entry);
+                announce();
                 if (entries.size === 0 && this.#own.get(target) === entries) {
                     this.#own.delete(target);
                 }
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -14,3 +14,4 @@
 export * from "./shared_limits.ts";
 export * from "./target_directory.ts";
 export * from "./target_health.ts";
+export * from "./watch_duty.ts";
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -86,10 +86,15 @@
         if (snapshot.revision < this.#revision) {
             return [];
         }
+        const previous = this.#isKnown ? this.#changeRevision : undefined;
         this.#isKnown = true;
         const listed = new Set(snapshot.targets.map(target => target.id));
         const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
-        return this.applyEvents({ revision: snapshot.revision, changed: snapshot.targets, removed }, now);
+        const changes = this.applyEvents({ revision: snapshot.revision, changed: snapshot.targets, removed }, now);
+        if (changes.length === 0 && previous !== undefined) {
+            this.#changeRevision = previous;
+        }
+        return changes;
     }
 
     /** Applies changes up to a revision and tells what they mean for running work. */
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -121,7 +121,7 @@
                 isLimited: false,
             }));
             const byRequests = [...candidates].sort((a, b) => a.held.requests - b.held.requests)[0]?.target;
-            const question = { item, engine: ENGINE, zone: "zone-a", avoid: new Set<string>(), random };
+            const question = { item, engine: ENGINE, zone: "zone-a", instances: 1, avoid: new Set<string>(), random };
             const chosen = choosePlace(candidates, question);
             const target = policy === "requests" ? byRequests : chosen.kind === "placed" ? chosen.target : undefined;
             ledger.addWork(target?.id ?? "", item);
@@ -154,6 +154,7 @@
             item: { promptTokens: 0, outputTokens: 0 },
             engine: undefined,
             zone: "zone-a",
+            instances: 1,
             avoid: new Set(),
             random,
         });
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
+import { decideWatching } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerLinks } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import {
@@ -11,9 +12,10 @@
     type BeliefMessage,
     type BeliefVersions,
     type DigestMessage,
+    type NewsMessage,
     parsePeerMessage,
 } from "./peer_messages.ts";
-import type { ServingState } from "./serving_state.ts";
+import type { ServingState, StoreNews } from "./serving_state.ts";
 
 /** Options of a {@linkcode PeerExchange}. */
 export interface PeerExchangeOptions {
@@ -27,6 +29,10 @@
     log: DecisionLog;
     /** Source of time. */
     clock: Clock;
+    /** Tells whether the store answers this instance's watches. */
+    isWatching: () => boolean;
+    /** Reads the configuration from the store; gives true where that worked. */
+    refreshConfiguration: () => Promise<boolean>;
 }
 
 interface Peer {
@@ -38,15 +44,25 @@
     /** Time of the last digest that was sent to a peer that does not answer. */
     triedAt: number;
     versions: BeliefVersions;
+    isWatching: boolean;
     isLost: boolean;
 }
 
-/** Time between digests to a few peers, in milliseconds; a placement seen this late rarely collides with another. */
-const DIGEST_INTERVAL = 100;
-/** Peers up to which the interval stays the same; with more, it grows so that the traffic of an instance does not. */
-const PEERS_AT_FULL_RATE = 8;
-/** Silence after which a peer counts as lost, in milliseconds, beside its interval. */
-const LOST_AFTER = 1500;
+/** Time between looks at the peers, in milliseconds. */
+const SWEEP_INTERVAL = 100;
+/** Least time between two digests of changed work, in milliseconds; few placements collide within it. */
+const MIN_DIGEST_SPACING = 50;
+/** Further time for each peer, in milliseconds, which bounds an instance's messages to about 150 a second. */
+const SPACING_PER_PEER = 7;
+/** Time between digests that tell nothing new, in milliseconds, and the further time for each peer. */
+const KEEP_ALIVE = 500;
+const KEEP_ALIVE_PER_PEER = 15;
+/** The same for an instance that watches the store, whose silence makes others watch. */
+const WATCHER_KEEP_ALIVE = 300;
+/** Digests that may be missed before a peer counts as lost. */
+const MISSED_DIGESTS = 3;
+/** Longest configuration that is sent to peers, in routes; they read a longer one from the store. */
+const MAX_SENT_ROUTES = 64;
 /** Time between digests to a peer that does not answer, in milliseconds. */
 const RETRY_LOST = 2000;
 /** Time after which a peer that nobody tells of is forgotten, in milliseconds. */
@@ -64,7 +80,7 @@
     readonly #peers = new Map<string, Peer>();
     readonly #ownAddress: string;
     #timer: NodeJS.Timeout | undefined;
-    #lastDigest = "";
+    #digestTimer: NodeJS.Timeout | undefined;
     #lastSentAt = 0;
     #askedAt = 0;
     #isListed = false;
@@ -78,7 +94,8 @@
             onMessage: (_, message) => this.#handleMessage(message),
         });
         options.state.setInstanceCounter(() => this.#isListed ? this.#peers.size + 1 : 0);
-        options.state.beliefListeners.push(() => this.#sendDigests(true));
+        options.state.newsListeners.push(news => this.#sendNews(news));
+        options.state.ledger.onEngineChange = () => this.#scheduleDigest();
     }
 
     /** Starts to listen and to send digests. */
@@ -90,6 +107,7 @@
     /** Closes all links. */
     close(): void {
         clearTimeout(this.#timer);
+        clearTimeout(this.#digestTimer);
         this.#server.close();
         this.#links.close();
     }
@@ -100,7 +118,16 @@
         for (const peer of peers) {
             this.#addPeer(peer.instance, peer.address);
         }
-        this.#sendDigests(true);
+        this.#sendDigests();
+    }
+
+    /** Decides whether this instance is among those that watch the store for all. */
+    decideWatching(): boolean {
+        const now = this.#options.clock.getMonotonic();
+        const peers = [...this.#peers].flatMap(([instance, { heardAt, isWatching, isLost }]) =>
+            heardAt === undefined || isLost ? [] : [{ instance, isWatching, silenceMilliseconds: now - heardAt }]
+        );
+        return decideWatching({ instance: this.#options.instance, peers });
     }
 
     /** Sends a digest to an address whose instance is not known yet. */
@@ -122,14 +149,47 @@
     #startTimer(): void {
         this.#timer = setTimeout(() => {
             this.#expirePeers();
-            this.#sendDigests(false);
-            this.#askIfBehind();
+            if (this.#options.clock.getMonotonic() - this.#lastSentAt >= this.#keepAlive) {
+                this.#sendDigests();
+            }
+            void this.#askIfBehind();
             this.#startTimer();
-        }, this.#interval);
+        }, SWEEP_INTERVAL);
+    }
+
+    get #keepAlive(): number {
+        return this.#options.isWatching() ? WATCHER_KEEP_ALIVE : KEEP_ALIVE + KEEP_ALIVE_PER_PEER * this.#peers.size;
     }
 
-    get #interval(): number {
-        return DIGEST_INTERVAL * Math.max(1, this.#peers.size / PEERS_AT_FULL_RATE);
+    /** Sends a digest soon, but not too often. */
+    #scheduleDigest(): void {
+        if (this.#digestTimer !== undefined) {
+            return;
+        }
+        const spacing = MIN_DIGEST_SPACING + SPACING_PER_PEER * this.#peers.size;
+        const due = this.#lastSentAt + spacing - this.#options.clock.getMonotonic();
+        this.#digestTimer = setTimeout(() => {
+            this.#digestTimer = undefined;
+            this.#sendDigests();
+        }, Math.max(1, due));
+    }
+
+    /** Sends news to the peers that do not watch the store. */
+    #sendNews(news: StoreNews): void {
+        const { configuration, ...rest } = news;
+        const isShort = configuration !== undefined && configuration.routes.length <= MAX_SENT_ROUTES;
+        const message: NewsMessage = {
+            kind: "news",
+            instance: this.#options.instance,
+            ...rest,
+            ...isShort ? { configuration } : {},
+        };
+        for (const peer of this.#peers.values()) {
+            if (!peer.isLost && peer.heardAt !== undefined && !peer.isWatching) {
+                this.#links.send(peer.address, message);
+            }
+        }
+        this.#scheduleDigest();
     }
 
     #handleMessage(raw: unknown): void {
@@ -141,6 +201,9 @@
             case "ask":
                 this.#answerAsk(message);
                 return;
+            case "news":
+                this.#handleNews(message);
+                return;
             case "belief":
                 this.#handleBelief(message);
                 return;
@@ -161,6 +224,7 @@
         peer.heardAt = now;
         peer.isLost = false;
         peer.versions = message.versions;
+        peer.isWatching = message.isWatching;
         this.#options.state.ledger.applyDigest(message.instance, { work: message.work, receivedAt: now });
     }
 
@@ -186,6 +250,25 @@
         this.#links.send(message.address, answer);
     }
 
+    #handleNews(message: NewsMessage): void {
+        const { state } = this.#options;
+        const source = `peer ${message.instance}` as const;
+        const { configuration, targets, zones } = message;
+        if (configuration !== undefined) {
+            state.adoptConfiguration(configuration, source);
+        }
+        if (zones !== undefined) {
+            state.applyZones(zones, source);
+        }
+        // Events after a gap would leave the list wrong for good; the whole list is asked for in their place.
+        if (
+            targets !== undefined && targets.from <= state.directory.revision
+            && targets.revision > state.directory.revision
+        ) {
+            state.applyEvents(targets, source);
+        }
+    }
+
     #handleBelief(message: BeliefMessage): void {
         const { state } = this.#options;
         const source = `peer ${message.instance}` as const;
@@ -220,6 +303,7 @@
             knownAt: now,
             triedAt: Number.NEGATIVE_INFINITY,
             versions,
+            isWatching: false,
             isLost: false,
         };
         this.#peers.set(name, peer);
@@ -230,7 +314,8 @@
         const now = this.#options.clock.getMonotonic();
         for (const [name, peer] of this.#peers) {
             const silence = now - (peer.heardAt ?? peer.knownAt);
-            if (!peer.isLost && peer.heardAt !== undefined && silence > LOST_AFTER + 2 * this.#interval) {
+            const longest = MISSED_DIGESTS * (KEEP_ALIVE + KEEP_ALIVE_PER_PEER * this.#peers.size);
+            if (!peer.isLost && peer.heardAt !== undefined && silence > longest) {
                 peer.isLost = true;
                 this.#options.state.ledger.dropPeer(name);
                 this.#options.log.record("process", "peer lost", {
@@ -245,7 +330,7 @@
     }
 
     /** Sends a digest to each peer; to one that does not answer only now and then. */
-    #sendDigests(isUrgent: boolean): void {
+    #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
         const digest: DigestMessage = {
             kind: "digest",
@@ -253,24 +338,20 @@
             address: this.#ownAddress,
             work: this.#options.state.ledger.getDigest(),
             versions: this.#getVersions(),
+            isWatching: this.#options.isWatching(),
         };
-        const text = JSON.stringify(digest);
-        const isDue = isUrgent || text !== this.#lastDigest || now - this.#lastSentAt >= LOST_AFTER / 3;
+        this.#lastSentAt = now;
         for (const peer of this.#peers.values()) {
             const isSilent = peer.heardAt === undefined || peer.isLost;
-            if (isSilent ? now - peer.triedAt >= RETRY_LOST : isDue) {
+            if (!isSilent || now - peer.triedAt >= RETRY_LOST) {
                 peer.triedAt = now;
                 this.#links.send(peer.address, digest);
             }
         }
-        if (isDue) {
-            this.#lastDigest = text;
-            this.#lastSentAt = now;
-        }
     }
 
     /** Asks a peer that is ahead, once the store had time to tell the same. */
-    #askIfBehind(): void {
+    async #askIfBehind(): Promise<void> {
         const now = this.#options.clock.getMonotonic();
         const own = this.#getVersions();
         const { directory, zones } = this.#options.state;
@@ -285,6 +366,10 @@
         }
         if (now - this.#askedAt >= ASK_INTERVAL) {
             this.#askedAt = now;
+            const isBehind = ahead.versions.configuration > own.configuration;
+            if (isBehind && await this.#options.refreshConfiguration()) {
+                return;
+            }
             this.#links.send(ahead.address, this.#buildAsk());
         }
     }
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -5,7 +5,7 @@
  */
 import * as v from "valibot";
 import type { ServingConfiguration, TargetSnapshot, WorkDigest } from "../core/serving/mod.ts";
-import type { ZoneSnapshot } from "./serving_state.ts";
+import type { StoreNews, ZoneSnapshot } from "./serving_state.ts";
 
 /** How far an instance's beliefs reach. */
 export interface BeliefVersions {
@@ -28,6 +28,15 @@
     work: WorkDigest;
     /** How far the sender's beliefs reach. */
     versions: BeliefVersions;
+    /** True where the sender watches the store and the store answers it. */
+    isWatching: boolean;
+}
+
+/** Tells peers that do not watch the store what it has told the sender. */
+export interface NewsMessage extends StoreNews {
+    kind: "news";
+    /** Name of the sender. */
+    instance: string;
 }
 
 /** Asks a peer for beliefs that are newer than the sender's. */
@@ -55,7 +64,7 @@
 }
 
 /** Any message between instances. */
-export type PeerMessage = DigestMessage | AskMessage | BeliefMessage;
+export type PeerMessage = DigestMessage | NewsMessage | AskMessage | BeliefMessage;
 
 const VersionsSchema = v.object({ configuration: v.number(), targets: v.number(), zones: v.number() });
 const WorkSchema = v.record(v.string(), v.tuple([v.number(), v.number(), v.number()]));
@@ -67,6 +76,14 @@
         address: v.string(),
         work: WorkSchema,
         versions: VersionsSchema,
+        isWatching: v.boolean(),
+    }),
+    v.object({
+        kind: v.literal("news"),
+        instance: v.string(),
+        configuration: v.optional(v.custom<ServingConfiguration>(value => typeof value === "object")),
+        targets: v.optional(v.custom<NonNullable<StoreNews["targets"]>>(value => typeof value === "object")),
+        zones: v.optional(v.custom<ZoneSnapshot>(value => typeof value === "object")),
     }),
     v.object({ kind: v.literal("ask"), address: v.string(), versions: VersionsSchema }),
     v.object({
--- a/serving/place_finder.ts
+++ b/serving/place_finder.ts
@@ -144,6 +144,7 @@
             item: request.item,
             engine: request.service.engine,
             zone,
+            instances: state.instances,
             avoid: request.avoid,
             random,
         });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -74,8 +74,18 @@
             onMalformed: (kind, reason) => log.record("belief", "store object unreadable", { kind, reason }),
         });
         const shared = { state: this.#state, log, metrics: this.#metrics, clock, random };
-        this.#watcher = new StoreWatcher({ ...shared, store: this.#store });
-        this.#peers = new PeerExchange({ ...shared, instance: settings.instance, address: settings.peerAddress });
+        this.#watcher = new StoreWatcher({
+            ...shared,
+            store: this.#store,
+            decideWatching: () => this.#peers.decideWatching(),
+        });
+        this.#peers = new PeerExchange({
+            ...shared,
+            instance: settings.instance,
+            address: settings.peerAddress,
+            isWatching: () => this.#watcher.isWatching,
+            refreshConfiguration: () => this.#watcher.refreshKind(StoreKind.configuration),
+        });
         this.#finder = new PlaceFinder({ ...shared, zone: settings.zone });
         this.#context = {
             ...shared,
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -41,6 +41,28 @@
     zones: string[];
 }
 
+/** Changes to the list of targets between two revisions of the store. */
+export interface TargetEvents {
+    /** Revision of the latest change before these. */
+    from: number;
+    /** Revision up to which it is known after. */
+    revision: number;
+    /** Targets that are new or changed. */
+    changed: ServingTarget[];
+    /** Identities of targets that are gone. */
+    removed: string[];
+}
+
+/** What an instance has learnt from the store and tells its peers. */
+export interface StoreNews {
+    /** A newer configuration. */
+    configuration?: ServingConfiguration;
+    /** Changes to targets. */
+    targets?: TargetEvents;
+    /** Zones that get no new work. */
+    zones?: ZoneSnapshot;
+}
+
 /** Where a belief came from. */
 export type BeliefSource = "store" | `peer ${string}`;
 
@@ -58,8 +80,8 @@
     #settings: InstanceSettings;
     /** Called with each change to a target. */
     readonly targetListeners: ((change: TargetChange) => void)[] = [];
-    /** Called when a belief changed that peers want to know at once. */
-    readonly beliefListeners: (() => void)[] = [];
+    /** Called with what the store has told. */
+    readonly newsListeners: ((news: StoreNews) => void)[] = [];
     readonly #options: ServingStateOptions;
     readonly #retryShares = new Map<string, RetryShare>();
     #table: RouteTable | undefined;
@@ -127,7 +149,7 @@
             routes: configuration.routes.length,
             accounts: configuration.accounts?.length ?? 0,
         });
-        this.#announce();
+        this.#announce({ configuration }, source);
         return true;
     }
 
@@ -137,11 +159,15 @@
     }
 
     /** Applies changes to the list of targets. */
-    applyEvents(events: { revision: number; changed: ServingTarget[]; removed: string[]; }): void {
-        this.#publish(this.directory.applyEvents(events, this.#now()), "store");
+    applyEvents(events: TargetEvents, source: BeliefSource): void {
+        const changes = this.directory.applyEvents(events, this.#now());
         for (const target of events.changed) {
             this.#markCold(target);
         }
+        this.#publish(changes, source);
+        if (events.changed.length > 0 || events.removed.length > 0) {
+            this.#announce({ targets: events }, source);
+        }
     }
 
     /** Removes lapsed targets whose time is over. */
@@ -160,7 +186,7 @@
         if (previous !== snapshot.zones.join(",")) {
             const { zones, revision } = snapshot;
             this.#options.log.record("belief", "emptied zones changed", { zones, revision, source });
-            this.#announce();
+            this.#announce({ zones: snapshot }, source);
         }
     }
 
@@ -211,18 +237,18 @@
                 listener(change);
             }
         }
-        if (changes.length > 0) {
-            this.#announce();
-        }
     }
 
     #markCold(target: ServingTarget): void {
         this.cold.markCold(target.id, { now: this.#now(), milliseconds: target.coldMilliseconds });
     }
 
-    #announce(): void {
-        for (const listener of this.beliefListeners) {
-            listener();
+    /** Tells listeners what the store has told; what peers have told is theirs to spread. */
+    #announce(news: StoreNews, source: BeliefSource): void {
+        if (source === "store") {
+            for (const listener of this.newsListeners) {
+                listener(news);
+            }
         }
     }
 
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -34,7 +34,9 @@
     clock: Clock;
     /** Source of random numbers from 0 up to 1. */
     random: () => number;
-    /** Longest wait of one watch, in milliseconds. Defaults to 5000. */
+    /** Decides whether this instance watches for all; asked before each call. */
+    decideWatching: () => boolean;
+    /** Longest wait of one watch, in milliseconds. Defaults to 3000. */
     watchMilliseconds?: number;
 }
 
@@ -49,6 +51,8 @@
  * under the sum of the time after which an instance counts as in touch again and the time to apply a configuration.
  */
 const DEFAULT_WATCH = 3000;
+/** Time between two looks at whether this instance has to watch, in milliseconds. */
+const OFF_DUTY_PAUSE = 100;
 /** First pause after a failed call, in milliseconds; it doubles with each further failure. */
 const MIN_PAUSE = 40;
 /** Longest pause after failed calls, in milliseconds: short beside the seconds in which the store must be back in use. */
@@ -104,8 +108,32 @@
         return { revisions: Object.fromEntries(this.#revisions), failing: Object.fromEntries(this.#failing) };
     }
 
+    /** True where this instance watches and every watch works. */
+    get isWatching(): boolean {
+        const kinds = Object.keys(this.#handlers);
+        return this.#failing.size === 0 && kinds.every(kind => this.#revisions.has(kind));
+    }
+
+    /** Reads all objects of a kind once; gives true where the store answered. */
+    async refreshKind(kind: string): Promise<boolean> {
+        const reply = await this.#options.store.listObjects(kind);
+        this.#options.metrics.countStoreCall(kind, reply.kind);
+        if (reply.kind === "ok") {
+            this.#handlers[kind]?.applyList(reply.value);
+        }
+        return reply.kind === "ok";
+    }
+
     async #run(kind: string): Promise<void> {
+        let isFirst = true;
         while (!this.#isStopped) {
+            if (!isFirst && !this.#options.decideWatching()) {
+                this.#revisions.delete(kind);
+                this.#failing.delete(kind);
+                await waitMilliseconds(OFF_DUTY_PAUSE);
+                continue;
+            }
+            isFirst = false;
             const failure = await this.#step(kind);
             this.#options.metrics.countStoreCall(kind, failure?.kind ?? "ok");
             if (failure === undefined) {
@@ -206,11 +234,10 @@
         const removed = [...latest.values()].filter(event => event.isDeleted).map(event => event.object.name);
         const decoded = changed.map(event => ({ event, targets: this.#decodeTargets(event.object) }));
         const unusable = decoded.filter(({ targets }) => targets.length === 0).map(({ event }) => event.object.name);
-        this.#options.state.applyEvents({
-            revision,
-            changed: decoded.flatMap(({ targets }) => targets),
-            removed: [...removed, ...unusable],
-        });
+        const from = directory.changeRevision;
+        const changedTargets = decoded.flatMap(({ targets }) => targets);
+        const targetEvents = { from, revision, changed: changedTargets, removed: [...removed, ...unusable] };
+        this.#options.state.applyEvents(targetEvents, "store");
     }
 
     #decodeTargets(object: StoreObject): ServingTarget[] {
