Ask an engine about a silent stream before leaving it

Change: decideSilence() judges by a report on a new connection; a run whose connection is lost is moved.

--- a/core/serving/choose_place.ts
+++ b/core/serving/choose_place.ts
@@ -44,7 +44,7 @@
     | { kind: "full"; };
 
 /** Weight of prompts that wait to be read, against memory in use: reading holds up every stream of the engine. */
-const PREFILL_WEIGHT = 0.6;
+const PREFILL_WEIGHT = 1.2;
 /** Prompt tokens that wait at one engine in a crowded second: what an engine reads in about half a second. */
 const PREFILL_SCALE = 7000;
 /** Cost of a target in another zone, in units of a full target's load; about one request of a plain service. */
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -57,6 +57,33 @@
         When 200 callers with 6000 ms are refused with 50 waiting
         Then their times to come back differ and none is over 2 seconds
 
+    Scenario Outline: a silent stream whose engine <engine> and that <repeat> is told to <action>
+        When a stream is silent and its engine <engine>
+        Then a stream that <repeat> is told to <action>
+
+        Examples:
+            | engine                            | repeat         | action |
+            | does not answer                   | may repeat     | leave  |
+            | does not answer                   | may not repeat | wait   |
+            | has the request in its queue      | may repeat     | wait   |
+            | does not know the request         | may repeat     | leave  |
+            | does not know the request         | may not repeat | wait   |
+            | is as far as what has arrived     | may repeat     | wait   |
+            | is far ahead of what has arrived  | may repeat     | leave  |
+            | is far ahead of what has arrived  | may not repeat | move   |
+
+    Scenario Outline: of <instances> instances <watchers> watch the store when <case>
+        When <instances> instances decide who watches and <case>
+        Then <watchers> of them watch
+
+        Examples:
+            | instances | case                              | watchers |
+            | 73        | all hear each other               | 3        |
+            | 6         | all hear each other               | 3        |
+            | 6         | nobody hears of a healthy watcher | 6        |
+            | 6         | none hears another                | 6        |
+            | 6         | one hears nobody                  | 4        |
+
     Scenario: events that are cut in any place come out whole and once
         When a stream of 20 events is cut into random pieces
         Then the events come out as they were
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -5,10 +5,13 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { Rendezvous } from "../../core/hashing/mod.ts";
 import {
     choosePlace,
     ColdShare,
+    decideSilence,
     decideWait,
+    decideWatching,
     type DepartingEngine,
     type DestinationEngine,
     EventSplitter,
@@ -321,6 +324,51 @@
     assert.ok(new Set(returns.map(time => time.toFixed(3))).size > returns.length / 4);
 });
 
+/** What an engine tells of a silent stream of which 10 events have arrived, by the words of the table. */
+const SILENT_ENGINES: Record<string, { isEngineHeard: boolean; waitingRequests: number; engineEvents?: number; }> = {
+    "does not answer": { isEngineHeard: false, waitingRequests: 0 },
+    "has the request in its queue": { isEngineHeard: true, waitingRequests: 2 },
+    "does not know the request": { isEngineHeard: true, waitingRequests: 0 },
+    "is as far as what has arrived": { isEngineHeard: true, waitingRequests: 0, engineEvents: 11 },
+    "is far ahead of what has arrived": { isEngineHeard: true, waitingRequests: 0, engineEvents: 30 },
+};
+let silent = SILENT_ENGINES["does not answer"];
+
+When(/^a stream is silent and its engine (.+)$/, function(engine: string) {
+    silent = SILENT_ENGINES[engine];
+});
+
+Then(/^a stream that (may|may not) repeat is told to (\w+)$/, function(may: string, action: string) {
+    assert.ok(silent !== undefined);
+    const { engineEvents, ...engine } = silent;
+    const question = { ...engine, engineEvents, arrivedEvents: 10, mayRepeat: may === "may", canMove: true };
+    assert.equal(decideSilence(question), action);
+});
+
+let watching = 0;
+
+When(/^(\d+) instances decide who watches and (.+)$/, function(count: string, situation: string) {
+    const names = Array.from({ length: Number(count) }, (_, index) => `instance-${index}`);
+    const ranked = new Rendezvous(names).listByScore("watch-store");
+    const isHealthy = !situation.includes("nobody hears of a healthy");
+    const lonely = situation === "one hears nobody" ? ranked.at(-1) : undefined;
+    const isCut = (a: string, b: string): boolean => situation === "none hears another" || a === lonely || b === lonely;
+    watching = names.filter(instance => {
+        const peers = names
+            .filter(name => name !== instance && !isCut(instance, name))
+            .map(name => ({
+                instance: name,
+                isWatching: isHealthy && ranked.slice(0, 3).includes(name),
+                silenceMilliseconds: 200,
+            }));
+        return decideWatching({ instance, peers });
+    }).length;
+});
+
+Then("{int} of them watch", function(count: number) {
+    assert.equal(watching, count);
+});
+
 let cutEvents: string[] = [];
 let sentEvents: string[] = [];
 
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -93,6 +93,11 @@
         return this.#end;
     }
 
+    /** Waits until all steps are made, whether they stop the run or not. */
+    async waitForSteps(): Promise<void> {
+        await this.#end;
+    }
+
     /** Gives the move up, unless the run goes on at the destination already. */
     cancel(): void {
         this.#isCancelled = true;
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -84,7 +84,7 @@
             instance: settings.instance,
             address: settings.peerAddress,
             isWatching: () => this.#watcher.isWatching,
-            refreshConfiguration: () => this.#watcher.refreshKind(StoreKind.configuration),
+            refreshConfiguration: () => this.#watcher.readKind(StoreKind.configuration),
         });
         this.#finder = new PlaceFinder({ ...shared, zone: settings.zone });
         this.#context = {
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -115,7 +115,7 @@
     }
 
     /** Reads all objects of a kind once; gives true where the store answered. */
-    async refreshKind(kind: string): Promise<boolean> {
+    async readKind(kind: string): Promise<boolean> {
         const reply = await this.#options.store.listObjects(kind);
         this.#options.metrics.countStoreCall(kind, reply.kind);
         if (reply.kind === "ok") {
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
+import { decideSilence, EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { readBody } from "../network/mod.ts";
-import { encodeTargetHeaders, type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
+import { encodeTargetHeaders, fetchReport, type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
 import {
     answerError,
     type AttemptRecord,
@@ -20,6 +20,21 @@
 import { type MovedRun, type MoveNotice, RunMove } from "./run_move.ts";
 import { type TargetAnswer, TargetCallError } from "./target_connections.ts";
 
+/** Watches for the silence of one attempt. */
+interface SilenceWatch {
+    /** Notes that something has arrived. */
+    restart: () => void;
+    /** Ends the watch. */
+    stop: () => void;
+}
+
+/** One attempt whose stream is relayed. */
+interface RelayAttempt {
+    place: HeldPlace;
+    stall: AbortController;
+    silence: SilenceWatch;
+}
+
 /** How one attempt at a target ended. */
 type AttemptResult =
     /** The stream came to its end. */
@@ -45,12 +60,14 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most targets that are asked while each refuses before running. */
 const MAX_SENDS = 6;
-/** Silence after which a stream that may go on elsewhere does, in multiples of the route's longest timely pause. */
+/** Silence after which an engine is asked about a stream, in multiples of the route's longest timely pause. */
 const SILENCE_GAPS = 4;
 /** Silence assumed where the route names no pause, in milliseconds. */
 const DEFAULT_GAP = 250;
-/** Part of the objective after which a resumable stream without a first event is tried elsewhere. */
+/** Part of the objective after which an engine is asked about a stream without a first event. */
 const FIRST_EVENT_SHARE = 0.6;
+/** Time in which an engine that lives answers, in milliseconds. */
+const REPORT_TIMEOUT = 200;
 /** Output tokens assumed where the caller gives no estimate, as a share of the most it allows. */
 const UNHINTED_SHARE = 0.5;
 
@@ -232,8 +249,8 @@
         const { request, account, signal } = this.#exchange;
         const { target } = place;
         const stall = new AbortController();
+        const silence = this.#watchSilence(place, stall);
         try {
-            const timer = this.#startFirstEventTimer(stall);
             const answer = await this.#context.connections.sendRequest({
                 targetId: target.id,
                 address: target.address,
@@ -249,8 +266,8 @@
                 }),
                 body: request.body,
                 signal: AbortSignal.any([signal, stall.signal]),
-            }).finally(() => clearTimeout(timer));
-            return await this.#handleAnswer(answer, { place, stall });
+            });
+            return await this.#handleAnswer(answer, { place, stall, silence });
         }
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
@@ -261,11 +278,14 @@
                 : String(error);
             return await this.#awaitMove() ?? { kind: "failed", verdict, reason };
         }
+        finally {
+            silence.stop();
+        }
     }
 
     async #handleAnswer(
         answer: TargetAnswer,
-        attempt: { place: HeldPlace; stall: AbortController; },
+        attempt: RelayAttempt,
     ): Promise<AttemptResult> {
         const { head, response } = answer;
         if (head.status === 200 && head.isSealed && head.requestId === this.#exchange.request.id) {
@@ -287,23 +307,17 @@
 
     async #relayEvents(
         answer: TargetAnswer,
-        attempt: { place: HeldPlace; stall: AbortController; },
+        attempt: RelayAttempt,
     ): Promise<AttemptResult> {
         const { response: source } = answer;
         const splitter = new EventSplitter();
-        let timer: NodeJS.Timeout | undefined;
-        const watchSilence = (): void => {
-            clearTimeout(timer);
-            timer = this.#startSilenceTimer(attempt.stall);
-        };
         let failure = "stream broke off";
         try {
-            watchSilence();
             for await (const chunk of source as AsyncIterable<Buffer>) {
                 const events = splitter.handleChunk(chunk);
                 if (events.length > 0) {
                     attempt.place.markAnswered();
-                    watchSilence();
+                    attempt.silence.restart();
                     await this.#sendEvents(events);
                 }
             }
@@ -312,7 +326,6 @@
             failure = error instanceof Error ? error.message : String(error);
         }
         finally {
-            clearTimeout(timer);
             answer.close();
         }
         // A run that a move has stopped ends its stream too; only the move's answer tells which it was.
@@ -388,23 +401,60 @@
         return !(Number(id) <= Number(this.#lastEventId));
     }
 
-    #startFirstEventTimer(stall: AbortController): NodeJS.Timeout | undefined {
+    /** Asks the engine about this stream whenever it has been silent for long. */
+    #watchSilence(place: HeldPlace, stall: AbortController): SilenceWatch {
         const { route, service } = this.#exchange;
-        if (!isRepeatable(route) || this.#runs + 1 >= route.maxAttempts || service.engine === undefined) {
-            return undefined;
+        if (service.engine === undefined) {
+            return { restart: () => undefined, stop: () => undefined };
         }
-        return setTimeout(() => stall.abort(), route.objectiveMilliseconds * FIRST_EVENT_SHARE);
+        let timer: NodeJS.Timeout | undefined;
+        const stop = (): void => clearTimeout(timer);
+        const restart = (): void => {
+            stop();
+            const patience = this.#eventCount === 0
+                ? route.objectiveMilliseconds * FIRST_EVENT_SHARE
+                : (route.maxGapMilliseconds ?? DEFAULT_GAP) * SILENCE_GAPS;
+            timer = setTimeout(() => {
+                restart();
+                void this.#handleSilence(place, stall);
+            }, patience);
+        };
+        restart();
+        return { restart, stop };
     }
 
-    #startSilenceTimer(stall: AbortController): NodeJS.Timeout | undefined {
-        const { route } = this.#exchange;
-        if (!isRepeatable(route) || this.#runs + 1 >= route.maxAttempts) {
-            return undefined;
+    async #handleSilence(place: HeldPlace, stall: AbortController): Promise<void> {
+        const { route, service, request } = this.#exchange;
+        const arrivedEvents = this.#eventCount;
+        const report = await fetchReport(place.target.address, REPORT_TIMEOUT);
+        if (this.#place !== place || this.#eventCount > arrivedEvents || stall.signal.aborted) {
+            return;
+        }
+        const engineEvents = report?.runs.find(run => run.requestId === request.id)?.events;
+        const action = decideSilence({
+            isEngineHeard: report !== undefined,
+            waitingRequests: report?.waitingRequests ?? 0,
+            engineEvents,
+            arrivedEvents,
+            mayRepeat: isRepeatable(route) && this.#runs + 1 < route.maxAttempts,
+            canMove: service.engine?.canMove === true,
+        });
+        this.#context.log.record("trouble", "stream is silent", {
+            request: request.id,
+            target: place.target.id,
+            action,
+            arrivedEvents,
+            engineEvents,
+            isEngineHeard: report !== undefined,
+        });
+        if (action === "leave") {
+            stall.abort();
+        }
+        else if (action === "move") {
+            this.startMove({ noticedAt: this.#now, plan: { destination: undefined, startAt: 0, finalAt: 0 } });
+            // The connection is lost, so nothing but the move's end tells that the run has stopped there.
+            void this.#move?.waitForSteps().then(() => stall.abort());
         }
-        const silence = this.#eventCount === 0
-            ? route.objectiveMilliseconds * FIRST_EVENT_SHARE
-            : (route.maxGapMilliseconds ?? DEFAULT_GAP) * SILENCE_GAPS;
-        return setTimeout(() => stall.abort(), silence);
     }
 
     #mayRepeat(verdict: Verdict): boolean {
