Leave dead targets at once, and ask engines while the store is silent

Change: a target that takes no connection weighs as six failures and is told to peers; such an attempt costs nothing of the retry budget. While no news of the store come, engines that run streams are asked whether they leave (EngineWatch).

Measured: new scenarios pass; they fail without the change (refused after the first dead targets; no move).

--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -121,6 +121,12 @@
         return [...changes, ...this.expireLapsed(now)];
     }
 
+    /** Notes that a target says itself that it leaves, before the store does. */
+    markLeaving(id: string): TargetChange[] {
+        const known = this.#targets.get(id);
+        return known === undefined ? [] : this.#applyTarget({ ...known, isLeaving: true });
+    }
+
     /** Removes lapsed targets that did not come back in time. */
     expireLapsed(now: number): TargetChange[] {
         const expired = [...this.#lapsedUntil].filter(([, until]) => until <= now);
--- a/core/serving/target_health.ts
+++ b/core/serving/target_health.ts
@@ -17,6 +17,8 @@
 const DEFAULT_HALF_LIFE = 3000;
 /** Penalty for each remembered failure, in units of a full target's load. */
 const FAILURE_PENALTY = 0.5;
+/** Weight of a refused connection: nothing listens there, so it counts as much as many failures. */
+export const UNREACHABLE_WEIGHT = 6;
 /** Largest penalty, so that a failing target is still chosen when the others are full. */
 const MAX_PENALTY = 3;
 
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -57,6 +57,22 @@
         Then the answer is 503 and whole
         And the caller may come back within 2 seconds
 
+    Scenario: targets that are gone while the store is down cost no request
+        Given a serving site with 4 targets of each service
+        When the store resets connections
+        And 2 targets of each service are gone
+        And 30 callers send a "stamp" one after the other
+        And 10 callers send a "narrative" one after the other
+        Then all answers are 200
+
+    Scenario: an engine that leaves while the store is down is noticed by asking it
+        Given a serving site whose streams take 250 ms an event
+        When the store resets connections
+        And a caller begins a "narrative"
+        And its engine tells only itself that it leaves after 1 events
+        Then the stream is whole and its events are in order
+        And the request moved once
+
     Scenario: an entry of another writer names no target
         Given a serving site
         When the store gets these entries of targets
--- a/features/steps/serving_steps.ts
+++ b/features/steps/serving_steps.ts
@@ -63,10 +63,36 @@
     site = await startServingSite({ eventMilliseconds: 60 });
 });
 
+Given("a serving site whose streams take {int} ms an event", async function(eventMilliseconds: number) {
+    site = await startServingSite({ eventMilliseconds });
+});
+
 Given("a serving site with {int} instances", async function(instances: number) {
     site = await startServingSite({ instances });
 });
 
+Given("a serving site with {int} targets of each service", async function(count: number) {
+    site = await startServingSite({ plainTargets: count, engines: count });
+});
+
+When("{int} targets of each service are gone", function(count: number) {
+    for (const service of ["ledger", "engines"]) {
+        for (const target of getSite().targets.filter(candidate => candidate.service === service).slice(0, count)) {
+            target.opened.close();
+        }
+    }
+});
+
+When("{int} callers send a {string} one after the other", async function(count: number, kind: string) {
+    for (let index = 0; index < count; index += 1) {
+        answers.push(await getSite().call({ kind, id: createId() }));
+    }
+});
+
+Then("the request moved once", function() {
+    assert.equal(listEngines().flatMap(({ standIn }) => standIn.resumed).length, 1);
+});
+
 Given("a site whose store is down", async function() {
     site = new ServingSite();
     await site.openStore();
@@ -215,12 +241,13 @@
 /** What happens to the engine that runs the stream, by the words of the table. */
 const ENGINE_EVENTS: Record<string, (engine: SiteTarget) => void> = {
     "says that it leaves": engine => getSite().writeTarget(engine, { state: "draining" }),
+    "tells only itself that it leaves": engine => void (engine.standIn.faults.isLeaving = true),
     "is no longer listed": engine => getSite().store.removeObject("servers", engine.id),
     crashes: engine => engine.standIn.failRuns(),
 };
 
 When(
-    /^its engine (says that it leaves|is no longer listed|crashes) after (\d+) events$/,
+    /^its engine (says that it leaves|tells only itself that it leaves|is no longer listed|crashes) after (\d+) events$/,
     async function(event: string, events: string) {
         await waitForEvents(Number(events));
         const engine = listEngines().find(({ standIn }) => standIn.activeRuns > 0);
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -121,6 +121,11 @@
         this.#sendDigests();
     }
 
+    /** Tells whether a peer that watches the store is heard. */
+    hasWatcher(): boolean {
+        return [...this.#peers.values()].some(peer => peer.isWatching && !peer.isLost);
+    }
+
     /** Decides whether this instance is among those that watch the store for all. */
     decideWatching(): boolean {
         const now = this.#options.clock.getMonotonic();
@@ -225,6 +230,9 @@
         peer.isLost = false;
         peer.versions = message.versions;
         peer.isWatching = message.isWatching;
+        for (const target of message.unreachable) {
+            this.#options.state.recordUnreachable(target);
+        }
         this.#options.state.ledger.applyDigest(message.instance, { work: message.work, receivedAt: now });
     }
 
@@ -337,6 +345,7 @@
             instance: this.#options.instance,
             address: this.#ownAddress,
             work: this.#options.state.ledger.getDigest(),
+            unreachable: this.#options.state.listUnreachable(),
             versions: this.#getVersions(),
             isWatching: this.#options.isWatching(),
         };
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -26,6 +26,8 @@
     address: string;
     /** Work that the sender has at each target. */
     work: WorkDigest;
+    /** Targets that took no connection of the sender a moment ago. */
+    unreachable: string[];
     /** How far the sender's beliefs reach. */
     versions: BeliefVersions;
     /** True where the sender watches the store and the store answers it. */
@@ -75,6 +77,7 @@
         instance: v.string(),
         address: v.string(),
         work: WorkSchema,
+        unreachable: v.array(v.string()),
         versions: VersionsSchema,
         isWatching: v.boolean(),
     }),
--- a/serving/plain_call.ts
+++ b/serving/plain_call.ts
@@ -16,17 +16,17 @@
     writeAnswerHead,
 } from "./caller_exchange.ts";
 import type { HeldPlace } from "./place_finder.ts";
-import { TargetCallError } from "./target_connections.ts";
+import { isUnreachable, TargetCallError } from "./target_connections.ts";
 
 /** How one attempt ended. */
 type AttemptResult =
     | { kind: "answered"; head: TargetAnswerHead; body: Buffer; }
-    | { kind: "failed"; verdict: Verdict; reason: string; };
+    | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; };
 
 /** Largest answer that is held in memory, in bytes; plain answers are a few kilobytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most targets that are asked while each refuses before running. */
-const MAX_SENDS = 5;
+const MAX_SENDS = 8;
 /** Time without an answer after which a repeatable request is tried elsewhere, in multiples of the objective. */
 const PATIENCE_OBJECTIVES = 2;
 /** Least time that an attempt gets, in milliseconds. */
@@ -70,7 +70,7 @@
                 return;
             }
             reason = result.reason;
-            if (!this.#mayRepeat(result.verdict)) {
+            if (!this.#mayRepeat(result)) {
                 break;
             }
         }
@@ -104,16 +104,14 @@
             milliseconds: Math.round(now - startedAt),
         });
         metrics.countAttempt(this.#exchange.service.name, result.kind === "answered" ? "answered" : result.verdict);
+        if (!this.#exchange.isCallerGone()) {
+            const isUnreachable = result.kind === "failed" && result.isUnreachable === true;
+            state.recordAttempt(place.target.id, { hasFailed: result.kind === "failed", isUnreachable });
+        }
         if (result.kind === "failed") {
             this.#avoid.add(place.target.id);
             this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
             this.#runs += result.verdict === "not-run" ? 0 : 1;
-            if (!this.#exchange.isCallerGone()) {
-                state.health.recordFailure(place.target.id, { now });
-            }
-        }
-        else {
-            state.health.recordSuccess(place.target.id, now);
         }
         return result;
     }
@@ -147,7 +145,7 @@
                 : error instanceof Error
                 ? error.message
                 : String(error);
-            return { kind: "failed", verdict, reason };
+            return { kind: "failed", verdict, reason, isUnreachable: isUnreachable(error) };
         }
     }
 
@@ -169,7 +167,7 @@
         return { kind: "answered", head, body };
     }
 
-    #mayRepeat(verdict: Verdict): boolean {
+    #mayRepeat({ verdict, isUnreachable }: { verdict: Verdict; isUnreachable?: boolean; }): boolean {
         const { route, service, signal } = this.#exchange;
         const { state, clock } = this.#context;
         const isAllowed = !signal.aborted
@@ -181,7 +179,10 @@
                 attempts: this.#attempts.length,
                 remainingMilliseconds: this.#remaining,
             }, { maxAttempts: MAX_SENDS });
-        return isAllowed && state.getRetryShare(service.name).takeRepeat(clock.getMonotonic(), state.instances);
+        // A target that took no connection got nothing, so that nothing of the budget is used.
+        return isAllowed
+            && (isUnreachable === true
+                || state.getRetryShare(service.name).takeRepeat(clock.getMonotonic(), state.instances));
     }
 
     #sendAnswer(answer: { head: TargetAnswerHead; body: Buffer; }): void {
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -10,6 +10,7 @@
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import { CallerServer } from "./caller_server.ts";
+import { EngineWatch } from "./engine_watch.ts";
 import { MoveWatch } from "./move_watch.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { PlaceFinder } from "./place_finder.ts";
@@ -52,6 +53,7 @@
     readonly #connections = new TargetConnections();
     readonly #metrics: ServingMetrics;
     readonly #callers: CallerServer;
+    readonly #engines: EngineWatch;
     readonly #context: ServingContext;
     readonly #servers: Server[] = [];
     #timer: NodeJS.Timeout | undefined;
@@ -94,6 +96,12 @@
             isStopping: () => this.#stopAskedAt !== undefined,
         };
         this.#callers = new CallerServer(this.#context);
+        this.#engines = new EngineWatch({
+            state: this.#state,
+            clock,
+            listStreams: () => this.#callers.activeStreams,
+            hearsStore: () => this.#watcher.isWatching || this.#peers.hasWatcher(),
+        });
         const moves = new MoveWatch({ context: this.#context, listStreams: () => this.#callers.activeStreams });
         this.#state.targetListeners.push(change => {
             moves.handleChange(change);
@@ -122,6 +130,7 @@
             this.#peers.sendGreeting(seed);
         }
         void this.#enterInstance();
+        this.#engines.start();
         this.#startSweep();
         this.#log.record("process", "started", { instance: settings.instance, zone: settings.zone });
     }
@@ -150,6 +159,7 @@
     close(): void {
         this.#stopAskedAt ??= this.#clock.getMonotonic();
         this.#watcher.stop();
+        this.#engines.stop();
         this.#callers.close();
         this.#peers.close();
         this.#connections.close();
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -17,6 +17,7 @@
     TargetDirectory,
     TargetHealth,
     type TargetSnapshot,
+    UNREACHABLE_WEIGHT,
 } from "../core/serving/mod.ts";
 import type { InstanceSettings } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -64,10 +65,12 @@
 }
 
 /** Where a belief came from. */
-export type BeliefSource = "store" | `peer ${string}`;
+export type BeliefSource = "store" | "target" | `peer ${string}`;
 
 /** Instances assumed while it is not known how many there are: about the usual number, and some more. */
 const ASSUMED_INSTANCES = 10;
+/** Time for which peers are told of a target that took no connection, in milliseconds. */
+const UNREACHABLE_MEMORY = 2000;
 /** Part of a target's connections that is used; the rest covers connections that are being closed. */
 const CONNECTION_MARGIN = 0.8;
 
@@ -84,6 +87,7 @@
     readonly newsListeners: ((news: StoreNews) => void)[] = [];
     readonly #options: ServingStateOptions;
     readonly #retryShares = new Map<string, RetryShare>();
+    readonly #unreachable = new Map<string, number>();
     #table: RouteTable | undefined;
     #zones: ZoneSnapshot | undefined;
     #countInstances: () => number = () => 0;
@@ -170,6 +174,45 @@
         }
     }
 
+    /** Notes that a target says itself that it leaves. */
+    markLeaving(id: string): void {
+        this.#publish(this.directory.markLeaving(id), "target");
+    }
+
+    /** Notes how an attempt at a target ended; one that took no connection is told to peers. */
+    recordAttempt(id: string, end: { hasFailed: boolean; isUnreachable: boolean; }): void {
+        const now = this.#now();
+        if (!end.hasFailed) {
+            this.health.recordSuccess(id, now);
+            this.#unreachable.delete(id);
+            return;
+        }
+        this.health.recordFailure(id, { now, weight: end.isUnreachable ? UNREACHABLE_WEIGHT : 1 });
+        if (end.isUnreachable) {
+            this.#unreachable.set(id, now);
+            this.ledger.onEngineChange();
+        }
+    }
+
+    /** Notes that a peer could not reach a target. */
+    recordUnreachable(id: string): void {
+        const now = this.#now();
+        if (this.directory.findTarget(id) !== undefined && this.health.computePenalty(id, now) < 1) {
+            this.health.recordFailure(id, { now, weight: UNREACHABLE_WEIGHT / 2 });
+        }
+    }
+
+    /** Lists the targets that took no connection of this instance a moment ago. */
+    listUnreachable(): string[] {
+        const now = this.#now();
+        for (const [id, time] of this.#unreachable) {
+            if (now - time > UNREACHABLE_MEMORY) {
+                this.#unreachable.delete(id);
+            }
+        }
+        return [...this.#unreachable.keys()];
+    }
+
     /** Removes lapsed targets whose time is over. */
     expireLapsed(): void {
         this.#publish(this.directory.expireLapsed(this.#now()), "store");
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -18,7 +18,7 @@
 } from "./caller_exchange.ts";
 import type { HeldPlace } from "./place_finder.ts";
 import { type MovedRun, type MoveNotice, RunMove } from "./run_move.ts";
-import { type TargetAnswer, TargetCallError } from "./target_connections.ts";
+import { isUnreachable, type TargetAnswer, TargetCallError } from "./target_connections.ts";
 
 /** Watches for the silence of one attempt. */
 interface SilenceWatch {
@@ -44,7 +44,7 @@
     /** The run goes on at another target. */
     | { kind: "moved"; to: MovedRun; }
     /** The attempt gave no whole stream. */
-    | { kind: "failed"; verdict: Verdict; reason: string; };
+    | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; };
 
 /** Streams that are being relayed, for those who move them. */
 export interface ActiveStream {
@@ -52,6 +52,8 @@
     readonly targetId: string;
     /** Identity of the request. */
     readonly requestId: string;
+    /** True where its run can be moved, and not started anew. */
+    readonly isMovable: boolean;
     /** Moves the run away from its target, which leaves. */
     startMove(notice: MoveNotice): void;
 }
@@ -59,7 +61,7 @@
 /** Largest answer other than a stream, in bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most targets that are asked while each refuses before running. */
-const MAX_SENDS = 6;
+const MAX_SENDS = 8;
 /** Silence after which an engine is asked about a stream, in multiples of the route's longest timely pause. */
 const SILENCE_GAPS = 4;
 /** Silence assumed where the route names no pause, in milliseconds. */
@@ -110,15 +112,18 @@
         return this.#exchange.request.id;
     }
 
+    get isMovable(): boolean {
+        return this.#exchange.service.engine?.canMove === true && !isRepeatable(this.#exchange.route);
+    }
+
     get targetId(): string {
         return this.#place?.target.id ?? "";
     }
 
     startMove(notice: MoveNotice): void {
-        const { service, route, request, account } = this.#exchange;
+        const { service, request, account } = this.#exchange;
         const place = this.#place;
-        const isMovable = service.engine?.canMove === true && !isRepeatable(route);
-        if (place === undefined || !isMovable || this.#move !== undefined) {
+        if (place === undefined || !this.isMovable || this.#move !== undefined) {
             return;
         }
         this.#move = new RunMove(this.#context, {
@@ -181,7 +186,7 @@
                     continue;
                 }
             }
-            if (!this.#mayRepeat(result.verdict)) {
+            if (!this.#mayRepeat(result)) {
                 break;
             }
         }
@@ -233,16 +238,19 @@
         if (result.kind === "moved" || this.#eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
         }
-        if (result.kind !== "failed") {
-            state.health.recordSuccess(place.target.id, this.#now);
+        const hasFailed = result.kind === "failed";
+        if (!this.#exchange.isCallerGone()) {
+            state.recordAttempt(place.target.id, {
+                hasFailed,
+                isUnreachable: hasFailed && result.isUnreachable === true,
+            });
+        }
+        if (!hasFailed) {
             return;
         }
         this.#avoid.add(place.target.id);
         this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
         this.#runs += result.verdict === "not-run" ? 0 : 1;
-        if (!this.#exchange.isCallerGone()) {
-            state.health.recordFailure(place.target.id, { now: this.#now });
-        }
     }
 
     async #relay(place: HeldPlace, copy: MemoryCopy | undefined): Promise<AttemptResult> {
@@ -276,7 +284,8 @@
                 : error instanceof Error
                 ? error.message
                 : String(error);
-            return await this.#awaitMove() ?? { kind: "failed", verdict, reason };
+            const failure = { kind: "failed" as const, verdict, reason, isUnreachable: isUnreachable(error) };
+            return await this.#awaitMove() ?? failure;
         }
         finally {
             silence.stop();
@@ -457,14 +466,16 @@
         }
     }
 
-    #mayRepeat(verdict: Verdict): boolean {
+    #mayRepeat({ verdict, isUnreachable }: { verdict: Verdict; isUnreachable?: boolean; }): boolean {
         const { route, service, signal } = this.#exchange;
         const { state, clock } = this.#context;
         const isHarmless = verdict === "not-run" && this.#verdict === "not-run" || isRepeatable(route);
         if (signal.aborted || !isHarmless || this.#runs >= Math.max(1, route.maxAttempts)) {
             return false;
         }
-        return state.getRetryShare(service.name).takeRepeat(clock.getMonotonic(), state.instances);
+        // A target that took no connection got nothing, so that nothing of the budget is used.
+        return isUnreachable === true
+            || state.getRetryShare(service.name).takeRepeat(clock.getMonotonic(), state.instances);
     }
 
     #finish(): void {
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -22,6 +22,11 @@
     }
 }
 
+/** Tells whether an error says that the target took no connection. */
+export function isUnreachable(error: unknown): boolean {
+    return error instanceof TargetCallError && error.progress === "not-connected";
+}
+
 /** A request to a target. */
 export interface TargetCall {
     /** Identity of the target; kept connections belong to one identity. */
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -17,6 +17,8 @@
     moveStep: string;
     /** Status of the answer to that step; 0 answers nothing. */
     moveAnswer: number;
+    /** Says in its reports that it leaves. */
+    isLeaving: boolean;
 }
 
 /** A run, with the memory that a copy of it holds. */
@@ -75,7 +77,7 @@
 
 /** Serves requests as a target does, and remembers what it ran. */
 export class TargetStandIn implements StandIn<TargetFaults> {
-    readonly faults: TargetFaults = { answer: "ok", faultyAnswers: 0, moveStep: "", moveAnswer: 0 };
+    readonly faults: TargetFaults = { answer: "ok", faultyAnswers: 0, moveStep: "", moveAnswer: 0, isLeaving: false };
     readonly #options: TargetStandInOptions;
     /** Requests that reached this target, in order. */
     readonly arrivals: { requestId: string; headers: Record<string, unknown>; }[] = [];
@@ -97,7 +99,10 @@
     async handleRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
         if (request.url === "/report") {
             const runs = [...this.#runs.values()].map(run => [run.requestId, 100, run.events, 5]);
-            sendJson(response, { status: 200, value: { stage: "both", runs, state: "ready" } });
+            sendJson(response, {
+                status: 200,
+                value: { stage: "both", runs, state: this.faults.isLeaving ? "draining" : "ready" },
+            });
             return;
         }
         if (request.url === "/kv-move") {
