--- a/features/steps/serving_steps.ts
+++ b/features/steps/serving_steps.ts
@@ -282,7 +282,10 @@
     "it answers nonsense": store => void (store.faults.isNonsense = true),
     "a watch's history is gone": store => void (store.faults.historyFrom = 1000),
     "the answer to a put is lost": store => void (store.faults.lostAnswers = 1),
-    "resets connections": store => void (store.faults.isReset = true),
+    "resets connections": store => {
+        store.faults.isReset = true;
+        store.breakWatches();
+    },
     "refuses with 503": store => void (store.faults.refuseWith = 503),
     "answers nonsense": store => void (store.faults.isNonsense = true),
     "forgets its history": store => void (store.faults.historyFrom = 1000),
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -53,6 +53,7 @@
     readonly #objects = new Map<string, Map<string, StoredObject>>();
     readonly #events: StoredEvent[] = [];
     readonly #waiting = new Set<() => void>();
+    readonly #watches = new Set<ServerResponse>();
     #revision = 10;
 
     /** Writes an object as the operator or a target would. */
@@ -65,6 +66,13 @@
         this.#publish({ kind, object, deleted: false, revision: this.#revision });
     }
 
+    /** Cuts the watches that wait. */
+    breakWatches(): void {
+        for (const response of this.#watches) {
+            response.destroy();
+        }
+    }
+
     /** Removes an object. */
     removeObject(kind: string, name: string): void {
         const object = this.#objects.get(kind)?.get(name);
@@ -135,8 +143,13 @@
         const list = (): StoredEvent[] =>
             this.#events.filter(event => event.kind === watch.kind && event.revision > from);
         if (list().length === 0) {
+            this.#watches.add(response);
+            response.on("close", () => this.#watches.delete(response));
             await this.#waitForChange(Number(watch.url.searchParams.get("wait_ms")));
         }
+        if (response.destroyed) {
+            return;
+        }
         const events = list().map(({ object, deleted }) => ({ object, deleted }));
         sendJson(response, { status: 200, value: { events, as_of: this.#revision } });
     }
