--- a/telemetry/admin_server.ts
+++ b/telemetry/admin_server.ts
@@ -28,10 +28,11 @@
  * @returns The listening server.
  */
 export async function openAdminServer(options: AdminServerOptions): Promise<Server> {
-    process.on("SIGUSR2", () => {
+    const printDump = (): void => {
         process.stderr.write(`${JSON.stringify(options.dumpState())}\n`);
-    });
-    return openHttpServer({
+    };
+    process.on("SIGUSR2", printDump);
+    const server = await openHttpServer({
         address: options.address,
         handler: async (request, response) => {
             const path = (request.url ?? "").split("?")[0] ?? "";
@@ -54,4 +55,6 @@
             sendJson(response, page === undefined ? { status: 404, value: {} } : { status: 200, value: page() });
         },
     });
+    server.on("close", () => process.off("SIGUSR2", printDump));
+    return server;
 }
