Plan runs that the first reports miss in a second round

Change: reports are fetched again 0.6 s after the notice, and what they add is planned behind the first plan; a late run's last copy goes before the next run's first.

--- a/core/serving/plan_departure.ts
+++ b/core/serving/plan_departure.ts
@@ -71,6 +71,8 @@
 const REPORT_GROWTH = 1.1;
 /** Time between two last copies from one engine, in milliseconds: the tokens of about a second, and the calls. */
 const FINAL_SPACING = 14;
+/** Time that a last copy gets between two first ones, in milliseconds. */
+const LATE_SPACING = 40;
 /** Time kept free after the last copies, in milliseconds, so that the resumed requests arrive before the notice ends. */
 const FINAL_RESERVE = 60;
 /** Weight of a copy's own length against the time at which it is through: short copies leave room for others. */
@@ -120,7 +122,10 @@
         links.holdLink(entry.source.id, finalAt + lastCopies);
         const move = links.scheduleCopy(entry, Infinity);
         const startAt = move?.startAt ?? finalAt + lastCopies;
-        plan.set(entry.run.requestId, { destination: move?.destination, startAt, finalAt: startAt });
+        const endAt = move?.finishAt ?? startAt;
+        plan.set(entry.run.requestId, { destination: move?.destination, startAt, finalAt: endAt });
+        // The last copy goes before the next run's first one, or it would stall its caller for as long as that takes.
+        links.holdLink(entry.source.id, endAt + LATE_SPACING);
     }
     return plan;
 }
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -11,6 +11,7 @@
             | 1       | 6    | 0.97  |
             | 2       | 5    | 0.97  |
             | 3       | 4    | 0.97  |
+            | 1       | 9    | 0.9   |
 
     Scenario: a burst placed by memory preempts less than one placed by fewest requests
         When 60 generations come at once to 9 engines
--- a/serving/move_watch.ts
+++ b/serving/move_watch.ts
@@ -7,6 +7,7 @@
     type DepartingEngine,
     type DestinationEngine,
     planDeparture,
+    type PlannedMove,
     type ServiceDefinition,
     type ServingTarget,
     type TargetChange,
@@ -23,12 +24,21 @@
     listStreams: () => Iterable<ActiveStream>;
 }
 
+/** Engines of one service that leave together. */
+interface Departure {
+    leaving: { target: ServingTarget; report: EngineReport | undefined; }[];
+    /** Time of the notice, on the monotonic clock in milliseconds. */
+    noticedAt: number;
+}
+
 /** Time allowed for a report, in milliseconds; a move is planned without it rather than late. */
 const REPORT_TIMEOUT = 100;
 /** Time in which engines that leave together are gathered into one plan, in milliseconds. */
 const GATHER_TIME = 12;
 /** Notice assumed where an engine does not tell, in milliseconds; reclaimed engines have stayed 1.5 s and longer. */
 const DEFAULT_NOTICE = 1500;
+/** Time after the notice at which reports hold the runs that had begun by then, in milliseconds. */
+const REPORT_AGE = 600;
 /** Share of an engine's memory that moved runs may fill. */
 const MEMORY_SHARE = 1;
 
@@ -65,24 +75,30 @@
     }
 
     async #startMoves(targets: readonly ServingTarget[], noticedAt: number): Promise<void> {
-        const reports = await Promise.all(targets.map(target => fetchReport(target.address, REPORT_TIMEOUT)));
+        const all = await this.#fetchLeaving(targets);
         const services = new Set(targets.map(target => target.service));
         for (const name of services) {
             const service = this.#options.context.state.table?.findService(name);
             if (service?.engine?.canMove === true) {
-                const leaving = targets.flatMap((target, index) =>
-                    target.service === name ? [{ target, report: reports[index] }] : []
-                );
+                const leaving = all.filter(({ target }) => target.service === name);
                 this.#startServiceMoves(service, { leaving, noticedAt });
             }
         }
     }
 
+    #fetchLeaving(targets: readonly ServingTarget[]): Promise<Departure["leaving"]> {
+        return Promise.all(
+            targets.map(async target => ({ target, report: await fetchReport(target.address, REPORT_TIMEOUT) })),
+        );
+    }
+
     #startServiceMoves(
         service: ServiceDefinition,
-        departure: { leaving: { target: ServingTarget; report: EngineReport | undefined; }[]; noticedAt: number; },
+        departure: Departure,
+        stage: { round: "first" | "second"; offset: number; } = { round: "first", offset: 0 },
     ): void {
         const { leaving, noticedAt } = departure;
+        const { round, offset } = stage;
         const notices = leaving.map(({ report }) => report?.leavesInMilliseconds ?? DEFAULT_NOTICE);
         const noticeMilliseconds = Math.min(...notices);
         const sources: DepartingEngine[] = leaving.map(({ target, report }) => ({
@@ -90,22 +106,67 @@
             zone: target.zone,
             runs: report?.runs ?? [],
         }));
-        const plan = planDeparture({
+        const relative = planDeparture({
             sources,
             destinations: this.#listDestinations(service),
             millisecondsPerToken: service.engine?.copyMillisecondsPerToken ?? 0,
-            noticeMilliseconds,
+            noticeMilliseconds: noticeMilliseconds - offset,
         });
-        const ids = new Set(leaving.map(({ target }) => target.id));
-        const latest = Math.max(0, ...[...plan.values()].map(move => move.finalAt));
-        const unplanned = { destination: undefined, startAt: latest, finalAt: latest };
+        const plan = new Map([...relative].map(([id, { destination, startAt, finalAt }]) => [
+            id,
+            { destination, startAt: startAt + offset, finalAt: finalAt + offset },
+        ]));
+        this.#startPlanned(plan, noticedAt);
+        const isComplete = this.#listUnplanned(departure).length === 0;
+        if (round === "first" && !isComplete) {
+            const latest = Math.max(REPORT_AGE, ...[...plan.values()].map(move => move.finalAt));
+            this.#scheduleSecondRound(service, { ...departure, latest });
+        }
+        else {
+            for (const stream of this.#listUnplanned(departure)) {
+                stream.startMove({ noticedAt, plan: { destination: undefined, startAt: offset, finalAt: offset } });
+            }
+        }
+    }
+
+    /**
+     * Plans the runs that the first reports, which are some hundred milliseconds old, did not hold yet.
+     *
+     * Their copies go after those of the first plan.
+     */
+    #scheduleSecondRound(service: ServiceDefinition, departure: Departure & { latest: number; }): void {
+        const { leaving, noticedAt, latest } = departure;
+        const now = this.#options.context.clock.getMonotonic();
+        setTimeout(() => {
+            const targets = leaving.map(({ target }) => target);
+            void this.#fetchLeaving(targets).then(again => {
+                const planned = new Set(leaving.flatMap(({ report }) => report?.runs.map(run => run.requestId) ?? []));
+                const fresh = again.map(({ target, report }) => ({
+                    target,
+                    report: report && { ...report, runs: report.runs.filter(run => !planned.has(run.requestId)) },
+                }));
+                this.#startServiceMoves(service, { leaving: fresh, noticedAt }, { round: "second", offset: latest });
+            });
+        }, Math.max(0, noticedAt + REPORT_AGE - now));
+    }
+
+    #startPlanned(plan: ReadonlyMap<string, PlannedMove>, noticedAt: number): void {
         for (const stream of this.#options.listStreams()) {
-            if (ids.has(stream.targetId)) {
-                stream.startMove({ noticedAt, plan: plan.get(stream.requestId) ?? unplanned });
+            const move = plan.get(stream.requestId);
+            if (move !== undefined) {
+                stream.startMove({ noticedAt, plan: move });
             }
         }
     }
 
+    /** Lists the streams on engines that leave whose move has not begun. */
+    #listUnplanned({ leaving }: Departure): ActiveStream[] {
+        const ids = new Set(leaving.map(({ target }) => target.id));
+        return [...this.#options.listStreams()].filter(stream =>
+            ids.has(stream.targetId) && stream.isMovable && !stream.isMoving
+        );
+    }
+
     #listDestinations(service: ServiceDefinition): DestinationEngine[] {
         const { engine } = service;
         return this.#options.context.state.listCandidates(service).flatMap(({ target, held, penalty }) =>
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -54,6 +54,8 @@
     readonly requestId: string;
     /** True where its run can be moved, and not started anew. */
     readonly isMovable: boolean;
+    /** True once a move of its run has begun. */
+    readonly isMoving: boolean;
     /** Moves the run away from its target, which leaves. */
     startMove(notice: MoveNotice): void;
 }
@@ -116,6 +118,10 @@
         return this.#exchange.service.engine?.canMove === true && !isRepeatable(this.#exchange.route);
     }
 
+    get isMoving(): boolean {
+        return this.#move !== undefined;
+    }
+
     get targetId(): string {
         return this.#place?.target.id ?? "";
     }
