--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -45,7 +45,9 @@
 
 let planned: MoveOutcome[] = [];
 let naive: MoveOutcome[] = [];
-/** Runs that any order of copies within their zone could save. */
+/** Notice that the plan is told, in milliseconds; engines stay a little longer. */
+const PROMISED_NOTICE = 1500;
+/** Runs that any order of copies within their zone could save within the promised notice. */
 let savable = 0;
 
 /** Counts the runs whose copies fit one after the other on their engine's link before it is gone. */
@@ -81,9 +83,14 @@
                 zone: zones[index % 3] ?? "",
                 freeTokens: 12_000 + random() * 6000,
             }));
-            const question = { sources, destinations, millisecondsPerToken: 0.055, noticeMilliseconds: 1500 };
+            const question = {
+                sources,
+                destinations,
+                millisecondsPerToken: 0.055,
+                noticeMilliseconds: PROMISED_NOTICE,
+            };
             planned.push(...replayMoves({ sources, destinations, plan: planDeparture(question), notice }));
-            savable += sources.reduce((sum, source) => sum + countSavable(source, notice), 0);
+            savable += sources.reduce((sum, source) => sum + countSavable(source, PROMISED_NOTICE), 0);
             naive.push(...replayMoves({ sources, destinations, plan: undefined, notice }));
         }
     },
