Add the fault soak, and spread the questions of instances that are behind

Watchers name the same change by different revisions, so that peers saw gaps; all then asked the first peer that was ahead, whose link was full, or which was gone.

Change: changes carry their own revision; a peer that is behind asks any of those heard lately, and after 0.8 s reads the store as well. The soak (support/soak) runs real processes under random faults.

--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -18,8 +18,10 @@
 
 /** A list of all targets at one revision of the store. */
 export interface TargetSnapshot {
-    /** Revision of the store's latest change to the list. */
+    /** Revision of the store up to which the list holds. */
     revision: number;
+    /** Revision of the latest change to the list; `undefined` where only its reader can tell. */
+    changeRevision?: number | undefined;
     /** Targets. */
     targets: ServingTarget[];
 }
@@ -90,8 +92,12 @@
         this.#isKnown = true;
         const listed = new Set(snapshot.targets.map(target => target.id));
         const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
-        const changes = this.applyEvents({ revision: snapshot.revision, changed: snapshot.targets, removed }, now);
-        if (changes.length === 0 && previous !== undefined) {
+        const { revision, changeRevision, targets } = snapshot;
+        const changes = this.applyEvents({ revision, changed: targets, removed }, now);
+        if (changeRevision !== undefined) {
+            this.#changeRevision = changeRevision;
+        }
+        else if (changes.length === 0 && previous !== undefined) {
             this.#changeRevision = previous;
         }
         return changes;
@@ -99,12 +105,12 @@
 
     /** Applies changes up to a revision and tells what they mean for running work. */
     applyEvents(
-        events: { revision: number; changed: ServingTarget[]; removed: string[]; },
+        events: { revision: number; changeRevision?: number; changed: ServingTarget[]; removed: string[]; },
         now: number,
     ): TargetChange[] {
         this.#revision = Math.max(this.#revision, events.revision);
         if (events.changed.length > 0 || events.removed.length > 0) {
-            this.#changeRevision = this.#revision;
+            this.#changeRevision = Math.max(this.#changeRevision, events.changeRevision ?? events.revision);
         }
         const changes = events.changed.flatMap(target => this.#applyTarget(target));
         const unannounced = events.removed.filter(id => this.#targets.get(id)?.isLeaving === false);
@@ -147,7 +153,7 @@
 
     /** Gives the whole list, for peers that are behind. */
     getSnapshot(): TargetSnapshot {
-        return { revision: this.#revision, targets: [...this.#targets.values()] };
+        return { revision: this.#revision, changeRevision: this.#changeRevision, targets: [...this.#targets.values()] };
     }
 
     #applyTarget(target: ServingTarget): TargetChange[] {
--- /dev/null
+++ b/features/steps/soak_steps.ts
@@ -0,0 +1,23 @@
+/**
+ * Steps of the soak.
+ *
+ * @module
+ */
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { runSoak, type SoakResult } from "../../support/soak/soak_run.ts";
+
+let result: SoakResult | undefined;
+
+When(
+    "a soak runs for {int} seconds with the seed {int}",
+    async function(seconds: number, seed: number) {
+        result = await runSoak({ seed, milliseconds: seconds * 1000 });
+    },
+);
+
+Then("no promise is broken and at least {int} in 10 requests are served", function(share: number) {
+    assert.ok(result !== undefined);
+    assert.deepEqual(result.broken, []);
+    assert.ok(result.served >= result.requests * share / 10, JSON.stringify(result));
+});
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -5,7 +5,7 @@
  */
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type CallerLimits, pickService, type Route, type RouteResult } from "../core/serving/mod.ts";
-import { type Address, BodyTooLargeError, openHttpServer, readBody } from "../network/mod.ts";
+import { type Address, BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
 import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
 import { answerError, breakOff, type CallerExchange, type ServingContext } from "./caller_exchange.ts";
 import { handlePlainCall } from "./plain_call.ts";
@@ -15,6 +15,8 @@
 const ANSWER_RESERVE = 15;
 /** Patience assumed where neither caller nor route names one, in milliseconds. */
 const DEFAULT_PATIENCE = 60_000;
+/** Time between two looks at the requests of a stopping process, in milliseconds. */
+const DRAIN_LOOK = 20;
 /** Time after which a caller comes back that an instance without beliefs has refused, in seconds. */
 const NOT_READY_RETRY = 0.5;
 /** Limits in force before a configuration is known. */
@@ -71,6 +73,25 @@
         }
     }
 
+    /** Finishes the requests that run, then accepts no connection, and waits until none has sent one for a while. */
+    async drain(options: { quietMilliseconds: number; until: number; }): Promise<void> {
+        const { clock } = this.#context;
+        let quietSince: number | undefined;
+        while (clock.getMonotonic() < options.until) {
+            if (this.#activeRequests > 0) {
+                quietSince = undefined;
+            }
+            else if (quietSince === undefined) {
+                quietSince = clock.getMonotonic();
+                this.#server?.close();
+            }
+            else if (clock.getMonotonic() - quietSince >= options.quietMilliseconds) {
+                return;
+            }
+            await waitMilliseconds(DRAIN_LOOK);
+        }
+    }
+
     /** Stops to listen and closes the connections that are idle. */
     close(): void {
         this.#server?.close();
@@ -85,17 +106,16 @@
         if (this.#context.isStopping()) {
             response.shouldKeepAlive = false;
         }
-        const request = await this.#readRequest(incoming, response);
-        if (request === undefined) {
-            return;
-        }
         this.#activeRequests += 1;
         try {
-            await this.#serve({ request, response, arrivedAt, gone: gone.signal });
+            const request = await this.#readRequest(incoming, response);
+            if (request !== undefined) {
+                await this.#serve({ request, response, arrivedAt, gone: gone.signal });
+            }
         }
         catch (error) {
             this.#context.log.record("trouble", "request handler failed", {
-                request: request.id,
+                path: incoming.url,
                 error: String(error),
             });
             breakOff(response);
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -31,8 +31,12 @@
     clock: Clock;
     /** Tells whether the store answers this instance's watches. */
     isWatching: () => boolean;
+    /** Source of random numbers from 0 up to 1. */
+    random: () => number;
     /** Reads the configuration from the store; gives true where that worked. */
-    refreshConfiguration: () => Promise<boolean>;
+    readConfiguration: () => Promise<boolean>;
+    /** Reads the list of targets from the store; gives true where that worked. */
+    readTargets: () => Promise<boolean>;
 }
 
 interface Peer {
@@ -69,6 +73,10 @@
 const FORGET_AFTER = 60_000;
 /** Time for which a belief that a peer has is awaited from the store, in milliseconds, before the peer is asked. */
 const ASK_DELAY = 120;
+/** Time of being behind after which the store is read as well, in milliseconds: well below the time to stop sending. */
+const READ_DELAY = 800;
+/** Age of a digest up to which its sender is asked, in milliseconds; an older sender may be gone. */
+const HEARD_LATELY = 2000;
 /** Least time between two questions to peers, in milliseconds. */
 const ASK_INTERVAL = 250;
 
@@ -83,6 +91,7 @@
     #digestTimer: NodeJS.Timeout | undefined;
     #lastSentAt = 0;
     #askedAt = 0;
+    #behindSince: number | undefined;
     #isListed = false;
 
     constructor(options: PeerExchangeOptions) {
@@ -269,10 +278,9 @@
             state.applyZones(zones, source);
         }
         // Events after a gap would leave the list wrong for good; the whole list is asked for in their place.
-        if (
-            targets !== undefined && targets.from <= state.directory.revision
-            && targets.revision > state.directory.revision
-        ) {
+        const { directory } = state;
+        const known = Math.max(directory.revision, directory.changeRevision);
+        if (targets !== undefined && targets.from <= known && targets.changeRevision > directory.changeRevision) {
             state.applyEvents(targets, source);
         }
     }
@@ -359,28 +367,42 @@
         }
     }
 
-    /** Asks a peer that is ahead, once the store had time to tell the same. */
+    /** Asks a peer that is ahead, once the store had time to tell the same; then the store itself. */
     async #askIfBehind(): Promise<void> {
         const now = this.#options.clock.getMonotonic();
+        const ahead = this.#listAhead(now);
+        const peer = ahead[Math.floor(this.#options.random() * ahead.length)];
+        if (peer === undefined) {
+            this.#behindSince = undefined;
+            return;
+        }
+        this.#behindSince ??= now;
+        const behind = now - this.#behindSince;
+        if (behind < ASK_DELAY || now - this.#askedAt < ASK_INTERVAL) {
+            return;
+        }
+        this.#askedAt = now;
+        const isConfigurationBehind = peer.versions.configuration > this.#getVersions().configuration;
+        if (isConfigurationBehind && await this.#options.readConfiguration()) {
+            return;
+        }
+        if (behind > READ_DELAY) {
+            await this.#options.readTargets();
+        }
+        this.#links.send(peer.address, this.#buildAsk());
+    }
+
+    /** Lists the peers whose beliefs reach further than this instance's and that were heard a moment ago. */
+    #listAhead(now: number): Peer[] {
         const own = this.#getVersions();
         const { directory, zones } = this.#options.state;
-        const ahead = [...this.#peers.values()].find(({ versions, isLost }) =>
-            !isLost && (versions.configuration > own.configuration
-                || versions.targets > directory.revision
+        return [...this.#peers.values()].filter(({ versions, isLost, heardAt }) =>
+            !isLost
+            && now - (heardAt ?? Number.NEGATIVE_INFINITY) < HEARD_LATELY
+            && (versions.configuration > own.configuration
+                || versions.targets > Math.max(directory.revision, own.targets)
                 || versions.zones > (zones?.revision ?? -1))
         );
-        if (ahead === undefined) {
-            this.#askedAt = now - ASK_INTERVAL + ASK_DELAY;
-            return;
-        }
-        if (now - this.#askedAt >= ASK_INTERVAL) {
-            this.#askedAt = now;
-            const isBehind = ahead.versions.configuration > own.configuration;
-            if (isBehind && await this.#options.refreshConfiguration()) {
-                return;
-            }
-            this.#links.send(ahead.address, this.#buildAsk());
-        }
     }
 
     #buildAsk(): AskMessage {
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -37,6 +37,8 @@
 const ROTATE_OUT = 2600;
 /** Time before the kill at which a stopping process begins nothing new, in milliseconds. */
 const STOP_RESERVE = 700;
+/** Time without a request after which a stopping process ends, in milliseconds: longer than a request is on its way. */
+const QUIET_TIME = 150;
 /** Pause between attempts to enter this instance into the store, in milliseconds. */
 const ENTER_PAUSE = 1000;
 
@@ -86,7 +88,8 @@
             instance: settings.instance,
             address: settings.peerAddress,
             isWatching: () => this.#watcher.isWatching,
-            refreshConfiguration: () => this.#watcher.readKind(StoreKind.configuration),
+            readConfiguration: () => this.#watcher.readKind(StoreKind.configuration),
+            readTargets: () => this.#watcher.readKind(StoreKind.targets),
         });
         this.#finder = new PlaceFinder({ ...shared, zone: settings.zone });
         this.#context = {
@@ -148,9 +151,7 @@
         this.#log.record("process", "stopping", { active: this.#callers.activeRequests, stopGraceMilliseconds });
         await waitMilliseconds(Math.min(ROTATE_OUT, stopGraceMilliseconds / 2));
         const latest = this.#stopAskedAt + stopGraceMilliseconds - STOP_RESERVE / 2;
-        while (this.#callers.activeRequests > 0 && this.#clock.getMonotonic() < latest) {
-            await waitMilliseconds(20);
-        }
+        await this.#callers.drain({ quietMilliseconds: QUIET_TIME, until: latest });
         this.#log.record("process", "stopped", { cut: this.#callers.activeRequests });
         this.close();
     }
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -46,6 +46,8 @@
 export interface TargetEvents {
     /** Revision of the latest change before these. */
     from: number;
+    /** Revision of the latest of these. */
+    changeRevision: number;
     /** Revision up to which it is known after. */
     revision: number;
     /** Targets that are new or changed. */
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -235,8 +235,17 @@
         const decoded = changed.map(event => ({ event, targets: this.#decodeTargets(event.object) }));
         const unusable = decoded.filter(({ targets }) => targets.length === 0).map(({ event }) => event.object.name);
         const from = directory.changeRevision;
+        const latestRevision = Math.max(from, ...[...latest.values()].map(event => event.object.revision));
+        // Where a removal has no revision of its own, only the whole answer's tells that something changed.
+        const changeRevision = latestRevision > from ? latestRevision : revision;
         const changedTargets = decoded.flatMap(({ targets }) => targets);
-        const targetEvents = { from, revision, changed: changedTargets, removed: [...removed, ...unusable] };
+        const targetEvents = {
+            from,
+            changeRevision,
+            revision,
+            changed: changedTargets,
+            removed: [...removed, ...unusable],
+        };
         this.#options.state.applyEvents(targetEvents, "store");
     }
 
