Leave plain requests out of digests

Change: digests carry work at engines alone; a plain target is chosen by an instance's own counts, its zone and a random part.

--- a/core/serving/load_ledger.ts
+++ b/core/serving/load_ledger.ts
@@ -81,12 +81,16 @@
         this.#peers.delete(peer);
     }
 
-    /** Gives this instance's own counts. */
+    /** Gives this instance's own counts at engines; plain requests are over before a peer could make use of them. */
     getDigest(): WorkDigest {
-        return Object.fromEntries([...this.#own.keys()].map(target => {
+        const digest: WorkDigest = {};
+        for (const target of this.#own.keys()) {
             const { requests, tokens, waitingPromptTokens } = this.countOwn(target);
-            return [target, [requests, tokens, waitingPromptTokens]];
-        }));
+            if (tokens > 0) {
+                digest[target] = [requests, tokens, waitingPromptTokens];
+            }
+        }
+        return digest;
     }
 
     /** Counts this instance's work at a target. */
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -17,6 +17,10 @@
         When 60 generations come at once to 9 engines
         Then the fullest engine by memory holds less than by fewest requests
 
+    Scenario: old counts of plain requests draw no instance to the target that looks empty
+        When 20 instances place 600 plain requests on 4 targets with digests that are 1 second old
+        Then no target gets more than a third of them
+
     Scenario: a failing target that answers fast draws few requests
         When one of 3 targets fails at once for 600 requests
         Then it gets less than a sixth of them
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -144,6 +144,56 @@
     assert.ok(fullest.memory < fullest.requests, JSON.stringify(fullest));
 });
 
+let placed = new Map<string, number>();
+
+When(
+    "{int} instances place {int} plain requests on {int} targets with digests that are {int} second old",
+    function(instanceCount: number, requestCount: number, targetCount: number, age: number) {
+        const random = createRandom(5);
+        placed = new Map();
+        const targets = Array.from({ length: targetCount }, (_, index) => createTarget(`t-${index}`, { slots: 6 }));
+        const ledgers = Array.from({ length: instanceCount }, () => new LoadLedger());
+        const work: { end: number; release: () => void; }[] = [];
+        let sharedAt = Number.NEGATIVE_INFINITY;
+        for (let index = 0; index < requestCount; index += 1) {
+            const now = index * 11;
+            work.filter(({ end }) => end <= now).forEach(({ release }) => release());
+            if (now - sharedAt >= age * 1000) {
+                sharedAt = now;
+                const digests = ledgers.map(ledger => ledger.getDigest());
+                ledgers.forEach(ledger =>
+                    digests.forEach((digest, peer) => ledger.applyDigest(`${peer}`, { work: digest, receivedAt: now }))
+                );
+            }
+            const ledger = ledgers[Math.floor(random() * instanceCount)] ?? new LoadLedger();
+            const candidates = targets.map(target => ({
+                target,
+                held: ledger.countWork(target.id, now),
+                penalty: 0,
+                isLimited: false,
+            }));
+            const item = { promptTokens: 0, outputTokens: 0 };
+            const question = {
+                item,
+                engine: undefined,
+                zone: "zone-a",
+                instances: instanceCount,
+                avoid: new Set<string>(),
+            };
+            const result = choosePlace(candidates, { ...question, random });
+            if (result.kind === "placed") {
+                const { id } = result.target;
+                placed.set(id, (placed.get(id) ?? 0) + 1);
+                work.push({ end: now + 60, release: ledger.addWork(id, item).release });
+            }
+        }
+    },
+);
+
+Then("no target gets more than a third of them", function() {
+    assert.ok(Math.max(...placed.values()) <= 200, JSON.stringify([...placed]));
+});
+
 let drawn = new Map<string, number>();
 const health = { current: new TargetHealth() };
 
