Share header reading and target calls, and split the watch for silence off

Cause: reading the diff as a newcomer: callers' and targets' protocols held the same header walk, plain and stream calls built the same call, and the stream's file held the watch for silence as well.

Behaviour is the same.

--- a/features/steps/soak_steps.ts
+++ b/features/steps/platform_soak_steps.ts
@@ -5,7 +5,7 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { runSoak, type SoakResult } from "../../support/soak/soak_run.ts";
+import { runSoak, type SoakResult } from "../../support/platform/soak/soak_run.ts";
 
 let result: SoakResult | undefined;
 
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,16 +5,22 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type { ClientAccount, Route, ServiceDefinition } from "../core/serving/mod.ts";
+import type { ClientAccount, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../gateway/serving_error.ts";
 import { sendJson } from "../network/mod.ts";
-import type { CallerRequest, TargetAnswerHead } from "../platform/mod.ts";
+import {
+    type CallerRequest,
+    encodeOwnAnswerHeaders,
+    encodeTargetHeaders,
+    type TargetAnswerHead,
+    type TargetRequestOptions,
+} from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { PlaceFinder } from "./place_finder.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
-import type { TargetConnections } from "./target_connections.ts";
+import type { TargetCall, TargetConnections } from "./target_connections.ts";
 
 /** What all handlers of a serving process share. */
 export interface ServingContext {
@@ -135,13 +141,34 @@
         return;
     }
     const { message, ...props } = error;
-    const headers: Record<string, string> = { "attempt-id": exchange.request.id, "x-verdict": error.verdict };
-    if (error.retryAfterSeconds !== undefined) {
-        headers["retry-after"] = error.retryAfterSeconds.toFixed(2);
-    }
+    const headers = { ...encodeOwnAnswerHeaders(exchange.request), "x-verdict": error.verdict };
     sendJson(response, {
         status: ERROR_STATUS[error.code],
         value: describeError(new ServingError(message, props)),
-        headers,
+        headers: error.retryAfterSeconds === undefined
+            ? headers
+            : { ...headers, "retry-after": error.retryAfterSeconds.toFixed(2) },
     });
 }
+
+/** Builds the call that sends a request to the target of a place. */
+export function buildTargetCall(
+    exchange: CallerExchange,
+    options: Pick<TargetRequestOptions, "remainingMilliseconds" | "resumeAfter" | "copy"> & {
+        target: ServingTarget;
+        signal: AbortSignal;
+    },
+): TargetCall {
+    const { request, account } = exchange;
+    const { target, signal, ...rest } = options;
+    return {
+        targetId: target.id,
+        address: target.address,
+        requestId: request.id,
+        method: request.method,
+        path: request.path,
+        headers: encodeTargetHeaders(request, { ...rest, targetId: target.id, account: account?.name }),
+        body: request.body,
+        signal,
+    };
+}
--- a/serving/plain_call.ts
+++ b/serving/plain_call.ts
@@ -6,10 +6,11 @@
 import { isRepeatable } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { readBody } from "../network/mod.ts";
-import { encodeTargetHeaders, type TargetAnswerHead } from "../platform/mod.ts";
+import type { TargetAnswerHead } from "../platform/mod.ts";
 import {
     answerError,
     type AttemptRecord,
+    buildTargetCall,
     type CallerExchange,
     recordEnd,
     type ServingContext,
@@ -117,24 +118,13 @@
     }
 
     async #send(place: HeldPlace): Promise<AttemptResult> {
-        const { request, account, signal } = this.#exchange;
-        const { target } = place;
         const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(this.#attemptMilliseconds)));
         try {
-            const answer = await this.#context.connections.sendRequest({
-                targetId: target.id,
-                address: target.address,
-                requestId: request.id,
-                method: request.method,
-                path: request.path,
-                headers: encodeTargetHeaders(request, {
-                    targetId: target.id,
-                    account: account?.name,
-                    remainingMilliseconds: this.#remaining,
-                }),
-                body: request.body,
-                signal: AbortSignal.any([signal, timeout]),
-            });
+            const answer = await this.#context.connections.sendRequest(buildTargetCall(this.#exchange, {
+                target: place.target,
+                remainingMilliseconds: this.#remaining,
+                signal: AbortSignal.any([this.#exchange.signal, timeout]),
+            }));
             const body = await readBody(answer.response, { maxBytes: MAX_ANSWER_BYTES });
             return this.#classifyAnswer({ head: answer.head, body, isComplete: answer.isWhole() });
         }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -3,14 +3,15 @@
  *
  * @module
  */
-import { decideSilence, EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
+import { EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { readBody } from "../network/mod.ts";
-import { encodeTargetHeaders, fetchReport, type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
+import { type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
 import {
     answerError,
     type AttemptRecord,
     breakOff,
+    buildTargetCall,
     type CallerExchange,
     recordEnd,
     type ServingContext,
@@ -18,16 +19,9 @@
 } from "./caller_exchange.ts";
 import type { HeldPlace } from "./place_finder.ts";
 import { type MovedRun, type MoveNotice, RunMove } from "./run_move.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import { isUnreachable, type TargetAnswer, TargetCallError } from "./target_connections.ts";
 
-/** Watches for the silence of one attempt. */
-interface SilenceWatch {
-    /** Notes that something has arrived. */
-    restart: () => void;
-    /** Ends the watch. */
-    stop: () => void;
-}
-
 /** One attempt whose stream is relayed. */
 interface RelayAttempt {
     place: HeldPlace;
@@ -64,14 +58,6 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most targets that are asked while each refuses before running. */
 const MAX_SENDS = 8;
-/** Silence after which an engine is asked about a stream, in multiples of the route's longest timely pause. */
-const SILENCE_GAPS = 4;
-/** Silence assumed where the route names no pause, in milliseconds. */
-const DEFAULT_GAP = 250;
-/** Part of the objective after which an engine is asked about a stream without a first event. */
-const FIRST_EVENT_SHARE = 0.6;
-/** Time in which an engine that lives answers, in milliseconds. */
-const REPORT_TIMEOUT = 200;
 /** Output tokens assumed where the caller gives no estimate, as a share of the most it allows. */
 const UNHINTED_SHARE = 0.5;
 
@@ -260,27 +246,23 @@
     }
 
     async #relay(place: HeldPlace, copy: MemoryCopy | undefined): Promise<AttemptResult> {
-        const { request, account, signal } = this.#exchange;
-        const { target } = place;
         const stall = new AbortController();
-        const silence = this.#watchSilence(place, stall);
+        const silence = new SilenceWatch(this.#context, {
+            exchange: this.#exchange,
+            place,
+            countEvents: () => this.#eventCount,
+            mayRepeat: () => this.#runs + 1 < this.#exchange.route.maxAttempts,
+            leave: () => stall.abort(),
+            move: () => this.#moveSilentRun(stall),
+        });
         try {
-            const answer = await this.#context.connections.sendRequest({
-                targetId: target.id,
-                address: target.address,
-                requestId: request.id,
-                method: request.method,
-                path: request.path,
-                headers: encodeTargetHeaders(request, {
-                    targetId: target.id,
-                    account: account?.name,
-                    remainingMilliseconds: this.#remaining,
-                    resumeAfter: this.#lastEventId,
-                    copy,
-                }),
-                body: request.body,
-                signal: AbortSignal.any([signal, stall.signal]),
-            });
+            const answer = await this.#context.connections.sendRequest(buildTargetCall(this.#exchange, {
+                target: place.target,
+                remainingMilliseconds: this.#remaining,
+                resumeAfter: this.#lastEventId,
+                copy,
+                signal: AbortSignal.any([this.#exchange.signal, stall.signal]),
+            }));
             return await this.#handleAnswer(answer, { place, stall, silence });
         }
         catch (error) {
@@ -416,60 +398,10 @@
         return !(Number(id) <= Number(this.#lastEventId));
     }
 
-    /** Asks the engine about this stream whenever it has been silent for long. */
-    #watchSilence(place: HeldPlace, stall: AbortController): SilenceWatch {
-        const { route, service } = this.#exchange;
-        if (service.engine === undefined) {
-            return { restart: () => undefined, stop: () => undefined };
-        }
-        let timer: NodeJS.Timeout | undefined;
-        const stop = (): void => clearTimeout(timer);
-        const restart = (): void => {
-            stop();
-            const patience = this.#eventCount === 0
-                ? route.objectiveMilliseconds * FIRST_EVENT_SHARE
-                : (route.maxGapMilliseconds ?? DEFAULT_GAP) * SILENCE_GAPS;
-            timer = setTimeout(() => {
-                restart();
-                void this.#handleSilence(place, stall);
-            }, patience);
-        };
-        restart();
-        return { restart, stop };
-    }
-
-    async #handleSilence(place: HeldPlace, stall: AbortController): Promise<void> {
-        const { route, service, request } = this.#exchange;
-        const arrivedEvents = this.#eventCount;
-        const report = await fetchReport(place.target.address, REPORT_TIMEOUT);
-        if (this.#place !== place || this.#eventCount > arrivedEvents || stall.signal.aborted) {
-            return;
-        }
-        const engineEvents = report?.runs.find(run => run.requestId === request.id)?.events;
-        const action = decideSilence({
-            isEngineHeard: report !== undefined,
-            waitingRequests: report?.waitingRequests ?? 0,
-            engineEvents,
-            arrivedEvents,
-            mayRepeat: isRepeatable(route) && this.#runs + 1 < route.maxAttempts,
-            canMove: service.engine?.canMove === true,
-        });
-        this.#context.log.record("trouble", "stream is silent", {
-            request: request.id,
-            target: place.target.id,
-            action,
-            arrivedEvents,
-            engineEvents,
-            isEngineHeard: report !== undefined,
-        });
-        if (action === "leave") {
-            stall.abort();
-        }
-        else if (action === "move") {
-            this.startMove({ noticedAt: this.#now, plan: { destination: undefined, startAt: 0, finalAt: 0 } });
-            // The connection is lost, so nothing but the move's end tells that the run has stopped there.
-            void this.#move?.waitForSteps().then(() => stall.abort());
-        }
+    /** Moves a run whose connection is lost; only the move's end tells that it has stopped there. */
+    #moveSilentRun(stall: AbortController): void {
+        this.startMove({ noticedAt: this.#now, plan: { destination: undefined, startAt: 0, finalAt: 0 } });
+        void this.#move?.waitForSteps().then(() => stall.abort());
     }
 
     #mayRepeat({ verdict, isUnreachable }: { verdict: Verdict; isUnreachable?: boolean; }): boolean {
--- a/support/soak/fault_proxy.ts
+++ b/support/platform/soak/fault_proxy.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { connect, createServer, type Server, type Socket } from "node:net";
-import { type Address, waitMilliseconds } from "../../network/mod.ts";
+import { type Address, waitMilliseconds } from "../../../network/mod.ts";
 
 /** What a proxy does to its connections. */
 export const ProxyMode = {
--- a/support/soak/soak_ledger.ts
+++ b/support/platform/soak/soak_ledger.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { HttpResult } from "../processes/mod.ts";
+import type { HttpResult } from "../../processes/mod.ts";
 
 /** A span of time in which a fault was in force; times are on the monotonic clock in milliseconds. */
 export interface FaultSpan {
--- a/support/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -8,10 +8,10 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { type Address, parseAddress, waitMilliseconds } from "../../network/mod.ts";
-import { createRandom, pickExponential, type Random } from "../fixtures/random.ts";
-import { buildSiteConfiguration, formatSettingsText, ServingSite, SITE_KEY, type SiteTarget } from "../platform/mod.ts";
-import { callHttp, type HttpResult, type RunningChild, startChild } from "../processes/mod.ts";
+import { type Address, parseAddress, waitMilliseconds } from "../../../network/mod.ts";
+import { createRandom, pickExponential, type Random } from "../../fixtures/random.ts";
+import { callHttp, type HttpResult, type RunningChild, startChild } from "../../processes/mod.ts";
+import { buildSiteConfiguration, formatSettingsText, ServingSite, SITE_KEY, type SiteTarget } from "../mod.ts";
 import { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { SoakLedger } from "./soak_ledger.ts";
 
