Refuse at a stop what can't end before the kill, and hold lapsed targets more narrowly

Change: isWorthStarting() refuses, as not run, what will most likely outlast the stop. Only what a list after the store's return lacks is held, until two seconds after that return; many removals at once are held for 1.2 s.

Also: moves log why a step was not answered, and the program an uncaught exception.

--- a/bin/serve_program.ts
+++ b/bin/serve_program.ts
@@ -44,6 +44,9 @@
     };
     process.once("SIGTERM", stop);
     process.once("SIGINT", stop);
+    process.on("uncaughtExceptionMonitor", error => {
+        log.record("process", "uncaught exception", { error: String(error.stack) });
+    });
     process.on("unhandledRejection", error => log.record("process", "unhandled rejection", { error: String(error) }));
     const reload = (cause: string): void => {
         text = reloadSettings({ path, text, cause, serving, log });
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -36,6 +36,8 @@
 const DEFAULT_LAPSE = 2000;
 /** Removals without notice in one answer from which on they count as lapsed: a planned release removes one or two. */
 const MASS_REMOVAL = 3;
+/** Time for which so many stay in use where no outage was seen, in milliseconds: less than the time to stop sending. */
+const MASS_REMOVAL_TIME = 1200;
 
 /** Keeps the list of targets. */
 export class TargetDirectory {
@@ -93,7 +95,9 @@
         const listed = new Set(snapshot.targets.map(target => target.id));
         const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
         const { revision, changeRevision, targets } = snapshot;
-        const changes = this.applyEvents({ revision, changed: targets, removed }, now);
+        // What went while the store was away comes back soon after its return, if it lives.
+        const lapsedUntil = this.#regainedAt + this.#lapseMilliseconds;
+        const changes = this.#apply({ revision, changed: targets, removed }, { now, lapsedUntil });
         if (changeRevision !== undefined) {
             this.#changeRevision = changeRevision;
         }
@@ -108,17 +112,26 @@
         events: { revision: number; changeRevision?: number; changed: ServingTarget[]; removed: string[]; },
         now: number,
     ): TargetChange[] {
+        return this.#apply(events, { now, lapsedUntil: now });
+    }
+
+    #apply(
+        events: { revision: number; changeRevision?: number; changed: ServingTarget[]; removed: string[]; },
+        time: { now: number; lapsedUntil: number; },
+    ): TargetChange[] {
+        const { now } = time;
         this.#revision = Math.max(this.#revision, events.revision);
         if (events.changed.length > 0 || events.removed.length > 0) {
             this.#changeRevision = Math.max(this.#changeRevision, events.changeRevision ?? events.revision);
         }
         const changes = events.changed.flatMap(target => this.#applyTarget(target));
         const unannounced = events.removed.filter(id => this.#targets.get(id)?.isLeaving === false);
-        const hasLapsed = now - this.#regainedAt < this.#lapseMilliseconds || unannounced.length >= MASS_REMOVAL;
+        const massUntil = unannounced.length >= MASS_REMOVAL ? now + MASS_REMOVAL_TIME : now;
+        const until = Math.max(massUntil, time.lapsedUntil);
         for (const id of events.removed) {
-            const isLapsed = hasLapsed && unannounced.includes(id);
+            const isLapsed = until > now && unannounced.includes(id);
             if (isLapsed && !this.#lapsedUntil.has(id)) {
-                this.#lapsedUntil.set(id, Math.max(now, this.#regainedAt) + this.#lapseMilliseconds);
+                this.#lapsedUntil.set(id, until);
             }
             else if (!isLapsed) {
                 changes.push(...this.#removeTarget(id));
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -38,6 +38,14 @@
         When the store returns without half of the targets
         Then they are in use until 2000 ms later and not after
 
+    Scenario: a target that goes shortly after this instance regained the store gets nothing new at once
+        When one target is no longer listed by an event 870 ms after the store was regained
+        Then it is not open
+
+    Scenario: many targets that go at once without notice stay in use for less than two seconds
+        When half of 8 targets are no longer listed
+        Then they are all in use for 1000 ms and gone before 2000 ms
+
     Scenario: a target that leaves gets nothing new at once
         When a target says that it leaves
         Then it is not open
--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -16,6 +16,13 @@
         Then the program's answer is 200
         And the answer says that its connection closes
 
+    Scenario: a long narrative that comes during a stop is refused before it runs
+        Given the serving program
+        When the program gets SIGTERM
+        And a caller of the program sends a "narrative" of at most 4000 tokens
+        Then the program's answer is 503
+        And the caller is told to come back soon, and no engine has seen the request
+
     Scenario: SIGHUP reads the settings file again and a bad file changes nothing
         Given the serving program
         When the settings file changes and the program gets SIGHUP
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -318,6 +318,31 @@
     assert.deepEqual(listOpenIds(), ["a", "b"]);
 });
 
+When(
+    "one target is no longer listed by an event {int} ms after the store was regained",
+    function(milliseconds: number) {
+        directory = new TargetDirectory();
+        directory.applySnapshot({ revision: 1, targets: [createTarget("a"), createTarget("b")] }, 0);
+        directory.markRegained(10_000);
+        directory.applyEvents({ revision: 2, changed: [], removed: ["a"] }, 10_000 + milliseconds);
+    },
+);
+
+When("half of {int} targets are no longer listed", function(count: number) {
+    directory = new TargetDirectory();
+    const targets = Array.from({ length: count }, (_, index) => createTarget(`target-${index}`));
+    directory.applySnapshot({ revision: 1, targets }, 0);
+    const removed = targets.slice(count / 2).map(target => target.id);
+    directory.applyEvents({ revision: 2, changed: [], removed }, 20_000);
+});
+
+Then("they are all in use for {int} ms and gone before {int} ms", function(kept: number, gone: number) {
+    directory.expireLapsed(20_000 + kept);
+    assert.equal(listOpenIds().length, 8);
+    directory.expireLapsed(20_000 + gone - 1);
+    assert.equal(listOpenIds().length, 4);
+});
+
 When("a target says that it leaves", function() {
     directory = new TargetDirectory();
     directory.applySnapshot({ revision: 1, targets: [createTarget("a"), createTarget("b")] }, 0);
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -86,7 +86,7 @@
     return result?.status === 200;
 }
 
-function callProgram(kind: "stamp" | "narrative"): Promise<HttpResult> {
+function callProgram(kind: "stamp" | "narrative", maxTokens = 48): Promise<HttpResult> {
     const isStream = kind === "narrative";
     return callHttp({
         address: getProgram().caller,
@@ -98,7 +98,7 @@
             "deadline-ms": "5000",
             authorization: `Bearer ${SITE_KEY}`,
             connection: "keep-alive",
-            ...isStream ? { model: "m", "token-counts": "100,48" } : {},
+            ...isStream ? { model: "m", "token-counts": `100,${maxTokens}` } : {},
         },
         body: "the body",
     });
@@ -109,6 +109,19 @@
     await waitMilliseconds(200);
 });
 
+When(
+    "a caller of the program sends a {string} of at most {int} tokens",
+    async function(kind: "stamp" | "narrative", tokens: number) {
+        answer = await callProgram(kind, tokens);
+    },
+);
+
+Then("the caller is told to come back soon, and no engine has seen the request", function() {
+    const retryAfter = Number(answer?.headers["retry-after"]);
+    assert.ok(retryAfter > 0 && retryAfter < 1, `retry-after is "${answer?.headers["retry-after"]}"`);
+    assert.deepEqual(getProgram().site.targets.flatMap(({ standIn }) => standIn.arrivals), []);
+});
+
 When("a caller of the program sends a {string}", async function(kind: "stamp" | "narrative") {
     answer = await callProgram(kind);
 });
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type { ClientAccount, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
+import type { ClientAccount, Route, ServiceDefinition, ServingTarget, WorkItem } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../gateway/serving_error.ts";
 import { sendJson } from "../network/mod.ts";
@@ -38,8 +38,8 @@
     clock: Clock;
     /** Source of random numbers from 0 up to 1. */
     random: () => number;
-    /** True once the process is to stop. */
-    isStopping: () => boolean;
+    /** Time until the process is killed, in milliseconds; `undefined` while it is not to stop. */
+    getTimeToKill: () => number | undefined;
 }
 
 /** A routed request of a caller and the answer to it. */
@@ -151,6 +151,18 @@
     });
 }
 
+/** Output tokens assumed where the caller gives no estimate, as a share of the most it allows. */
+const UNHINTED_SHARE = 0.5;
+
+/** Computes what a request needs at its target; one that says nothing of its size counts as small. */
+export function computeWorkItem({ size }: Pick<CallerRequest, "size">): WorkItem {
+    if (size === undefined) {
+        return { promptTokens: 0, outputTokens: 0 };
+    }
+    const expected = size.hintTokens ?? size.maxOutputTokens * UNHINTED_SHARE;
+    return { promptTokens: size.promptTokens, outputTokens: Math.min(expected, size.maxOutputTokens) };
+}
+
 /** Builds the call that sends a request to the target of a place. */
 export function buildTargetCall(
     exchange: CallerExchange,
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type CallerLimits, pickService, type Route, type RouteResult } from "../core/serving/mod.ts";
+import { type CallerLimits, isWorthStarting, pickService, type Route, type RouteResult } from "../core/serving/mod.ts";
 import { type Address, BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
 import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
-import { answerError, breakOff, type CallerExchange, type ServingContext } from "./caller_exchange.ts";
+import { answerError, breakOff, type CallerExchange, computeWorkItem, type ServingContext } from "./caller_exchange.ts";
 import { handlePlainCall } from "./plain_call.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
 
@@ -19,6 +19,8 @@
 const DRAIN_LOOK = 20;
 /** Time after which a caller comes back that an instance without beliefs has refused, in seconds. */
 const NOT_READY_RETRY = 0.5;
+/** Time after which a caller comes back that a stopping instance has refused, in seconds; others can serve it at once. */
+const STOPPING_RETRY = 0.1;
 /** Limits in force before a configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
@@ -103,7 +105,7 @@
         const gone = new AbortController();
         response.on("close", () => gone.abort());
         response.on("error", () => gone.abort());
-        if (this.#context.isStopping()) {
+        if (this.#context.getTimeToKill() !== undefined) {
             response.shouldKeepAlive = false;
         }
         this.#activeRequests += 1;
@@ -175,6 +177,21 @@
             return;
         }
         const { route, account } = result;
+        const timeToKill = this.#context.getTimeToKill();
+        if (
+            timeToKill !== undefined && !isWorthStarting({
+                remainingMilliseconds: timeToKill,
+                objectiveMilliseconds: route.objectiveMilliseconds,
+                outputTokens: computeWorkItem(request).outputTokens,
+            })
+        ) {
+            this.#refuse(call, {
+                code: "not_serving",
+                message: `Cannot finish the request: this instance stops in ${Math.round(timeToKill)} ms.`,
+                retryAfterSeconds: STOPPING_RETRY * (0.5 + this.#context.random()),
+            });
+            return;
+        }
         const { version } = table.configuration;
         const deadline = computeDeadline(call, route);
         const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(deadline - this.#context.clock.getMonotonic())));
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -74,6 +74,8 @@
     #isStopping = false;
     #place: HeldPlace | undefined;
     #handle: string | undefined;
+    /** Why the last step was not answered. */
+    #reason: string | undefined;
 
     constructor(context: ServingContext, options: RunMoveOptions) {
         this.#context = context;
@@ -119,6 +121,7 @@
             source: this.#options.source.id,
             destination: run?.place.target.id ?? this.#place?.target.id,
             end,
+            reason: this.#reason,
             plan: notice.plan,
             sinceNoticeMilliseconds: Math.round(this.#now - notice.noticedAt),
             events: this.#options.countEvents(),
@@ -178,6 +181,7 @@
             isFinal,
             timeoutMilliseconds: STEP_TIMEOUT,
         });
+        this.#reason = reply.kind === "unanswered" ? reply.reason : undefined;
         if ((reply.kind === "copied" || reply.kind === "no-room") && reply.handle !== undefined) {
             this.#handle = reply.handle;
         }
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -35,8 +35,8 @@
 const SWEEP_INTERVAL = 100;
 /** Time for which callers are still accepted after a stop was asked for, in milliseconds: the balancer asks once a second and takes an instance out after two misses. */
 const ROTATE_OUT = 2600;
-/** Time before the kill at which a stopping process begins nothing new, in milliseconds. */
-const STOP_RESERVE = 700;
+/** Time before the kill at which a stopping process gives up what still runs, in milliseconds. */
+const STOP_RESERVE = 350;
 /** Time without a request after which a stopping process ends, in milliseconds: longer than a request is on its way. */
 const QUIET_TIME = 150;
 /** Pause between attempts to enter this instance into the store, in milliseconds. */
@@ -96,7 +96,10 @@
             ...shared,
             finder: this.#finder,
             connections: this.#connections,
-            isStopping: () => this.#stopAskedAt !== undefined,
+            getTimeToKill: () =>
+                this.#stopAskedAt === undefined
+                    ? undefined
+                    : this.#stopAskedAt + this.#settings.stopGraceMilliseconds - this.#clock.getMonotonic(),
         };
         this.#callers = new CallerServer(this.#context);
         this.#engines = new EngineWatch({
@@ -150,7 +153,7 @@
         const { stopGraceMilliseconds } = this.#settings;
         this.#log.record("process", "stopping", { active: this.#callers.activeRequests, stopGraceMilliseconds });
         await waitMilliseconds(Math.min(ROTATE_OUT, stopGraceMilliseconds / 2));
-        const latest = this.#stopAskedAt + stopGraceMilliseconds - STOP_RESERVE / 2;
+        const latest = this.#stopAskedAt + stopGraceMilliseconds - STOP_RESERVE;
         await this.#callers.drain({ quietMilliseconds: QUIET_TIME, until: latest });
         this.#log.record("process", "stopped", { cut: this.#callers.activeRequests });
         this.close();
@@ -234,6 +237,9 @@
                 this.#metrics.countStoreCall(StoreKind.instances, reply.kind);
                 isEntered = reply.kind === "ok";
             }
+            if (!isEntered) {
+                this.#log.record("process", "instance not entered", { kind: StoreKind.instances });
+            }
             const listed = isEntered ? await this.#store.listObjects(StoreKind.instances) : undefined;
             if (listed?.kind === "ok") {
                 const peers = listed.value.objects.flatMap(object => decodePeer(object) ?? []);
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -185,7 +185,9 @@
         }
         this.#failing.delete(kind);
         const now = this.#options.clock.getMonotonic();
-        this.#options.state.directory.markRegained(now);
+        if (kind === StoreKind.targets) {
+            this.#options.state.directory.markRegained(now);
+        }
         const { failures } = failing;
         this.#options.log.record("process", "store regained", {
             kind,
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -13,6 +13,7 @@
     breakOff,
     buildTargetCall,
     type CallerExchange,
+    computeWorkItem,
     recordEnd,
     type ServingContext,
     writeAnswerHead,
@@ -58,8 +59,6 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most targets that are asked while each refuses before running. */
 const MAX_SENDS = 8;
-/** Output tokens assumed where the caller gives no estimate, as a share of the most it allows. */
-const UNHINTED_SHARE = 0.5;
 
 /** Serves one stream. */
 export async function handleStreamCall(
@@ -93,7 +92,7 @@
         this.#exchange = options.exchange;
         this.#active = options.active;
         this.#lastEventId = options.exchange.request.resumeAfter;
-        this.#item = computeItem(options.exchange);
+        this.#item = computeWorkItem(options.exchange.request);
     }
 
     get requestId(): string {
@@ -477,16 +476,6 @@
     }
 }
 
-/** Computes what a generation needs; a request that says nothing of its size counts as small. */
-function computeItem(exchange: CallerExchange): WorkItem {
-    const { size } = exchange.request;
-    if (size === undefined) {
-        return { promptTokens: 0, outputTokens: 0 };
-    }
-    const expected = size.hintTokens ?? size.maxOutputTokens * UNHINTED_SHARE;
-    return { promptTokens: size.promptTokens, outputTokens: Math.min(expected, size.maxOutputTokens) };
-}
-
 /** Waits until a caller that reads slowly takes more, or has gone. */
 function waitForDrain(response: CallerExchange["response"]): Promise<void> {
     return new Promise(resolve => {
