Move the callers' errors to the package that both data paths use

Cause: serving/ imported from gateway/, a shell from a shell. Change: serving_error.ts stands in network/. Behaviour is the same.

--- a/gateway/answer_sink.ts
+++ b/gateway/answer_sink.ts
@@ -6,7 +6,7 @@
 import type { ServerResponse } from "node:http";
 import { formatEventId } from "../core/relay/mod.ts";
 import { sendJson } from "../network/mod.ts";
-import { describeError, sendError, type ServingError } from "./serving_error.ts";
+import { describeError, sendError, type ServingError } from "../network/serving_error.ts";
 
 /** A token as the engine sent it. */
 export interface SinkToken {
--- a/gateway/dispatcher.ts
+++ b/gateway/dispatcher.ts
@@ -10,9 +10,9 @@
 import { type Candidate, chooseTarget, computeOwnerWait } from "../core/placement/mod.ts";
 import type { LengthDistribution } from "../core/prediction/mod.ts";
 import { waitMilliseconds } from "../network/mod.ts";
+import { createRefusal, ServingError } from "../network/serving_error.ts";
 import type { AgentLink } from "./agent_link.ts";
 import type { RoutingState } from "./routing_state.ts";
-import { createRefusal, ServingError } from "./serving_error.ts";
 
 /** A piece of work that needs a place. */
 export interface PlacementRequest {
--- a/gateway/gateway_process.ts
+++ b/gateway/gateway_process.ts
@@ -7,6 +7,7 @@
 import { LengthPredictor } from "../core/prediction/mod.ts";
 import { RetryBudget } from "../core/verdict/mod.ts";
 import { BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
+import { sendError, ServingError } from "../network/serving_error.ts";
 import { type ChangeLogger, openAdminServer } from "../telemetry/mod.ts";
 import { AgentLink } from "./agent_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -16,7 +17,6 @@
 import { buildContext, findAccount, type RequestContext } from "./request_context.ts";
 import { RoutingState } from "./routing_state.ts";
 import { ServiceHandler } from "./service_handler.ts";
-import { sendError, ServingError } from "./serving_error.ts";
 
 /** Options of a {@linkcode GatewayProcess}. */
 export interface GatewayProcessOptions {
--- a/gateway/generation_handler.ts
+++ b/gateway/generation_handler.ts
@@ -9,6 +9,7 @@
 import type { LengthPredictor } from "../core/prediction/mod.ts";
 import { type EventPosition, parseEventId, StreamRelay } from "../core/relay/mod.ts";
 import { decideRetry, type RetryBudget, type Verdict } from "../core/verdict/mod.ts";
+import { chooseRetryAfter, mergeIntoError, ServingError } from "../network/serving_error.ts";
 import type { AgentLink } from "./agent_link.ts";
 import { type AnswerSink, BufferedStreamSink, CompletionSink, StreamSink } from "./answer_sink.ts";
 import type { Dispatcher, Placement } from "./dispatcher.ts";
@@ -19,7 +20,6 @@
 import { type GenerationRequest, parseGenerationRequest } from "./generation_request.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { RoutingState } from "./routing_state.ts";
-import { chooseRetryAfter, mergeIntoError, ServingError } from "./serving_error.ts";
 
 /** What the handlers of a gateway share. */
 export interface HandlerContext {
--- a/gateway/generation_request.ts
+++ b/gateway/generation_request.ts
@@ -5,7 +5,7 @@
  */
 import * as v from "valibot";
 import { hashText } from "../core/hashing/mod.ts";
-import { ServingError } from "./serving_error.ts";
+import { ServingError } from "../network/serving_error.ts";
 
 const MessageSchema = v.looseObject({ role: v.string(), content: v.optional(v.unknown()) });
 const GenerationSchema = v.looseObject({
--- a/gateway/request_context.ts
+++ b/gateway/request_context.ts
@@ -6,7 +6,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Account, RoutingTable } from "../core/inventory/mod.ts";
-import { ServingError } from "./serving_error.ts";
+import { ServingError } from "../network/serving_error.ts";
 
 /** A request and its caller. */
 export interface RequestContext {
--- a/gateway/service_handler.ts
+++ b/gateway/service_handler.ts
@@ -7,11 +7,11 @@
 import type { ClaimOutcome, ClaimRequest, ClaimResult } from "../core/claims/mod.ts";
 import { classifyWork, type Kind, type RoutedTarget } from "../core/inventory/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
+import { chooseRetryAfter, createRefusal, mergeIntoError, ServingError } from "../network/serving_error.ts";
 import type { Placement } from "./dispatcher.ts";
 import type { HandlerContext } from "./generation_handler.ts";
 import type { RequestContext } from "./request_context.ts";
 import { callService, pickHeaders, type ServiceAnswer, type ServiceAttempt } from "./service_client.ts";
-import { chooseRetryAfter, createRefusal, mergeIntoError, ServingError } from "./serving_error.ts";
 
 interface ServiceJob {
     context: RequestContext;
--- a/gateway/serving_error.ts
+++ b/network/serving_error.ts
@@ -6,7 +6,7 @@
 import ModernError from "modern-errors";
 import type { ServerResponse } from "node:http";
 import { mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
-import { sendJson } from "../network/mod.ts";
+import { sendJson } from "./http_server.ts";
 
 /** Codes of errors, each with the HTTP status that it is sent with. */
 export const ERROR_STATUS = {
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -7,8 +7,8 @@
 import type { Clock } from "../core/clock/mod.ts";
 import type { ClientAccount, Route, ServiceDefinition, ServingTarget, WorkItem } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
-import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../gateway/serving_error.ts";
 import { sendJson } from "../network/mod.ts";
+import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
 import {
     type CallerRequest,
     encodeOwnAnswerHeaders,
