Give each port of the soak out once

A port was found free and taken later, so two could get it.

Change: a process gives each port out once.

--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -61,6 +61,8 @@
 const CALLERS = 6;
 const FIRST_PORT = 10_000;
 const PORTS = 20_000;
+/** Ports given out by this process; a port is free until its server or program has started. */
+const takenPorts = new Set<number>();
 /** Time in which a site without faults serves everything again, in milliseconds. */
 const RECOVERY = 4000;
 /** Longest duration of a fault, in milliseconds. */
@@ -180,7 +182,8 @@
         while (addresses.length < count) {
             const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
             const address = { host: "127.0.0.1", port };
-            if (await isFree(address)) {
+            if (!takenPorts.has(port) && await isFree(address) && !takenPorts.has(port)) {
+                takenPorts.add(port);
                 addresses.push(`${address.host}:${port}`);
             }
         }
