--- a/serving/move_watch.ts
+++ b/serving/move_watch.ts
@@ -39,8 +39,6 @@
 const DEFAULT_NOTICE = 1500;
 /** Time after the notice at which reports hold the runs that had begun by then, in milliseconds. */
 const REPORT_AGE = 600;
-/** Share of an engine's memory that moved runs may fill. */
-const MEMORY_SHARE = 1;
 
 /** Gathers engines that leave and starts the moves of their streams. */
 export class MoveWatch {
@@ -173,7 +171,7 @@
             penalty > 1 || engine === undefined ? [] : [{
                 id: target.id,
                 zone: target.zone,
-                freeTokens: engine.memoryTokens * MEMORY_SHARE - held.tokens,
+                freeTokens: engine.memoryTokens - held.tokens,
             }]
         );
     }
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -38,8 +38,6 @@
 export interface RunMoveOptions {
     /** Identity of the request. */
     requestId: string;
-    /** Account of the caller. */
-    account: string | undefined;
     /** Engine that leaves. */
     source: ServingTarget;
     /** Service of the engine. */
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -85,12 +85,6 @@
         };
     }
 
-    /** Time since which the store has not answered, in milliseconds; 0 while it answers. */
-    get outageMilliseconds(): number {
-        const since = [...this.#failing.values()].map(entry => entry.since);
-        return since.length === 0 ? 0 : this.#options.clock.getMonotonic() - Math.min(...since);
-    }
-
     /** Starts to watch. */
     start(): void {
         for (const kind of Object.keys(this.#handlers)) {
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -112,14 +112,13 @@
     }
 
     startMove(notice: MoveNotice): void {
-        const { service, request, account } = this.#exchange;
+        const { service, request } = this.#exchange;
         const place = this.#place;
         if (place === undefined || !this.isMovable || this.#move !== undefined) {
             return;
         }
         this.#move = new RunMove(this.#context, {
             requestId: request.id,
-            account: account?.name,
             source: place.target,
             service,
             item: this.#item,
