Let an account's rank go before its route's in the line

Cause: the rank of an account was decoded and never used; a request waited with its route's. Change: the router answers with the rank that counts, and both kinds of call wait with it. Measured: three scenarios fail without the change (no such rank) and pass with it.

--- a/core/serving/route_table.ts
+++ b/core/serving/route_table.ts
@@ -23,7 +23,7 @@
 
 /** The router's answer. */
 export type RouteResult =
-    | { kind: "routed"; route: Route; account: ClientAccount | undefined; }
+    | { kind: "routed"; route: Route; account: ClientAccount | undefined; priority: number; }
     | { kind: "no-route"; }
     | { kind: "unknown-key"; };
 
@@ -65,10 +65,12 @@
             return { kind: "no-route" };
         }
         if (this.configuration.accounts === undefined || route.isPublic) {
-            return { kind: "routed", route, account: undefined };
+            return { kind: "routed", route, account: undefined, priority: route.priority };
         }
         const account = request.key === undefined ? undefined : this.#accountByKey.get(request.key);
-        return account === undefined ? { kind: "unknown-key" } : { kind: "routed", route, account };
+        return account === undefined
+            ? { kind: "unknown-key" }
+            : { kind: "routed", route, account, priority: account.priority ?? route.priority };
     }
 
     /** Finds a service by its name. */
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -66,6 +66,16 @@
             | 0       | 0     | wait     |
             | 5       | 0     | refuse   |
 
+    Scenario Outline: a request of an account with rank <account> on a route with rank <route> waits with rank <rank>
+        When a route has the rank <route> and the account's rank is "<account>"
+        Then a request of the account has the rank <rank>
+
+        Examples:
+            | route | account | rank |
+            | 2     | none    | 2    |
+            | 2     | 0       | 0    |
+            | 0     | 3       | 3    |
+
     Scenario: refused callers come back spread out and within a third of their time
         When 200 callers with 6000 ms are refused with 50 waiting
         Then their times to come back differ and none is over 2 seconds
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -18,6 +18,8 @@
     LoadLedger,
     planDeparture,
     RetryShare,
+    RouteKind,
+    RouteTable,
     type ServingTarget,
     TargetDirectory,
     TargetHealth,
@@ -383,6 +385,37 @@
     },
 );
 
+let routes: RouteTable | undefined;
+
+When("a route has the rank {int} and the account's rank is {string}", function(route: number, account: string) {
+    routes = new RouteTable({
+        version: 1,
+        routes: [{
+            name: "audit",
+            host: "site.example",
+            pathPrefix: "/",
+            kind: RouteKind.once,
+            timeoutMilliseconds: undefined,
+            objectiveMilliseconds: 1000,
+            priority: route,
+            services: [],
+            maxAttempts: 1,
+            isPublic: false,
+            isResumable: false,
+            maxGapMilliseconds: undefined,
+        }],
+        services: [],
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+        accounts: [{ name: "night-shift", keys: ["k"], priority: account === "none" ? undefined : Number(account) }],
+    });
+});
+
+Then("a request of the account has the rank {int}", function(rank: number) {
+    const result = routes?.findRoute({ host: "site.example", path: "/1", key: "k" });
+    assert.ok(result?.kind === "routed");
+    assert.equal(result.priority, rank);
+});
+
 When(
     "{int} callers with {int} ms are refused with {int} waiting",
     function(count: number, remaining: number, waiting: number) {
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -54,6 +54,8 @@
     service: ServiceDefinition;
     /** Account of the caller; `undefined` where none is asked for. */
     account: ClientAccount | undefined;
+    /** Rank, the account's where it has one; 0 is the most urgent. */
+    priority: number;
     /** Version of the configuration that decided. */
     version: number;
     /** Time of arrival, on the monotonic clock in milliseconds. */
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -176,7 +176,7 @@
             this.#refuse(call, { code: "no_target", message: "Cannot serve the route: it names no known service." });
             return;
         }
-        const { route, account } = result;
+        const { route, account, priority } = result;
         const timeToKill = this.#context.getTimeToKill();
         if (
             timeToKill !== undefined && !isWorthStarting({
@@ -200,6 +200,7 @@
             route,
             service,
             account,
+            priority,
             version,
             deadline,
             signal: AbortSignal.any([call.gone, timeout]),
--- a/serving/plain_call.ts
+++ b/serving/plain_call.ts
@@ -84,7 +84,7 @@
         return this.#context.finder.findPlace({
             service,
             item: { promptTokens: 0, outputTokens: 0 },
-            priority: route.priority,
+            priority: this.#exchange.priority,
             avoid: this.#avoid,
             objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
             remainingMilliseconds: this.#remaining,
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -188,7 +188,7 @@
         const answer = await this.#context.finder.findPlace({
             service,
             item: this.#item,
-            priority: route.priority,
+            priority: this.#exchange.priority,
             avoid: this.#avoid,
             objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - this.#now),
             remainingMilliseconds: this.#remaining,
