Hold cold targets' bound where instances are more than it allows requests

Cause: each instance's share of a cold target was at least one request in 1.25 s, so 73 instances could send 73 in a second where 44 are allowed. Change: where the share is below one, instances take turns by their rank and the wall clock; a turn lasts 200 ms, and any second together with a turn holds no more turns than the bound. Conclusion: exact while clocks agree to a part of a turn; the margin of a fifth covers errors.

--- a/core/serving/shared_limits.ts
+++ b/core/serving/shared_limits.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { hashText } from "../hashing/mod.ts";
 
 /** Options of a {@linkcode RetryShare}. */
 export interface RetryShareOptions {
@@ -69,6 +70,28 @@
 const COLD_WINDOW = 1250;
 /** Part of the bound that is used. */
 const COLD_MARGIN = 0.8;
+/** Milliseconds over which the requests of one second may arrive: their own second and how long a turn lasts. */
+const TURN_SPAN = 1000;
+/** Time for which an instance's turn lasts, in milliseconds; a request that comes meanwhile can use it. */
+const TURN_LENGTH = 200;
+
+/** An instance's place among those that share the bounds. */
+export interface SharePosition {
+    /** Number of the instances. */
+    instances: number;
+    /** Number of the instances whose names sort before this one's. */
+    rank: number;
+}
+
+/** The moment of a question to a {@linkcode ColdShare}. */
+export interface ColdQuestion extends SharePosition {
+    /** Time on the monotonic clock, in milliseconds. */
+    now: number;
+    /** Unix time in milliseconds, which all instances share but for small errors. */
+    wallTime: number;
+    /** Requests a second that the target bears while it is cold; 0 for no bound. */
+    ratePerSecond: number;
+}
 
 /** Limits requests to cold targets. */
 export class ColdShare {
@@ -93,13 +116,28 @@
     }
 
     /** Tells whether a target is cold and this instance's share of it is used up. */
-    isFull(target: string, state: { now: number; ratePerSecond: number; instances: number; }): boolean {
-        const { now, ratePerSecond, instances } = state;
+    isFull(target: string, question: ColdQuestion): boolean {
+        const { now, ratePerSecond, instances } = question;
         if (ratePerSecond <= 0 || (this.#coldUntil.get(target) ?? 0) <= now) {
             return false;
         }
         const bound = (ratePerSecond * this.#options.overage + this.#options.slack) * COLD_MARGIN;
-        return this.#listRecent(target, now).length >= Math.max(1, Math.floor(bound / Math.max(1, instances)));
+        const share = Math.floor(bound / Math.max(1, instances));
+        if (share >= 1) {
+            return this.#listRecent(target, now).length >= share;
+        }
+        return !this.#hasTurn(target, { bound, question });
+    }
+
+    /** Tells whether it is this instance's turn, where the bound is too small for a request of each in every second. */
+    #hasTurn(target: string, { bound, question }: { bound: number; question: ColdQuestion; }): boolean {
+        const { now, wallTime, instances, rank } = question;
+        const interval = (TURN_SPAN + TURN_LENGTH) / Math.max(1, Math.floor(bound));
+        const position = (rank + hashText(target)) % instances;
+        const turn = Math.floor(wallTime / interval);
+        const sinceOwn = (turn + instances - position) % instances * interval + wallTime % interval;
+        const lastSend = this.#sent.get(target)?.at(-1) ?? Number.NEGATIVE_INFINITY;
+        return sinceOwn <= TURN_LENGTH && now - lastSend > sinceOwn;
     }
 
     /** Counts a request that is sent to a target. */
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -30,10 +30,17 @@
         When 8 instances see every request fail for 30 seconds
         Then no window of 10 seconds has more repeats than the budget
 
-    Scenario: requests to a cold target stay within the common bound
-        When 8 instances place a burst on 1 cold target
+    Scenario Outline: requests of <instances> instances to a cold target stay within the common bound
+        When <instances> instances place a burst on 1 cold target
         Then it gets no more in any second than the common bound
 
+        Examples:
+            | instances |
+            | 8         |
+            | 34        |
+            | 73        |
+            | 340       |
+
     Scenario: lapsed targets stay in use for two seconds after the store's return
         When the store returns without half of the targets
         Then they are in use until 2000 ms later and not after
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -282,8 +282,8 @@
         share.markCold("cold", { now: 0, milliseconds: 4000 });
     }
     for (let now = 0; now < 4000; now += 5) {
-        for (const share of shares) {
-            if (!share.isFull("cold", { now, ratePerSecond: 26, instances })) {
+        for (const [rank, share] of shares.entries()) {
+            if (!share.isFull("cold", { now, wallTime: now, ratePerSecond: 26, instances, rank })) {
                 share.recordSend("cold", now);
                 coldSends.push(now);
             }
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { decideWatching } from "../core/serving/mod.ts";
+import { decideWatching, type SharePosition } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerLinks } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import {
@@ -102,7 +102,7 @@
             isQuietWhenIdle: true,
             onMessage: (_, message) => this.#handleMessage(message),
         });
-        options.state.setInstanceCounter(() => this.#isListed ? this.#peers.size + 1 : 0);
+        options.state.setPositionFinder(() => this.#isListed ? this.#findPosition() : undefined);
         options.state.newsListeners.push(news => this.#sendNews(news));
         options.state.ledger.onEngineChange = () => this.#scheduleDigest();
     }
@@ -160,6 +160,11 @@
         ]));
     }
 
+    #findPosition(): SharePosition {
+        const before = [...this.#peers.keys()].filter(name => name < this.#options.instance);
+        return { instances: this.#peers.size + 1, rank: before.length };
+    }
+
     #startTimer(): void {
         this.#timer = setTimeout(() => {
             this.#expirePeers();
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -13,6 +13,7 @@
     type ServiceDefinition,
     type ServingConfiguration,
     type ServingTarget,
+    type SharePosition,
     type TargetChange,
     TargetDirectory,
     TargetHealth,
@@ -92,7 +93,7 @@
     readonly #unreachable = new Map<string, number>();
     #table: RouteTable | undefined;
     #zones: ZoneSnapshot | undefined;
-    #countInstances: () => number = () => 0;
+    #findPosition: () => SharePosition | undefined = () => undefined;
 
     constructor(options: ServingStateOptions) {
         this.#options = options;
@@ -124,13 +125,16 @@
 
     /** Instances that share the common bounds. */
     get instances(): number {
-        const known = this.#countInstances();
-        return known > 0 ? known : ASSUMED_INSTANCES;
+        return this.#position.instances;
     }
 
-    /** Sets the function that counts the instances; 0 stands for not known. */
-    setInstanceCounter(countInstances: () => number): void {
-        this.#countInstances = countInstances;
+    get #position(): SharePosition {
+        return this.#findPosition() ?? { instances: ASSUMED_INSTANCES, rank: 0 };
+    }
+
+    /** Sets the function that finds this instance's place among all; `undefined` stands for not known. */
+    setPositionFinder(findPosition: () => SharePosition | undefined): void {
+        this.#findPosition = findPosition;
     }
 
     /** Applies changed bounds. */
@@ -250,14 +254,16 @@
     /** Lists the targets of a service with what is known of their load. */
     listCandidates(service: ServiceDefinition): PlaceCandidate[] {
         const now = this.#now();
-        const { instances } = this;
+        const { instances, rank } = this.#position;
+        const wallTime = this.#options.clock.getWallTime();
+        const cold = { now, wallTime, ratePerSecond: service.coldRequestsPerSecond, instances, rank };
         const connections = Math.max(1, Math.floor(service.maxConnections * CONNECTION_MARGIN / instances));
         return this.directory.listOpen(service.name).map(target => ({
             target,
             held: this.ledger.countWork(target.id, now),
             penalty: this.health.computePenalty(target.id, now),
             isLimited: this.ledger.countOwn(target.id).requests >= connections
-                || this.cold.isFull(target.id, { now, ratePerSecond: service.coldRequestsPerSecond, instances }),
+                || this.cold.isFull(target.id, cold),
         }));
     }
 
