Tell peers of a placement at once while an allowance of digests lasts

Cause: with 73 instances a digest followed the last by 554 ms at the least, so instances placed long prompts on engines that others had just filled. Change: a placement is told after 2 ms while the allowance (five digests, one more in each 554 ms) lasts; work that ends waits for the space as before. place_replay.ts replays the load with the real ledger, pace and choice. Ruled out: less jitter (p95 no better), a heavier weight of unread prompts (2.4: within the spread of the replay).

--- a/core/serving/load_ledger.ts
+++ b/core/serving/load_ledger.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { WorkChange } from "./digest_pace.ts";
 
 /** Work that a target holds. */
 export interface HeldWork {
@@ -38,7 +39,7 @@
 /** Adds up what is known of each target's work. */
 export class LoadLedger {
     /** Called when an engine's work has changed; plain requests are too short to tell of each. */
-    onEngineChange: () => void = () => undefined;
+    onEngineChange: (change: WorkChange) => void = () => undefined;
     readonly #own = new Map<string, Map<object, WorkItem & { hasAnswered: boolean; }>>();
     readonly #peers = new Map<string, PeerDigest>();
 
@@ -48,22 +49,22 @@
         const entries = this.#own.get(target) ?? new Map<object, typeof entry>();
         entries.set(entry, entry);
         this.#own.set(target, entries);
-        const announce = (): void => {
+        const announce = (change: WorkChange): void => {
             if (item.promptTokens > 0) {
-                this.onEngineChange();
+                this.onEngineChange(change);
             }
         };
-        announce();
+        announce(WorkChange.placed);
         return {
             markAnswered: () => {
                 if (!entry.hasAnswered) {
                     entry.hasAnswered = true;
-                    announce();
+                    announce(WorkChange.eased);
                 }
             },
             release: () => {
                 entries.delete(entry);
-                announce();
+                announce(WorkChange.eased);
                 if (entries.size === 0 && this.#own.get(target) === entries) {
                     this.#own.delete(target);
                 }
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -7,6 +7,7 @@
 export * from "./decide_silence.ts";
 export * from "./decide_stop.ts";
 export * from "./decide_wait.ts";
+export * from "./digest_pace.ts";
 export * from "./event_splitter.ts";
 export * from "./load_ledger.ts";
 export * from "./move_action.ts";
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -17,6 +17,17 @@
         When 60 generations come at once to 9 engines
         Then the fullest engine by memory holds less than by fewest requests
 
+    Scenario Outline: long prompts wait less where placements are told at once: <rate> a second
+        When 73 instances place <rate> generations a second on 40 engines
+        Then 9 in 10 first tokens come within <share> of the time that digests at fixed spaces give
+        And no more than <late> of the first tokens come after 1500 ms
+        And no more than 1.25 times as many digests are sent
+
+        Examples:
+            | rate | share | late |
+            | 47   | 0.75  | 0.01 |
+            | 70   | 0.65  | 0.03 |
+
     Scenario: old counts of plain requests draw no instance to the target that looks empty
         When 20 instances place 600 plain requests on 4 targets with digests that are 1 second old
         Then no target gets more than a third of them
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -24,9 +24,11 @@
     TargetDirectory,
     TargetHealth,
     type WaitDecision,
+    type WorkChange,
 } from "../../core/serving/mod.ts";
 import { createRandom } from "../../support/fixtures/random.ts";
 import { type MoveOutcome, replayMoves } from "../../support/platform/move_replay.ts";
+import { type PlaceOutcome, type ReplayedPace, replayPlaces } from "../../support/platform/place_replay.ts";
 
 function createTarget(id: string, changes: Partial<ServingTarget> = {}): ServingTarget {
     return {
@@ -146,6 +148,51 @@
     assert.ok(fullest.memory < fullest.requests, JSON.stringify(fullest));
 });
 
+/** Digests as soon as a fixed space has passed since the last, whatever has changed. */
+class FixedPace implements ReplayedPace {
+    #lastSentAt = Number.NEGATIVE_INFINITY;
+
+    computeDue(_change: WorkChange, { now, peers }: { now: number; peers: number; }): number {
+        return Math.max(now + 1, this.#lastSentAt + 50 + 7 * peers);
+    }
+
+    recordSend({ now }: { now: number; }): void {
+        this.#lastSentAt = now;
+    }
+}
+
+let paced: PlaceOutcome = { firstTokens: [], preemptions: 0, digests: 0 };
+let spaced: PlaceOutcome = { firstTokens: [], preemptions: 0, digests: 0 };
+
+function findQuantile(values: readonly number[], share: number): number {
+    return [...values].sort((a, b) => a - b)[Math.floor(values.length * share)] ?? Infinity;
+}
+
+When(
+    "{int} instances place {int} generations a second on {int} engines",
+    function(instances: number, rate: number, engines: number) {
+        paced = replayPlaces({ instances, rate, engines });
+        spaced = replayPlaces({ instances, rate, engines, createPace: () => new FixedPace() });
+    },
+);
+
+Then(
+    "9 in 10 first tokens come within {float} of the time that digests at fixed spaces give",
+    function(share: number) {
+        const [own, other] = [findQuantile(paced.firstTokens, 0.9), findQuantile(spaced.firstTokens, 0.9)];
+        assert.ok(own <= other * share, `${own} ms beside ${other} ms`);
+    },
+);
+
+Then("no more than {float} of the first tokens come after {int} ms", function(share: number, most: number) {
+    const late = paced.firstTokens.filter(time => time > most).length / paced.firstTokens.length;
+    assert.ok(late <= share, `${late} of the first tokens are late`);
+});
+
+Then("no more than {float} times as many digests are sent", function(factor: number) {
+    assert.ok(paced.digests <= spaced.digests * factor, `${paced.digests} beside ${spaced.digests} digests`);
+});
+
 let placed = new Map<string, number>();
 
 When(
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { decideWatching, type SharePosition } from "../core/serving/mod.ts";
+import { decideWatching, DigestPace, type SharePosition, WorkChange } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerLinks } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import {
@@ -54,10 +54,6 @@
 
 /** Time between looks at the peers, in milliseconds. */
 const SWEEP_INTERVAL = 100;
-/** Least time between two digests of changed work, in milliseconds; few placements collide within it. */
-const MIN_DIGEST_SPACING = 50;
-/** Further time for each peer, in milliseconds, which bounds an instance's messages to about 150 a second. */
-const SPACING_PER_PEER = 7;
 /** Time between digests that tell nothing new, in milliseconds, and the further time for each peer. */
 const KEEP_ALIVE = 500;
 const KEEP_ALIVE_PER_PEER = 15;
@@ -88,8 +84,9 @@
     readonly #peers = new Map<string, Peer>();
     readonly #ownAddress: string;
     #timer: NodeJS.Timeout | undefined;
+    readonly #pace = new DigestPace();
     #digestTimer: NodeJS.Timeout | undefined;
-    #lastSentAt = 0;
+    #digestDue = Infinity;
     #askedAt = 0;
     #behindSince: number | undefined;
     #isListed = false;
@@ -104,7 +101,7 @@
         });
         options.state.setPositionFinder(() => this.#isListed ? this.#findPosition() : undefined);
         options.state.newsListeners.push(news => this.#sendNews(news));
-        options.state.ledger.onEngineChange = () => this.#scheduleDigest();
+        options.state.ledger.onEngineChange = change => this.#scheduleDigest(change);
     }
 
     /** Starts to listen and to send digests. */
@@ -168,7 +165,7 @@
     #startTimer(): void {
         this.#timer = setTimeout(() => {
             this.#expirePeers();
-            if (this.#options.clock.getMonotonic() - this.#lastSentAt >= this.#keepAlive) {
+            if (this.#options.clock.getMonotonic() - this.#pace.lastSentAt >= this.#keepAlive) {
                 this.#sendDigests();
             }
             void this.#askIfBehind();
@@ -181,16 +178,15 @@
     }
 
     /** Sends a digest soon, but not too often. */
-    #scheduleDigest(): void {
-        if (this.#digestTimer !== undefined) {
+    #scheduleDigest(change: WorkChange): void {
+        const now = this.#options.clock.getMonotonic();
+        const due = this.#pace.computeDue(change, { now, peers: this.#peers.size });
+        if (due >= this.#digestDue) {
             return;
         }
-        const spacing = MIN_DIGEST_SPACING + SPACING_PER_PEER * this.#peers.size;
-        const due = this.#lastSentAt + spacing - this.#options.clock.getMonotonic();
-        this.#digestTimer = setTimeout(() => {
-            this.#digestTimer = undefined;
-            this.#sendDigests();
-        }, Math.max(1, due));
+        clearTimeout(this.#digestTimer);
+        this.#digestDue = due;
+        this.#digestTimer = setTimeout(() => this.#sendDigests(), due - now);
     }
 
     /** Sends news to the peers that do not watch the store. */
@@ -208,7 +204,7 @@
                 this.#links.send(peer.address, message);
             }
         }
-        this.#scheduleDigest();
+        this.#scheduleDigest(WorkChange.eased);
     }
 
     #handleMessage(raw: unknown): void {
@@ -362,7 +358,9 @@
             versions: this.#getVersions(),
             isWatching: this.#options.isWatching(),
         };
-        this.#lastSentAt = now;
+        clearTimeout(this.#digestTimer);
+        this.#digestDue = Infinity;
+        this.#pace.recordSend({ now, peers: this.#peers.size });
         for (const peer of this.#peers.values()) {
             const isSilent = peer.heardAt === undefined || peer.isLost;
             if (!isSilent || now - peer.triedAt >= RETRY_LOST) {
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -19,6 +19,7 @@
     TargetHealth,
     type TargetSnapshot,
     UNREACHABLE_WEIGHT,
+    WorkChange,
 } from "../core/serving/mod.ts";
 import type { InstanceSettings } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -196,7 +197,7 @@
         this.health.recordFailure(id, { now, weight: end.isUnreachable ? UNREACHABLE_WEIGHT : 1 });
         if (end.isUnreachable) {
             this.#unreachable.set(id, now);
-            this.ledger.onEngineChange();
+            this.ledger.onEngineChange(WorkChange.placed);
         }
     }
 
