Tell peers only of configurations that a watch has told of, and of long ones only the version

Change: what a list of the store holds is not sent on; where routes times peers are over 400, watchers tell only the new version, at once, and peers read the store. Streams log their first event's time and their longest pause. Measured: scenarios for both (3 of 6 instances read it; nothing is sent on after a list). Ruled out: plain counts in digests (left out before), late targets.

--- a/core/serving/digest_pace.ts
+++ b/core/serving/digest_pace.ts
@@ -9,18 +9,20 @@
  */
 
 /** What has changed since the last digest. */
-export const WorkChange = {
-    /** A request was placed. */
+export const DigestReason = {
+    /** A request was placed, or a target could not be reached. */
     placed: "placed",
     /** A target has answered, or a request has ended. */
     eased: "eased",
+    /** The store has told something. */
+    learnt: "learnt",
 } as const;
 
-/** One of the values of {@linkcode WorkChange}. */
-export type WorkChange = (typeof WorkChange)[keyof typeof WorkChange];
+/** One of the values of {@linkcode DigestReason}. */
+export type DigestReason = (typeof DigestReason)[keyof typeof DigestReason];
 
-/** Delay of a digest that tells of a placement, in milliseconds; it gathers placements that come together. */
-const PLACED_DELAY = 2;
+/** Delay of a digest that can't wait, in milliseconds; it gathers changes that come together. */
+const URGENT_DELAY = 2;
 /** Time in which the allowance grows by one digest, in milliseconds, and the further time for each peer. */
 const BASE_SPACING = 50;
 const SPACING_PER_PEER = 7;
@@ -39,13 +41,13 @@
     }
 
     /** Computes the time at which a change is told, on the monotonic clock in milliseconds. */
-    computeDue(change: WorkChange, { now, peers }: { now: number; peers: number; }): number {
+    computeDue(reason: DigestReason, { now, peers }: { now: number; peers: number; }): number {
         const spacing = BASE_SPACING + SPACING_PER_PEER * peers;
         this.#refill(now, spacing);
-        if (change === WorkChange.placed && this.#allowed >= 1) {
-            return now + PLACED_DELAY;
+        if (reason !== DigestReason.eased && this.#allowed >= 1) {
+            return now + URGENT_DELAY;
         }
-        return Math.max(now + PLACED_DELAY, this.#lastSentAt + spacing);
+        return Math.max(now + URGENT_DELAY, this.#lastSentAt + spacing);
     }
 
     /** Notes that a digest goes out. */
--- a/core/serving/load_ledger.ts
+++ b/core/serving/load_ledger.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { WorkChange } from "./digest_pace.ts";
+import { DigestReason } from "./digest_pace.ts";
 
 /** Work that a target holds. */
 export interface HeldWork {
@@ -39,7 +39,7 @@
 /** Adds up what is known of each target's work. */
 export class LoadLedger {
     /** Called when an engine's work has changed; plain requests are too short to tell of each. */
-    onEngineChange: (change: WorkChange) => void = () => undefined;
+    onEngineChange: (reason: DigestReason) => void = () => undefined;
     readonly #own = new Map<string, Map<object, WorkItem & { hasAnswered: boolean; }>>();
     readonly #peers = new Map<string, PeerDigest>();
 
@@ -49,22 +49,22 @@
         const entries = this.#own.get(target) ?? new Map<object, typeof entry>();
         entries.set(entry, entry);
         this.#own.set(target, entries);
-        const announce = (change: WorkChange): void => {
+        const announce = (reason: DigestReason): void => {
             if (item.promptTokens > 0) {
-                this.onEngineChange(change);
+                this.onEngineChange(reason);
             }
         };
-        announce(WorkChange.placed);
+        announce(DigestReason.placed);
         return {
             markAnswered: () => {
                 if (!entry.hasAnswered) {
                     entry.hasAnswered = true;
-                    announce(WorkChange.eased);
+                    announce(DigestReason.eased);
                 }
             },
             release: () => {
                 entries.delete(entry);
-                announce(WorkChange.eased);
+                announce(DigestReason.eased);
                 if (entries.size === 0 && this.#own.get(target) === entries) {
                     this.#own.delete(target);
                 }
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -32,6 +32,28 @@
             | answers nonsense              |
             | forgets its history           |
 
+    Scenario Outline: a configuration with <routes> further routes reaches 6 instances, those off duty <source>
+        Given a serving site with 6 instances
+        And the first watch of each instance has ended
+        When the operator writes version 9 with <routes> further routes
+        Then each instance has adopted version 9 within 1500 ms
+        And the instances that do not watch got it from the "<source>"
+
+        Examples:
+            | routes | source     |
+            | 10     | peer       |
+            | 300    | store list |
+
+    Scenario Outline: an instance that learns a configuration from the <source> tells its peers <told>
+        When an instance learns a configuration from the "<source>"
+        Then it tells its peers "<told>"
+
+        Examples:
+            | source     | told    |
+            | store      | all     |
+            | store list | nothing |
+            | peer one   | nobody  |
+
     Scenario: an older configuration never comes back
         Given a serving site
         When the operator writes version 9 without the route "lookup"
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -14,6 +14,7 @@
     decideWatching,
     type DepartingEngine,
     type DestinationEngine,
+    type DigestReason,
     EventSplitter,
     LoadLedger,
     planDeparture,
@@ -24,7 +25,6 @@
     TargetDirectory,
     TargetHealth,
     type WaitDecision,
-    type WorkChange,
 } from "../../core/serving/mod.ts";
 import { createRandom } from "../../support/fixtures/random.ts";
 import { type MoveOutcome, replayMoves } from "../../support/platform/move_replay.ts";
@@ -152,7 +152,7 @@
 class FixedPace implements ReplayedPace {
     #lastSentAt = Number.NEGATIVE_INFINITY;
 
-    computeDue(_change: WorkChange, { now, peers }: { now: number; peers: number; }): number {
+    computeDue(_reason: DigestReason, { now, peers }: { now: number; peers: number; }): number {
         return Math.max(now + 1, this.#lastSentAt + 50 + 7 * peers);
     }
 
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -7,7 +7,8 @@
 import assert from "node:assert/strict";
 import { waitMilliseconds } from "../../network/mod.ts";
 import { parseAddress } from "../../network/mod.ts";
-import { StoreClient, type StoreReply } from "../../platform/mod.ts";
+import { decodeConfiguration, StoreClient, type StoreReply } from "../../platform/mod.ts";
+import { type BeliefSource, ServingState, type StoreNews } from "../../serving/mod.ts";
 import {
     buildSiteConfiguration,
     ServingSite,
@@ -17,6 +18,7 @@
 } from "../../support/platform/mod.ts";
 import { findAddresses, type HttpResult } from "../../support/processes/mod.ts";
 import { openStandIn } from "../../support/stand_ins/mod.ts";
+import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 
 let site: ServingSite | undefined;
 let answers: HttpResult[] = [];
@@ -425,3 +427,70 @@
     }
     await waitMilliseconds(100);
 });
+
+/** Longest wait of one watch, and some time for the call. */
+const WATCH_END = 3500;
+
+Given("the first watch of each instance has ended", async function() {
+    await waitMilliseconds(WATCH_END);
+});
+
+When("the operator writes version {int} with {int} further routes", function(version: number, count: number) {
+    const configuration = buildSiteConfiguration(version);
+    const [first] = configuration.routes as Record<string, unknown>[];
+    const further = Array.from({ length: count }, (_, index) => ({
+        ...first,
+        name: `further-${index}`,
+        path_prefix: `/further-${index}/`,
+    }));
+    const routes = [...configuration.routes as unknown[], ...further];
+    getSite().store.putObject("config", "main", { ...configuration, routes });
+});
+
+function findAdoption(lines: readonly Record<string, unknown>[], version: number): string | undefined {
+    const line = lines.find(entry => entry.event === "configuration adopted" && entry.version === version);
+    return line === undefined ? undefined : String(line.source);
+}
+
+Then(
+    "each instance has adopted version {int} within {int} ms",
+    async function(version: number, milliseconds: number) {
+        const until = performance.now() + milliseconds;
+        while (getSite().instances.some(({ lines }) => findAdoption(lines, version) === undefined)) {
+            assert.ok(performance.now() < until, `not all instances have adopted version ${version}`);
+            await waitMilliseconds(20);
+        }
+    },
+);
+
+Then("the instances that do not watch got it from the {string}", function(source: string) {
+    const sources = getSite().instances.map(({ lines }) => findAdoption(lines, 9) ?? "").sort();
+    assert.equal(sources.filter(name => name === "store").length, 3, sources.join(", "));
+    assert.equal(sources.filter(name => name.startsWith(source) && name !== "store").length, 3, sources.join(", "));
+});
+
+let told: StoreNews[] = [];
+
+When("an instance learns a configuration from the {string}", async function(source: string) {
+    site = await startServingSite();
+    const configuration = decodeConfiguration({
+        name: "main",
+        revision: 1,
+        spec: buildSiteConfiguration(9),
+    });
+    const [instance] = site.instances;
+    assert.ok(configuration !== undefined && instance !== undefined);
+    const state = new ServingState({
+        settings: instance.settings,
+        clock: systemClock,
+        log: new DecisionLog({ name: "test", clock: systemClock, writeLine: () => true }),
+    });
+    told = [];
+    state.newsListeners.push(news => told.push(news));
+    assert.ok(state.adoptConfiguration(configuration, source as BeliefSource));
+});
+
+Then("it tells its peers {string}", function(what: string) {
+    const name = told.length === 0 ? "nobody" : told.some(news => news.configuration !== undefined) ? "all" : "nothing";
+    assert.equal(name, what);
+});
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./serving_process.ts";
+export * from "./serving_state.ts";
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { decideWatching, DigestPace, type SharePosition, WorkChange } from "../core/serving/mod.ts";
+import { decideWatching, DigestPace, DigestReason, type SharePosition } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerLinks } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import {
@@ -61,8 +61,11 @@
 const WATCHER_KEEP_ALIVE = 300;
 /** Digests that may be missed before a peer counts as lost. */
 const MISSED_DIGESTS = 3;
-/** Longest configuration that is sent to peers, in routes; they read a longer one from the store. */
-const MAX_SENT_ROUTES = 64;
+/**
+ * Most routes that are sent to all peers together, about 200 KB; beyond that peers read the configuration from the store.
+ * A narrow link of 7 Mbit/s takes a quarter of a second for it.
+ */
+const MAX_SENT_ROUTES = 400;
 /** Time between digests to a peer that does not answer, in milliseconds. */
 const RETRY_LOST = 2000;
 /** Time after which a peer that nobody tells of is forgotten, in milliseconds. */
@@ -101,7 +104,7 @@
         });
         options.state.setPositionFinder(() => this.#isListed ? this.#findPosition() : undefined);
         options.state.newsListeners.push(news => this.#sendNews(news));
-        options.state.ledger.onEngineChange = change => this.#scheduleDigest(change);
+        options.state.ledger.onEngineChange = reason => this.#scheduleDigest(reason);
     }
 
     /** Starts to listen and to send digests. */
@@ -178,9 +181,9 @@
     }
 
     /** Sends a digest soon, but not too often. */
-    #scheduleDigest(change: WorkChange): void {
+    #scheduleDigest(reason: DigestReason): void {
         const now = this.#options.clock.getMonotonic();
-        const due = this.#pace.computeDue(change, { now, peers: this.#peers.size });
+        const due = this.#pace.computeDue(reason, { now, peers: this.#peers.size });
         if (due >= this.#digestDue) {
             return;
         }
@@ -192,19 +195,17 @@
     /** Sends news to the peers that do not watch the store. */
     #sendNews(news: StoreNews): void {
         const { configuration, ...rest } = news;
-        const isShort = configuration !== undefined && configuration.routes.length <= MAX_SENT_ROUTES;
-        const message: NewsMessage = {
-            kind: "news",
-            instance: this.#options.instance,
-            ...rest,
-            ...isShort ? { configuration } : {},
-        };
-        for (const peer of this.#peers.values()) {
-            if (!peer.isLost && peer.heardAt !== undefined && !peer.isWatching) {
-                this.#links.send(peer.address, message);
-            }
+        const listeners = [...this.#peers.values()].filter(({ isLost, heardAt, isWatching }) =>
+            !isLost && heardAt !== undefined && !isWatching
+        );
+        const isShort = configuration !== undefined
+            && configuration.routes.length * listeners.length <= MAX_SENT_ROUTES;
+        const told = { ...rest, ...isShort ? { configuration } : {} };
+        if (Object.keys(told).length > 0) {
+            const message: NewsMessage = { kind: "news", instance: this.#options.instance, ...told };
+            listeners.forEach(peer => this.#links.send(peer.address, message));
         }
-        this.#scheduleDigest(WorkChange.eased);
+        this.#scheduleDigest(DigestReason.learnt);
     }
 
     #handleMessage(raw: unknown): void {
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "../core/clock/mod.ts";
 import {
     ColdShare,
+    DigestReason,
     LoadLedger,
     type PlaceCandidate,
     RetryShare,
@@ -19,7 +20,6 @@
     TargetHealth,
     type TargetSnapshot,
     UNREACHABLE_WEIGHT,
-    WorkChange,
 } from "../core/serving/mod.ts";
 import type { InstanceSettings } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -68,8 +68,8 @@
     zones?: ZoneSnapshot;
 }
 
-/** Where a belief came from. */
-export type BeliefSource = "store" | "target" | `peer ${string}`;
+/** Where a belief came from; what a list of the store holds may have been told by others long ago. */
+export type BeliefSource = "store" | "store list" | "target" | `peer ${string}`;
 
 /** Instances assumed while it is not known how many there are: about the usual number, and some more. */
 const ASSUMED_INSTANCES = 10;
@@ -87,7 +87,7 @@
     #settings: InstanceSettings;
     /** Called with each change to a target. */
     readonly targetListeners: ((change: TargetChange) => void)[] = [];
-    /** Called with what the store has told. */
+    /** Called with what the store has told; empty where peers need no more than this instance's new versions. */
     readonly newsListeners: ((news: StoreNews) => void)[] = [];
     readonly #options: ServingStateOptions;
     readonly #retryShares = new Map<string, RetryShare>();
@@ -161,6 +161,9 @@
             accounts: configuration.accounts?.length ?? 0,
         });
         this.#announce({ configuration }, source);
+        if (source === "store list") {
+            this.#announce({}, "store");
+        }
         return true;
     }
 
@@ -197,7 +200,7 @@
         this.health.recordFailure(id, { now, weight: end.isUnreachable ? UNREACHABLE_WEIGHT : 1 });
         if (end.isUnreachable) {
             this.#unreachable.set(id, now);
-            this.ledger.onEngineChange(WorkChange.placed);
+            this.ledger.onEngineChange(DigestReason.placed);
         }
     }
 
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -18,7 +18,7 @@
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
-import type { ServingState } from "./serving_state.ts";
+import type { BeliefSource, ServingState } from "./serving_state.ts";
 
 /** Options of a {@linkcode StoreWatcher}. */
 export interface StoreWatcherOptions {
@@ -71,8 +71,8 @@
         this.#options = options;
         this.#handlers = {
             [StoreKind.configuration]: {
-                applyList: list => this.#applyConfigurations(list.objects),
-                applyEvents: events => this.#applyConfigurations(events.events.map(event => event.object)),
+                applyList: list => this.#applyConfigurations(list.objects, "store list"),
+                applyEvents: events => this.#applyConfigurations(events.events.map(event => event.object), "store"),
             },
             [StoreKind.targets]: {
                 applyList: list => this.#applyTargetList(list),
@@ -202,14 +202,14 @@
         await waitMilliseconds(pause * (0.5 + random()));
     }
 
-    #applyConfigurations(objects: StoreObject[]): void {
+    #applyConfigurations(objects: StoreObject[], source: BeliefSource): void {
         for (const object of objects) {
             const configuration = decodeConfiguration(object);
             if (configuration === undefined) {
                 this.#reportMalformed(StoreKind.configuration, object);
                 continue;
             }
-            this.#options.state.adoptConfiguration(configuration, "store");
+            this.#options.state.adoptConfiguration(configuration, source);
         }
     }
 
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -81,7 +81,10 @@
     #lastEventId: string | undefined;
     #eventCount = 0;
     #lastEventAt = 0;
+    #firstEventAt = 0;
+    #longestPause = 0;
     #moves = 0;
+    #isAfterMove = false;
     #isFramed = true;
     /** Set while a target runs the stream. */
     #place: HeldPlace | undefined;
@@ -359,6 +362,7 @@
                 continue;
             }
             if (this.#eventCount === 0) {
+                this.#firstEventAt = this.#now;
                 this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
             }
             this.#eventCount += 1;
@@ -383,11 +387,12 @@
                 events: this.#eventCount,
             });
         }
+        if (this.#lastEventAt > 0 && pause > this.#longestPause) {
+            this.#longestPause = pause;
+        }
         this.#lastEventAt = this.#now;
     }
 
-    #isAfterMove = false;
-
     /** Tells whether an event goes on from the last one; a target may repeat what its predecessor had sent. */
     #isNext(id: string | undefined): boolean {
         if (id === undefined || this.#lastEventId === undefined) {
@@ -416,7 +421,7 @@
 
     #finish(): void {
         this.#exchange.response.end();
-        const detail = { events: this.#eventCount, moves: this.#moves };
+        const detail = this.#describeEvents();
         const isTrouble = this.#attempts.length > 1;
         recordEnd(this.#context, this.#exchange, { name: "complete", isTrouble, attempts: this.#attempts, detail });
     }
@@ -439,7 +444,7 @@
         const { response } = this.#exchange;
         const isGone = this.#exchange.isCallerGone();
         const verdict = this.#verdict;
-        const detail = { reason, verdict, events: this.#eventCount, moves: this.#moves };
+        const detail = { reason, verdict, ...this.#describeEvents() };
         if (response.headersSent) {
             breakOff(response);
         }
@@ -466,6 +471,20 @@
         recordEnd(this.#context, this.#exchange, { name, isTrouble: true, attempts: this.#attempts, detail });
     }
 
+    #describeEvents(): Record<string, unknown> {
+        const { promptTokens, outputTokens } = this.#item;
+        return {
+            promptTokens,
+            expectedTokens: Math.round(outputTokens),
+            events: this.#eventCount,
+            moves: this.#moves,
+            ...this.#eventCount === 0 ? {} : {
+                firstEventMilliseconds: Math.round(this.#firstEventAt - this.#exchange.arrivedAt),
+                longestPauseMilliseconds: Math.round(this.#longestPause),
+            },
+        };
+    }
+
     get #now(): number {
         return this.#context.clock.getMonotonic();
     }
--- a/support/platform/place_replay.ts
+++ b/support/platform/place_replay.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import { choosePlace, DigestPace, LoadLedger, type ServingTarget, WorkChange } from "../../core/serving/mod.ts";
+import { choosePlace, DigestPace, DigestReason, LoadLedger, type ServingTarget } from "../../core/serving/mod.ts";
 import { createRandom, pickLogNormal, type Random } from "../fixtures/random.ts";
 
 /** When instances tell of their work. */
 export interface ReplayedPace {
     /** Computes the time at which a change is told. */
-    computeDue(change: WorkChange, state: { now: number; peers: number; }): number;
+    computeDue(reason: DigestReason, state: { now: number; peers: number; }): number;
     /** Notes that a digest goes out. */
     recordSend(state: { now: number; peers: number; }): void;
 }
@@ -165,8 +165,8 @@
     let now = 0;
     const instances = Array.from({ length: count }, (): ReplayedInstance => {
         const instance = { ledger: new LoadLedger(), pace: createPace(), due: Infinity };
-        instance.ledger.onEngineChange = change => {
-            const due = instance.pace.computeDue(change, { now, peers: count - 1 });
+        instance.ledger.onEngineChange = reason => {
+            const due = instance.pace.computeDue(reason, { now, peers: count - 1 });
             instance.due = Math.min(instance.due, due);
         };
         return instance;
