Keep the project's own objects in the platform's store, through the one store client

Cause: the agent and knapweedctl spoke an object API of the project's own through a second client with its own stand-in; no such platform exists any more. Calls without a usable answer are logged.

--- a/agent/agent_process.ts
+++ b/agent/agent_process.ts
@@ -15,7 +15,7 @@
 } from "../core/agent/mod.ts";
 import type { Clock } from "../core/clock/mod.ts";
 import { type FrameClient, FrameServer, PeerLinks, waitMilliseconds } from "../network/mod.ts";
-import { HttpPlatform, type PlatformClient } from "../platform/mod.ts";
+import { KeyedStore, type PlatformClient } from "../platform/mod.ts";
 import { type ChangeLogger, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { AgentSettings } from "./agent_settings.ts";
 import { LoadPoller } from "./load_poller.ts";
@@ -59,7 +59,10 @@
         this.#logger = logger;
         this.#clock = clock;
         this.#links = new PeerLinks({ self: settings.instance });
-        this.#platform = new HttpPlatform({ address: settings.platform });
+        this.#platform = new KeyedStore({
+            address: settings.platform,
+            onFailure: (request, reason) => logger.logChange("platform call failed", { call: request.kind, reason }),
+        });
         this.#core = createCore(settings, clock);
         this.#poller = new LoadPoller({ onClosed: address => this.#handle({ kind: "target-closed", address }) });
         this.#peerServer = new FrameServer({
--- a/agent/agent_settings.ts
+++ b/agent/agent_settings.ts
@@ -18,7 +18,7 @@
     peerAddress: createAddressSetting("Address that other agents reach this one at"),
     gatewayAddress: createAddressSetting("Address that the gateways of this instance reach this agent at"),
     adminAddress: createAddressSetting("Address of metrics, health and dumps"),
-    platform: createAddressSetting("Address of the platform's object API"),
+    platform: createAddressSetting("Address of the platform's store"),
     claimShards: createNumberSetting({
         description: "Shards of the claim log; the same on every instance",
         fallback: 8,
--- a/control/build_command.ts
+++ b/control/build_command.ts
@@ -7,7 +7,7 @@
 import { userInfo } from "node:os";
 import { stringify } from "yaml";
 import { type Address, parseAddress } from "../network/mod.ts";
-import { HttpPlatform, type PlatformClient } from "../platform/mod.ts";
+import { KeyedStore, type PlatformClient } from "../platform/mod.ts";
 import {
     applyInventory,
     type ApplyResult,
@@ -63,14 +63,14 @@
 }
 
 function createPlatformOption(): Option {
-    return new Option("--platform <address>", "address of the platform's object API, as IP:port")
+    return new Option("--platform <address>", "address of the platform's store, as IP:port")
         .env("KNAPWEED_PLATFORM")
         .argParser(parseAddress)
         .makeOptionMandatory();
 }
 
 function createPlatform(options: PlatformOption): PlatformClient {
-    return new HttpPlatform({ address: options.platform });
+    return new KeyedStore({ address: options.platform });
 }
 
 function addDocumentCommands(command: Command, output: CommandOutput): void {
--- a/core/configuration/manifest.ts
+++ b/core/configuration/manifest.ts
@@ -6,7 +6,7 @@
 import * as v from "valibot";
 import { parseBySchema } from "../platform/mod.ts";
 
-/** Key of the manifest in the platform's object API. */
+/** Key of the manifest in the platform's store. */
 export const MANIFEST_KEY = "configuration/manifest";
 /** Prefix of the keys of parts. */
 export const PART_PREFIX = "configuration/parts/";
--- a/core/platform/mod.ts
+++ b/core/platform/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The platform's object API as the cores see it.
+ * The platform's store as the cores see it.
  *
  * @module
  */
--- a/core/platform/platform_types.ts
+++ b/core/platform/platform_types.ts
@@ -1,5 +1,5 @@
 /**
- * Calls to the platform's object API and their answers, as plain data.
+ * Calls to the platform's store and their answers, as plain data.
  *
  * @module
  */
--- a/features/steps/contract_steps.ts
+++ b/features/steps/contract_steps.ts
@@ -19,19 +19,20 @@
 } from "../../control/mod.ts";
 import type { PlatformReply, PlatformRequest } from "../../core/platform/mod.ts";
 import { type Address, parseAddress } from "../../network/mod.ts";
-import { HttpPlatform } from "../../platform/mod.ts";
+import { KeyedStore } from "../../platform/mod.ts";
 import { encodeFrame, FrameDecoder } from "../../protocol/mod.ts";
 import { BAGMATI, createAccountKey, createInventory } from "../../support/fixtures/inventories.ts";
+import { StoreStandIn } from "../../support/platform/mod.ts";
 import { callHttp, findAddresses, type HttpResult } from "../../support/processes/mod.ts";
-import { type OpenedStandIn, openStandIn, PlatformStandIn } from "../../support/stand_ins/mod.ts";
+import { type OpenedStandIn, openStandIn } from "../../support/stand_ins/mod.ts";
 import type { ProcessWorld } from "../support/process_world.ts";
 
 /** What the steps of one contract share. */
 interface ContractState {
-    platform: PlatformStandIn;
+    platform: StoreStandIn;
     opened: OpenedStandIn;
     address: Address;
-    client: HttpPlatform;
+    client: KeyedStore;
     reply: PlatformReply | undefined;
     results: ApplyResult[];
 }
@@ -154,16 +155,16 @@
 Given("a platform stand-in", async function() {
     const [text = ""] = await findAddresses(1);
     const address = parseAddress(text);
-    const platform = new PlatformStandIn();
+    const platform = new StoreStandIn();
     const opened = await openStandIn(platform, { address: text });
-    const client = new HttpPlatform({ address, timeoutMilliseconds: 300 });
+    const client = new KeyedStore({ address, timeoutMilliseconds: 300 });
     state = { platform, opened, address, client, reply: undefined, results: [] };
 });
 
 /** What can be wrong with the platform, by the words of the table. */
 const SITUATIONS: Record<string, (contract: ContractState) => void> = {
     "nothing is wrong": () => undefined,
-    "the key exists": ({ platform }) => void platform.store.handleCall({ kind: "create", key: "a/1", value: "text" }),
+    "the key exists": ({ platform }) => void platform.putObject("knapweed-a", "1", { text: "text" }),
     "the platform fails": ({ platform }) => void (platform.faults.isDown = true),
     "the platform is silent": ({ platform }) => void (platform.faults.delayMilliseconds = 1000),
     "the next answer is lost": ({ platform }) => void (platform.faults.lostAnswers = 1),
@@ -193,7 +194,8 @@
     create: key => ({ kind: "create", key, value: "other" }),
     replace: key => ({ kind: "replace", key, value: "other", version: 99 }),
     read: key => ({ kind: "read", key }),
-    watch: key => ({ kind: "watch", key, version: 1, waitMilliseconds: 50 }),
+    // The first object of the stand-in has this revision.
+    watch: key => ({ kind: "watch", key, version: 11, waitMilliseconds: 50 }),
     list: () => ({ kind: "list", prefix: "a/", after: "" }),
     remove: key => ({ kind: "remove", key }),
     instances: () => ({ kind: "instances" }),
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { sendJson } from "../../network/mod.ts";
+import { sendJson, waitMilliseconds } from "../../network/mod.ts";
 import type { FaultTable, StandIn } from "../stand_ins/mod.ts";
 
 /** Faults of a {@linkcode StoreStandIn}. */
@@ -23,6 +23,10 @@
     pageSize: number;
     /** Oldest revision from which a watch can go on. */
     historyFrom: number;
+    /** Refuses every call with 503. */
+    isDown: boolean;
+    /** Delays every answer, in milliseconds. */
+    delayMilliseconds: number;
 }
 
 interface StoredObject {
@@ -30,6 +34,11 @@
     spec: unknown;
 }
 
+interface SentObject {
+    metadata: { name: string; revision?: number; };
+    spec: unknown;
+}
+
 interface StoredEvent {
     kind: string;
     object: StoredObject;
@@ -47,6 +56,8 @@
         isNonsense: false,
         pageSize: 500,
         historyFrom: 0,
+        isDown: false,
+        delayMilliseconds: 0,
     };
     /** Calls that have come, by method and kind. */
     readonly calls: string[] = [];
@@ -87,11 +98,12 @@
         const url = new URL(request.url ?? "/", "http://store");
         const [, , kind = "", name] = url.pathname.split("/").map(decodeURIComponent);
         this.calls.push(`${request.method} ${kind}`);
+        await waitMilliseconds(this.faults.delayMilliseconds);
         if (this.faults.isReset) {
             request.socket.resetAndDestroy();
         }
-        else if (this.faults.refuseWith > 0) {
-            sendJson(response, { status: this.faults.refuseWith, value: {} });
+        else if (this.faults.isDown || this.faults.refuseWith > 0) {
+            sendJson(response, { status: this.faults.isDown ? 503 : this.faults.refuseWith, value: {} });
         }
         else if (this.faults.isNonsense) {
             response.end("{\"items\":");
@@ -117,6 +129,13 @@
         if (method === "GET" && url.searchParams.has("watch")) {
             await this.#answerWatch(response, { kind, url });
         }
+        else if (method === "GET" && name !== undefined) {
+            this.#answerObject(response, { kind, name });
+        }
+        else if (method === "DELETE") {
+            this.#answerObject(response, { kind, name: name ?? "" });
+            this.removeObject(kind, name ?? "");
+        }
         else if (method === "GET") {
             this.#answerList(response, { kind, after: url.searchParams.get("after") ?? "" });
         }
@@ -125,6 +144,11 @@
         }
     }
 
+    #answerObject(response: ServerResponse, { kind, name }: { kind: string; name: string; }): void {
+        const object = this.#objects.get(kind)?.get(name);
+        sendJson(response, object === undefined ? { status: 404, value: {} } : { status: 200, value: object });
+    }
+
     #answerList(response: ServerResponse, list: { kind: string; after: string; }): void {
         const all = [...this.#objects.get(list.kind)?.values() ?? []];
         const sorted = all.sort((a, b) => a.metadata.name < b.metadata.name ? -1 : 1);
@@ -158,13 +182,14 @@
         response: ServerResponse,
         change: { method: string; kind: string; name: string | undefined; body: Buffer; },
     ): void {
-        const { metadata, spec } = JSON.parse(change.body.toString()) as StoredObject;
-        const exists = this.#objects.get(change.kind)?.has(metadata.name) ?? false;
-        if (change.method === "POST" && exists) {
-            sendJson(response, { status: 409, value: this.#objects.get(change.kind)?.get(metadata.name) });
+        const { metadata, spec } = JSON.parse(change.body.toString()) as SentObject;
+        const known = this.#objects.get(change.kind)?.get(metadata.name);
+        const isOther = metadata.revision !== undefined && metadata.revision !== known?.metadata.revision;
+        if (known !== undefined && (change.method === "POST" || isOther)) {
+            sendJson(response, { status: 409, value: known });
             return;
         }
-        if (change.method === "PUT" && !exists) {
+        if (change.method === "PUT" && known === undefined) {
             sendJson(response, { status: 404, value: {} });
             return;
         }
--- a/support/processes/fleet.ts
+++ b/support/processes/fleet.ts
@@ -8,7 +8,7 @@
 import { applyInventory, fetchConfiguration } from "../../control/mod.ts";
 import type { Inventory } from "../../core/inventory/mod.ts";
 import { parseAddress } from "../../network/mod.ts";
-import { HttpPlatform } from "../../platform/mod.ts";
+import { KeyedStore, LISTED_INSTANCES, StoreClient } from "../../platform/mod.ts";
 import { createInventory, type DeploymentPlan } from "../fixtures/inventories.ts";
 import type { EngineSpec } from "../stand_ins/mod.ts";
 import { type RunningChild, startChild } from "./child_process.ts";
@@ -217,18 +217,19 @@
     platform: string,
     places: { name: string; zone: string; addresses: string[]; }[],
 ): Promise<void> {
-    const instances = places.map(({ name, zone, addresses: [address = ""] }) => ({
-        id: name,
-        address,
-        zone,
-        role: "entry",
-        isLeaving: false,
-    }));
-    await callHttp({ address: platform, method: "PUT", path: "/instances", body: JSON.stringify(instances) });
+    const store = new StoreClient({ address: parseAddress(platform) });
+    for (const { name, zone, addresses: [address = ""] } of places) {
+        const spec = { address, zone, role: "entry", isLeaving: false };
+        const reply = await store.putObject(LISTED_INSTANCES, { name, spec });
+        if (reply.kind !== "ok") {
+            throw new Error(`Cannot list the instance ${name}: the store's reply is "${reply.kind}".`);
+        }
+    }
+    store.close();
 }
 
 async function applyFirst(platform: string, inventory: Inventory): Promise<void> {
-    const client = new HttpPlatform({ address: parseAddress(platform) });
+    const client = new KeyedStore({ address: parseAddress(platform) });
     const base = await fetchConfiguration(client);
     const result = await applyInventory(client, { inventory, author: "fixture", base });
     if (result.kind !== "accepted") {
--- a/support/stand_ins/run_stand_in.ts
+++ b/support/stand_ins/run_stand_in.ts
@@ -3,16 +3,16 @@
  *
  * @module
  */
+import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { type EngineSpec } from "./engine_core.ts";
 import { EngineStandIn, SMALL_ENGINE } from "./engine_stand_in.ts";
-import { PlatformStandIn } from "./platform_stand_in.ts";
 import { ServiceStandIn } from "./service_stand_in.ts";
 import { openStandIn, type StandIn } from "./stand_in_server.ts";
 
 const [kind = "", address = "", specification = "{}"] = process.argv.slice(2);
 const builders: Record<string, () => StandIn> = {
     engine: () => new EngineStandIn({ ...SMALL_ENGINE, ...JSON.parse(specification) as Partial<EngineSpec> }),
-    platform: () => new PlatformStandIn(),
+    platform: () => new StoreStandIn(),
     service: () => new ServiceStandIn(),
 };
 const builder = builders[kind];
