Measure the serving process's decisions beside simpler ones; log each step of a move

Cause: npm run measure had no rows for the loads that the serving process answers, and a move that failed left no trace of which step took how long (found while tracing five moves of one engine that ended unanswered). Change: measure:serving replays placements and departures; the scenarios use the same replays; a line for each step.

--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -13,8 +13,6 @@
     decideWait,
     decideWatching,
     type DepartingEngine,
-    type DestinationEngine,
-    type DigestReason,
     EventSplitter,
     LoadLedger,
     planDeparture,
@@ -27,8 +25,8 @@
     type WaitDecision,
 } from "../../core/serving/mod.ts";
 import { createRandom } from "../../support/fixtures/random.ts";
-import { type MoveOutcome, replayMoves } from "../../support/platform/move_replay.ts";
-import { type PlaceOutcome, type ReplayedPace, replayPlaces } from "../../support/platform/place_replay.ts";
+import { createDeparture, type MoveOutcome, replayMoves } from "../../support/platform/move_replay.ts";
+import { FixedPace, type PlaceOutcome, replayPlaces } from "../../support/platform/place_replay.ts";
 
 function createTarget(id: string, changes: Partial<ServingTarget> = {}): ServingTarget {
     return {
@@ -71,22 +69,7 @@
         naive = [];
         savable = 0;
         for (let seed = 0; seed < SEEDS; seed += 1) {
-            const random = createRandom(seed);
-            const zones = ["zone-a", "zone-b", "zone-c"];
-            const sources: DepartingEngine[] = Array.from({ length: engineCount }, (_, index) => ({
-                id: `source-${index}`,
-                zone: zones[index % 3] ?? "",
-                runs: Array.from({ length: runCount }, (_run, run) => ({
-                    requestId: `run-${index}-${run}`,
-                    tokens: 2500 + Math.floor(random() * 2500),
-                    events: Math.floor(random() * 400),
-                })),
-            }));
-            const destinations: DestinationEngine[] = Array.from({ length: 7 }, (_, index) => ({
-                id: `stays-${index}`,
-                zone: zones[index % 3] ?? "",
-                freeTokens: 12_000 + random() * 6000,
-            }));
+            const { sources, destinations } = createDeparture(seed, { engines: engineCount, runs: runCount });
             const question = {
                 sources,
                 destinations,
@@ -148,19 +131,6 @@
     assert.ok(fullest.memory < fullest.requests, JSON.stringify(fullest));
 });
 
-/** Digests as soon as a fixed space has passed since the last, whatever has changed. */
-class FixedPace implements ReplayedPace {
-    #lastSentAt = Number.NEGATIVE_INFINITY;
-
-    computeDue(_reason: DigestReason, { now, peers }: { now: number; peers: number; }): number {
-        return Math.max(now + 1, this.#lastSentAt + 50 + 7 * peers);
-    }
-
-    recordSend({ now }: { now: number; }): void {
-        this.#lastSentAt = now;
-    }
-}
-
 let paced: PlaceOutcome = { firstTokens: [], preemptions: 0, digests: 0 };
 let spaced: PlaceOutcome = { firstTokens: [], preemptions: 0, digests: 0 };
 
--- /dev/null
+++ b/measure/serving/run_serving.ts
@@ -0,0 +1,101 @@
+/**
+ * Prints how the serving process's decisions do under the loads that they answer, beside simpler ones.
+ *
+ * Flags: `--seeds 1,2,3,4,5`, `--rates 47,70`, `--seconds 20`, `--runs 4,6,9`, `--notice 1700`.
+ *
+ * @module
+ */
+import { Command } from "commander";
+import { planDeparture, type PlannedMove } from "../../core/serving/mod.ts";
+import { createDeparture, replayMoves } from "../../support/platform/move_replay.ts";
+import { FixedPace, replayPlaces } from "../../support/platform/place_replay.ts";
+import { pickPercentile } from "../placement/pick_percentile.ts";
+
+interface ServingOptions {
+    seeds: number[];
+    rates: number[];
+    seconds: number;
+    runs: number[];
+    notice: number;
+}
+
+/** Latest first token of a timely answer, in milliseconds, and longest pause. */
+const FIRST_TOKEN_OBJECTIVE = 1500;
+const PAUSE_OBJECTIVE = 180;
+/** Notice that an engine promises, in milliseconds; it stays a little longer. */
+const PROMISED_SHARE = 0.88;
+const MILLISECONDS_PER_TOKEN = 0.055;
+
+const PACES = {
+    "told at once": {},
+    "fixed spaces": { createPace: () => new FixedPace() },
+};
+
+function parseNumbers(text: string): number[] {
+    return text.split(",").map(Number);
+}
+
+function printRow(cells: readonly (string | number)[]): void {
+    process.stdout.write(`${cells.map(cell => String(cell).padStart(15)).join("")}\n`);
+}
+
+function computeShare(values: readonly boolean[]): string {
+    return `${(100 * values.filter(Boolean).length / Math.max(1, values.length)).toFixed(1)} %`;
+}
+
+function printPlaces({ seeds, rates, seconds }: ServingOptions): void {
+    printRow(["placements", "a second", "p50 ms", "p95 ms", "p99 ms", "late", "preempted", "digests"]);
+    for (const rate of rates) {
+        for (const [name, options] of Object.entries(PACES)) {
+            const outcomes = seeds.map(seed => replayPlaces({ seed, rate, seconds, ...options }));
+            const times = outcomes.flatMap(outcome => outcome.firstTokens).sort((a, b) => a - b);
+            printRow([
+                name,
+                rate,
+                ...[0.5, 0.95, 0.99].map(share => Math.round(pickPercentile(times, share))),
+                computeShare(times.map(time => time > FIRST_TOKEN_OBJECTIVE)),
+                outcomes.reduce((sum, outcome) => sum + outcome.preemptions, 0),
+                outcomes.reduce((sum, outcome) => sum + outcome.digests, 0),
+            ]);
+        }
+    }
+}
+
+function printMoves({ seeds, runs, notice }: ServingOptions): void {
+    printRow(["moves", "runs", "saved", "in time", "pause p95 ms"]);
+    for (const count of runs) {
+        for (const name of ["planned", "all at once"]) {
+            const outcomes = seeds.flatMap(seed => {
+                const departure = createDeparture(seed, { engines: 2, runs: count });
+                const plan: ReadonlyMap<string, PlannedMove> | undefined = name === "planned"
+                    ? planDeparture({
+                        ...departure,
+                        millisecondsPerToken: MILLISECONDS_PER_TOKEN,
+                        noticeMilliseconds: notice * PROMISED_SHARE,
+                    })
+                    : undefined;
+                return replayMoves({ ...departure, plan, notice });
+            });
+            const saved = outcomes.filter(outcome => outcome.isSaved);
+            const pauses = saved.map(outcome => outcome.pause).sort((a, b) => a - b);
+            printRow([
+                name,
+                count,
+                computeShare(outcomes.map(outcome => outcome.isSaved)),
+                computeShare(outcomes.map(({ isSaved, pause }) => isSaved && pause <= PAUSE_OBJECTIVE)),
+                Math.round(pickPercentile(pauses, 0.95)),
+            ]);
+        }
+    }
+}
+
+const options = new Command("measure:serving")
+    .option("--seeds <list>", "seeds", parseNumbers, [1, 2, 3, 4, 5])
+    .option("--rates <list>", "generations a second", parseNumbers, [47, 70])
+    .option("--seconds <number>", "length of a replay", Number, 20)
+    .option("--runs <list>", "runs of each engine that leaves", parseNumbers, [4, 6, 9])
+    .option("--notice <milliseconds>", "time until an engine is gone", Number, 1700)
+    .parse()
+    .opts<ServingOptions>();
+printPlaces(options);
+printMoves(options);
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -171,7 +171,8 @@
     }
 
     async #step(place: HeldPlace, isFinal: boolean): Promise<MoveReply> {
-        const { source, requestId } = this.#options;
+        const { source, requestId, notice } = this.#options;
+        const startedAt = this.#now;
         const reply = await moveRun({
             source: source.address,
             destination: place.target.address,
@@ -180,6 +181,18 @@
             timeoutMilliseconds: STEP_TIMEOUT,
         });
         this.#reason = reply.kind === "unanswered" ? reply.reason : undefined;
+        this.#context.log.record("trouble", "move step", {
+            request: requestId,
+            source: source.id,
+            destination: place.target.id,
+            isFinal,
+            reply: reply.kind,
+            isPlanned: place.target.id === notice.plan.destination,
+            isInZone: place.target.zone === source.zone,
+            load: place.score,
+            sinceNoticeMilliseconds: Math.round(startedAt - notice.noticedAt),
+            milliseconds: Math.round(this.#now - startedAt),
+        });
         if ((reply.kind === "copied" || reply.kind === "no-room") && reply.handle !== undefined) {
             this.#handle = reply.handle;
         }
--- a/support/platform/move_replay.ts
+++ b/support/platform/move_replay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { DepartingEngine, DepartingRun, DestinationEngine, PlannedMove } from "../../core/serving/mod.ts";
+import { createRandom } from "../fixtures/random.ts";
 
 /** How the move of one run ended. */
 export interface MoveOutcome {
@@ -25,6 +26,29 @@
     notice: number;
 }
 
+/** Creates engines that leave, with their runs, and seven others with some free memory. */
+export function createDeparture(
+    seed: number,
+    size: { engines: number; runs: number; },
+): { sources: DepartingEngine[]; destinations: DestinationEngine[]; } {
+    const random = createRandom(seed);
+    const sources = Array.from({ length: size.engines }, (_, index) => ({
+        id: `source-${index}`,
+        zone: ZONES[index % ZONES.length] ?? "",
+        runs: Array.from({ length: size.runs }, (_run, run) => ({
+            requestId: `run-${index}-${run}`,
+            tokens: 2500 + Math.floor(random() * 2500),
+            events: Math.floor(random() * 400),
+        })),
+    }));
+    const destinations = Array.from({ length: 7 }, (_, index) => ({
+        id: `stays-${index}`,
+        zone: ZONES[index % ZONES.length] ?? "",
+        freeTokens: 12_000 + random() * 6000,
+    }));
+    return { sources, destinations };
+}
+
 interface Copy {
     run: DepartingRun;
     source: DepartingEngine;
@@ -34,6 +58,7 @@
     askedAt: number;
 }
 
+const ZONES = ["zone-a", "zone-b", "zone-c"];
 const MILLISECONDS_PER_TOKEN = 0.055;
 /** Tokens that a run makes in a millisecond. */
 const TOKENS_PER_MILLISECOND = 0.11;
--- a/support/platform/place_replay.ts
+++ b/support/platform/place_replay.ts
@@ -14,6 +14,19 @@
     recordSend(state: { now: number; peers: number; }): void;
 }
 
+/** Sends a digest as soon as a fixed time has passed since the last, whatever has changed. */
+export class FixedPace implements ReplayedPace {
+    #lastSentAt = Number.NEGATIVE_INFINITY;
+
+    computeDue(_reason: DigestReason, { now, peers }: { now: number; peers: number; }): number {
+        return Math.max(now + 1, this.#lastSentAt + 50 + 7 * peers);
+    }
+
+    recordSend({ now }: { now: number; }): void {
+        this.#lastSentAt = now;
+    }
+}
+
 /** What is replayed. */
 export interface PlaceReplayOptions {
     /** Instances that place work. Defaults to 73. */
