Pass the rank of a request on to its engine

Cause: the rank of a route or account decided only who waits first here; engines admitted and preempted all alike. Change: requests to engines carry their rank. Measured: four scenarios (three got no rank before).

--- a/features/platform/targets.feature
+++ b/features/platform/targets.feature
@@ -69,6 +69,18 @@
         And the target got none of "authorization,kv-from,hold"
         And the target got at most 3000 ms
 
+    Scenario Outline: a <kind> of an account with rank "<account>" reaches its target with rank "<rank>"
+        Given a serving site whose account has the rank "<account>"
+        When a caller sends a "<kind>"
+        Then the target got the rank "<rank>"
+
+        Examples:
+            | kind    | account | rank |
+            | verdict | none    | 1    |
+            | verdict | 0       | 0    |
+            | verdict | 12      | 9    |
+            | stamp   | 0       | none |
+
     Scenario: a caller that leaves ends the work at its target
         Given a serving site
         When a caller sends a "narrative" and leaves after 3 events
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -177,6 +177,14 @@
     assert.notEqual(headers["expected-instance"], "elsewhere");
 });
 
+Given("a serving site whose account has the rank {string}", async function(rank: string) {
+    site = await startServingSite({ accountRank: rank === "none" ? undefined : Number(rank) });
+});
+
+Then("the target got the rank {string}", function(rank: string) {
+    assert.equal(getArrivedHeaders()["request-priority"] ?? "none", rank);
+});
+
 Then("the target got none of {string}", function(names: string) {
     const headers = getArrivedHeaders();
     assert.deepEqual(names.split(",").filter(name => headers[name] !== undefined), []);
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -153,6 +153,9 @@
     });
 }
 
+/** Rank of the least urgent requests at an engine. */
+const LAST_RANK = 9;
+
 /** Output tokens assumed where the caller gives no estimate, as a share of the most it allows. */
 const UNHINTED_SHARE = 0.5;
 
@@ -173,15 +176,16 @@
         signal: AbortSignal;
     },
 ): TargetCall {
-    const { request, account } = exchange;
+    const { request, account, service } = exchange;
     const { target, signal, ...rest } = options;
+    const priority = service.engine === undefined ? undefined : Math.min(LAST_RANK, exchange.priority);
     return {
         targetId: target.id,
         address: target.address,
         requestId: request.id,
         method: request.method,
         path: request.path,
-        headers: encodeTargetHeaders(request, { ...rest, targetId: target.id, account: account?.name }),
+        headers: encodeTargetHeaders(request, { ...rest, targetId: target.id, account: account?.name, priority }),
         body: request.body,
         signal,
     };
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -67,9 +67,9 @@
 /** Builds a desired state of the platform's form. */
 export function buildSiteConfiguration(
     version: number,
-    options: { keys?: string[]; withoutRoute?: string; timeout?: number; } = {},
+    options: { keys?: string[]; withoutRoute?: string; timeout?: number; accountRank?: number | undefined; } = {},
 ): Record<string, unknown> {
-    const { keys = [SITE_KEY], withoutRoute = "", timeout = 5000 } = options;
+    const { keys = [SITE_KEY], withoutRoute = "", timeout = 5000, accountRank } = options;
     const shared = { host: "site.example", timeout_ms: timeout, priority: 1, public: false };
     const engineRoute = {
         ...shared,
@@ -94,7 +94,11 @@
             { name: "engines", max_connections: 200, cold_per_s: 20, engine },
         ],
         limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
-        tenants: [{ name: "night-shift", api_keys: keys }],
+        tenants: [{
+            name: "night-shift",
+            api_keys: keys,
+            ...accountRank === undefined ? {} : { priority: accountRank },
+        }],
     };
 }
 
@@ -106,6 +110,8 @@
     plainTargets?: number;
     /** Number of engines. Defaults to 2. */
     engines?: number;
+    /** Rank of the only account. Defaults to none. */
+    accountRank?: number | undefined;
     /** Time between two events of a stream, in milliseconds. Defaults to 15. */
     eventMilliseconds?: number;
 }
@@ -125,10 +131,10 @@
     }
 
     /** Opens the store with its first configuration. */
-    async openStore(): Promise<void> {
+    async openStore(accountRank?: number): Promise<void> {
         [this.#storeAddress = ""] = await findAddresses(1);
         this.#opened = await openStandIn(this.store, { address: this.#storeAddress });
-        this.store.putObject("config", "main", buildSiteConfiguration(5));
+        this.store.putObject("config", "main", buildSiteConfiguration(5, { accountRank }));
     }
 
     /** Adds a target and enters it into the store. */
@@ -262,7 +268,7 @@
 export async function startServingSite(options: ServingSiteOptions = {}): Promise<ServingSite> {
     const { instances = 1, plainTargets = 2, engines = 2, eventMilliseconds = 15 } = options;
     const site = new ServingSite();
-    await site.openStore();
+    await site.openStore(options.accountRank);
     for (let index = 0; index < plainTargets; index += 1) {
         await site.addTarget("ledger");
     }
