Move runs away at once from a few targets that go unlisted together

Change: a held target is told as missing; runs move away where no more than a third of the service is missing, and new work goes there only when others are fuller by half.

--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -13,7 +13,7 @@
     /** The target as it was last listed. */
     target: ServingTarget;
     /** What happened to it. */
-    kind: "added" | "leaving" | "removed";
+    kind: "added" | "leaving" | "removed" | "missing";
 }
 
 /** A list of all targets at one revision of the store. */
@@ -132,6 +132,7 @@
             const isLapsed = until > now && unannounced.includes(id);
             if (isLapsed && !this.#lapsedUntil.has(id)) {
                 this.#lapsedUntil.set(id, until);
+                changes.push(...this.#listTarget(id).map(target => ({ kind: "missing" as const, target })));
             }
             else if (!isLapsed) {
                 changes.push(...this.#removeTarget(id));
@@ -146,6 +147,17 @@
         return known === undefined ? [] : this.#applyTarget({ ...known, isLeaving: true });
     }
 
+    /** Tells whether a target that is in use is no longer listed. */
+    isMissing(id: string): boolean {
+        return this.#lapsedUntil.has(id);
+    }
+
+    /** Computes the share of a service's targets that are no longer listed, of those in use. */
+    computeMissingShare(service: string): number {
+        const targets = [...this.#targets.values()].filter(target => target.service === service);
+        return targets.filter(target => this.isMissing(target.id)).length / Math.max(1, targets.length);
+    }
+
     /** Removes lapsed targets that did not come back in time. */
     expireLapsed(now: number): TargetChange[] {
         const expired = [...this.#lapsedUntil].filter(([, until]) => until <= now);
@@ -182,10 +194,15 @@
         return target.isLeaving && !known.isLeaving ? [{ kind: "leaving", target }] : [];
     }
 
-    #removeTarget(id: string): TargetChange[] {
+    #listTarget(id: string): ServingTarget[] {
         const target = this.#targets.get(id);
+        return target === undefined ? [] : [target];
+    }
+
+    #removeTarget(id: string): TargetChange[] {
+        const known = this.#listTarget(id);
         this.#targets.delete(id);
         this.#lapsedUntil.delete(id);
-        return target === undefined ? [] : [{ kind: "removed", target }];
+        return known.map(target => ({ kind: "removed", target }));
     }
 }
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -64,6 +64,10 @@
         When half of 8 targets are no longer listed
         Then they are all in use for 1000 ms and gone before 2000 ms
 
+    Scenario: runs are told at once of several targets that go without notice
+        When 3 of 12 targets are no longer listed by one event
+        Then each of them is told as missing at once, and a quarter is missing
+
     Scenario: a target that leaves gets nothing new at once
         When a target says that it leaves
         Then it is not open
--- a/features/platform/moves.feature
+++ b/features/platform/moves.feature
@@ -23,6 +23,13 @@
             | says that it leaves    | last  | 0      | whole      |
             | crashes                | no    | 200    | broken off |
 
+    Scenario: runs move away from engines that go unlisted together before they are gone
+        Given a serving site with 9 engines whose streams take 100 ms an event
+        When a caller begins a "narrative"
+        And its engine and two others are no longer listed after 3 events and crash 500 ms later
+        Then the stream is whole and its events are in order
+        And the request started once
+
     Scenario: a moved run that its destination refuses goes back to its source
         Given a serving site with slow streams
         When a caller begins a "narrative"
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -20,6 +20,7 @@
     RouteKind,
     RouteTable,
     type ServingTarget,
+    type TargetChange,
     TargetDirectory,
     TargetHealth,
     type WaitDecision,
@@ -362,6 +363,21 @@
     assert.equal(listOpenIds().length, 4);
 });
 
+let missing: TargetChange[] = [];
+
+When("{int} of {int} targets are no longer listed by one event", function(gone: number, count: number) {
+    directory = new TargetDirectory();
+    const targets = Array.from({ length: count }, (_, index) => createTarget(`target-${index}`));
+    directory.applySnapshot({ revision: 1, targets }, 0);
+    const removed = targets.slice(0, gone).map(target => target.id);
+    missing = directory.applyEvents({ revision: 2, changed: [], removed }, 20_000);
+});
+
+Then("each of them is told as missing at once, and a quarter is missing", function() {
+    assert.deepEqual(missing.map(change => change.kind), ["missing", "missing", "missing"]);
+    assert.equal(directory.computeMissingShare("engines"), 0.25);
+});
+
 When("a target says that it leaves", function() {
     directory = new TargetDirectory();
     directory.applySnapshot({ revision: 1, targets: [createTarget("a"), createTarget("b")] }, 0);
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -69,6 +69,13 @@
     site = await startServingSite({ eventMilliseconds });
 });
 
+Given(
+    "a serving site with {int} engines whose streams take {int} ms an event",
+    async function(engines: number, eventMilliseconds: number) {
+        site = await startServingSite({ engines, eventMilliseconds });
+    },
+);
+
 Given("a serving site with {int} instances", async function(instances: number) {
     site = await startServingSite({ instances });
 });
@@ -266,6 +273,19 @@
     },
 );
 
+When(
+    "its engine and two others are no longer listed after {int} events and crash {int} ms later",
+    async function(events: number, milliseconds: number) {
+        await waitForEvents(events);
+        const engine = listEngines().find(({ standIn }) => standIn.activeRuns > 0);
+        assert.ok(engine !== undefined, "no engine runs the stream");
+        const others = listEngines().filter(other => other !== engine).slice(0, 2);
+        [engine, ...others].forEach(({ id }) => getSite().store.removeObject("servers", id));
+        await waitMilliseconds(milliseconds);
+        [engine, ...others].forEach(({ standIn }) => standIn.failRuns());
+    },
+);
+
 Then(/^the stream is (whole|broken off) and its events are in order$/, async function(end: string) {
     const result = await stream?.result;
     const ids = [...stream?.text.matchAll(/^id: (\d+)$/gm) ?? []].map(match => Number(match[1]));
--- a/serving/move_watch.ts
+++ b/serving/move_watch.ts
@@ -37,6 +37,11 @@
 const GATHER_TIME = 12;
 /** Notice assumed where an engine does not tell, in milliseconds; reclaimed engines have stayed 1.5 s and longer. */
 const DEFAULT_NOTICE = 1500;
+/**
+ * Share of a service's targets up to which runs move away from those that are no longer listed. They most likely go; where
+ * more are missing, their entries have lapsed, and the rest could not take their runs.
+ */
+const MOST_MISSING = 0.34;
 /** Time after the notice at which reports hold the runs that had begun by then, in milliseconds. */
 const REPORT_AGE = 600;
 
@@ -51,10 +56,14 @@
 
     /** Takes note of a change to a target. */
     handleChange(change: TargetChange): void {
+        const { context } = this.#options;
         if (change.kind === "added" || !this.#hasStreams(change.target)) {
             return;
         }
-        const { context } = this.#options;
+        const { directory } = context.state;
+        if (change.kind === "missing" && directory.computeMissingShare(change.target.service) > MOST_MISSING) {
+            return;
+        }
         this.#leaving.push(change.target);
         if (this.#leaving.length === 1) {
             const noticedAt = context.clock.getMonotonic();
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -111,7 +111,7 @@
         const moves = new MoveWatch({ context: this.#context, listStreams: () => this.#callers.activeStreams });
         this.#state.targetListeners.push(change => {
             moves.handleChange(change);
-            if (change.kind !== "added") {
+            if (change.kind === "leaving" || change.kind === "removed") {
                 this.#connections.dropTarget(change.target.id);
             }
         });
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -75,6 +75,8 @@
 const ASSUMED_INSTANCES = 10;
 /** Time for which peers are told of a target that took no connection, in milliseconds. */
 const UNREACHABLE_MEMORY = 2000;
+/** Penalty of a target that is no longer listed but may be back, in units of a full target's load. */
+const MISSING_PENALTY = 0.5;
 /** Part of a target's connections that is used; the rest covers connections that are being closed. */
 const CONNECTION_MARGIN = 0.8;
 
@@ -265,7 +267,8 @@
         return this.directory.listOpen(service.name).map(target => ({
             target,
             held: this.ledger.countWork(target.id, now),
-            penalty: this.health.computePenalty(target.id, now),
+            penalty: this.health.computePenalty(target.id, now)
+                + (this.directory.isMissing(target.id) ? MISSING_PENALTY : 0),
             isLimited: this.ledger.countOwn(target.id).requests >= connections
                 || this.cold.isFull(target.id, cold),
         }));
