Count outputs as they grow, and keep copies in the zone of their engine

Change: an engine's count grows with each output (by 1.3 once it is longer than expected; told with the next digest); a copy's other destination is chosen near its source, another zone counting as 0.4 of a full engine. The unit scenario fails without the count.

--- a/core/serving/choose_place.ts
+++ b/core/serving/choose_place.ts
@@ -27,8 +27,10 @@
     item: WorkItem;
     /** Limits of the engine; `undefined` for a plain service. */
     engine: EngineLimits | undefined;
-    /** Availability zone of this instance. */
+    /** Availability zone of this instance, or of the engine that a copy comes from. */
     zone: string;
+    /** True where memory is copied to the target. Defaults to false. */
+    isCopy?: boolean;
     /** Number of instances that place work on the same targets. */
     instances: number;
     /** Targets that have failed the request already. */
@@ -49,6 +51,8 @@
 const PREFILL_SCALE = 7000;
 /** Cost of a target in another zone, in units of a full target's load; about one request of a plain service. */
 const ZONE_COST = 0.04;
+/** The same for a copy, which takes twice as long between zones and keeps the copies after it waiting meanwhile. */
+const COPY_ZONE_COST = 0.4;
 /** Spread of the random part, in units of a full target's load; it keeps instances from choosing alike. */
 const JITTER = 0.03;
 /** Further spread for each instance: the more instances place work, the more of it is not known of yet. */
@@ -75,7 +79,7 @@
     for (const candidate of usable) {
         const score = computeLoad(candidate, question)
             + candidate.penalty
-            + (candidate.target.zone === question.zone ? 0 : ZONE_COST)
+            + (candidate.target.zone === question.zone ? 0 : question.isCopy === true ? COPY_ZONE_COST : ZONE_COST)
             + question.random() * (JITTER + JITTER_PER_INSTANCE * (question.instances - 1));
         if (score < bestScore) {
             best = candidate;
--- a/core/serving/load_ledger.ts
+++ b/core/serving/load_ledger.ts
@@ -33,6 +33,24 @@
     receivedAt: number;
 }
 
+/** A request's hold on a target. */
+export interface WorkHold {
+    /** Notes that the target has begun to answer. */
+    markAnswered: () => void;
+    /** Notes how many tokens the output has so far. */
+    recordOutput: (tokens: number) => void;
+    /** Takes the request off the target. */
+    release: () => void;
+}
+
+/** Output that is expected once it is longer than the estimate, in multiples of what there is: estimates are often far off. */
+const OVERRUN = 1.3;
+
+/** Estimates the whole output from what was expected and what has come. */
+export function estimateOutput(expectedTokens: number, madeTokens: number): number {
+    return madeTokens > expectedTokens ? madeTokens * OVERRUN : expectedTokens;
+}
+
 /** Age at which a peer's digest is no longer counted, in milliseconds: several times the interval in a large fleet. */
 const DIGEST_LIFETIME = 6000;
 
@@ -43,8 +61,8 @@
     readonly #own = new Map<string, Map<object, WorkItem & { hasAnswered: boolean; }>>();
     readonly #peers = new Map<string, PeerDigest>();
 
-    /** Adds one request to a target; the function returned takes it off again. */
-    addWork(target: string, item: WorkItem): { markAnswered: () => void; release: () => void; } {
+    /** Adds one request to a target. */
+    addWork(target: string, item: WorkItem): WorkHold {
         const entry = { ...item, hasAnswered: false };
         const entries = this.#own.get(target) ?? new Map<object, typeof entry>();
         entries.set(entry, entry);
@@ -62,6 +80,10 @@
                     announce(DigestReason.eased);
                 }
             },
+            recordOutput: tokens => {
+                // Peers are told with the next digest; one of its own would use up what placements need.
+                entry.outputTokens = estimateOutput(entry.outputTokens, tokens);
+            },
             release: () => {
                 entries.delete(entry);
                 announce(DigestReason.eased);
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -28,6 +28,18 @@
             | 47   | 0.75  | 0.01 |
             | 70   | 0.65  | 0.03 |
 
+    Scenario: outputs that outgrow their estimates leave fewer runs preempted
+        When 85 generations a second are placed, with outputs counted as they grow and without
+        Then fewer runs are preempted where they are counted
+
+    Scenario: an output that outgrows its estimate is counted as it is
+        When a request of 3000 tokens with an estimate of 100 has made 500 tokens
+        Then its engine counts at least 3500 tokens and peers are told with the next digest
+
+    Scenario: a copy goes to an engine of the same zone unless that is much fuller
+        When a run is copied from "zone-a" with engines of 2 zones
+        Then it goes to "zone-a" while that engine is fuller by 0.2, and to "zone-b" by 0.6
+
     Scenario: old counts of plain requests draw no instance to the target that looks empty
         When 20 instances place 600 plain requests on 4 targets with digests that are 1 second old
         Then no target gets more than a third of them
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -164,6 +164,77 @@
     assert.ok(paced.digests <= spaced.digests * factor, `${paced.digests} beside ${spaced.digests} digests`);
 });
 
+let preempted = { counted: 0, estimated: 0 };
+
+When(
+    "{int} generations a second are placed, with outputs counted as they grow and without",
+    function(rate: number) {
+        const countPreemptions = (isOutputCounted: boolean): number =>
+            [1, 2, 3, 4]
+                .map(seed => replayPlaces({ seed, rate, isOutputCounted }).preemptions)
+                .reduce((sum, count) => sum + count, 0);
+        preempted = { counted: countPreemptions(true), estimated: countPreemptions(false) };
+    },
+);
+
+Then("fewer runs are preempted where they are counted", function() {
+    assert.ok(preempted.counted < preempted.estimated, JSON.stringify(preempted));
+});
+
+let counted = { tokens: 0, digests: 0 };
+
+When(
+    "a request of {int} tokens with an estimate of {int} has made {int} tokens",
+    function(promptTokens: number, outputTokens: number, made: number) {
+        const ledger = new LoadLedger();
+        const hold = ledger.addWork("engine", { promptTokens, outputTokens });
+        let digests = 0;
+        ledger.onEngineChange = () => void (digests += 1);
+        hold.recordOutput(made);
+        counted = { tokens: ledger.getDigest().engine?.[1] ?? 0, digests };
+    },
+);
+
+Then(
+    "its engine counts at least {int} tokens and peers are told with the next digest",
+    function(least: number) {
+        assert.ok(counted.tokens >= least, `${counted.tokens} tokens are counted`);
+        assert.equal(counted.digests, 0);
+    },
+);
+
+/** Chooses the zone that a run of zone-a is copied to while that zone's engine is fuller than the other's by `share`. */
+function chooseCopyZone(share: number): string | undefined {
+    const candidates = ["zone-a", "zone-b"].map(zone => ({
+        target: createTarget(zone, { zone }),
+        held: { requests: 0, tokens: zone === "zone-a" ? share * ENGINE.memoryTokens : 0, waitingPromptTokens: 0 },
+        penalty: 0,
+        isLimited: false,
+    }));
+    const result = choosePlace(candidates, {
+        item: { promptTokens: 0, outputTokens: 2000 },
+        engine: ENGINE,
+        zone: "zone-a",
+        isCopy: true,
+        instances: 7,
+        avoid: new Set(),
+        random: () => 0,
+    });
+    return result.kind === "placed" ? result.target.zone : undefined;
+}
+
+When("a run is copied from {string} with engines of 2 zones", function(_zone: string) {
+    // The choices below are made on their own.
+});
+
+Then(
+    "it goes to {string} while that engine is fuller by {float}, and to {string} by {float}",
+    function(near: string, less: number, far: string, more: number) {
+        assert.equal(chooseCopyZone(less), near);
+        assert.equal(chooseCopyZone(more), far);
+    },
+);
+
 let placed = new Map<string, number>();
 
 When(
--- a/serving/place_finder.ts
+++ b/serving/place_finder.ts
@@ -43,6 +43,8 @@
     score: number;
     /** Notes that the target has begun to answer. */
     markAnswered: () => void;
+    /** Notes how many tokens the output has so far. */
+    recordOutput: (tokens: number) => void;
     /** Gives the place back. */
     release: () => void;
 }
@@ -137,13 +139,14 @@
         return result.kind === "no-target" ? this.#refuse(request, "no-target") : undefined;
     }
 
-    /** Chooses a target without taking a place. */
-    chooseTarget(request: Pick<PlaceRequest, "service" | "item" | "avoid">): PlaceResult {
+    /** Chooses a target without taking a place; near this instance, or near where a copy comes from. */
+    chooseTarget(request: Pick<PlaceRequest, "service" | "item" | "avoid"> & { copyZone?: string; }): PlaceResult {
         const { state, zone, random } = this.#options;
         return choosePlace(state.listCandidates(request.service), {
             item: request.item,
             engine: request.service.engine,
-            zone,
+            zone: request.copyZone ?? zone,
+            isCopy: request.copyZone !== undefined,
             instances: state.instances,
             avoid: request.avoid,
             random,
@@ -162,7 +165,8 @@
                 this.#recordFreed(target.service);
             }
         };
-        return { target, score: held.score, markAnswered: work.markAnswered, release };
+        const { markAnswered, recordOutput } = work;
+        return { target, score: held.score, markAnswered, recordOutput, release };
     }
 
     #refuse(request: PlaceRequest, reason: "no-target" | "full"): PlaceAnswer {
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -209,6 +209,7 @@
             service,
             item: { ...item, promptTokens: 0 },
             avoid: this.#refused,
+            copyZone: this.#options.source.zone,
         });
         return result.kind === "placed" ? this.#context.finder.takePlace(result.target, item) : undefined;
     }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
+import { estimateOutput, EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { readBody } from "../network/mod.ts";
 import { type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
@@ -124,7 +124,7 @@
             requestId: request.id,
             source: place.target,
             service,
-            item: this.#item,
+            item: { ...this.#item, outputTokens: estimateOutput(this.#item.outputTokens, this.#outputTokens) },
             notice,
             countEvents: () => this.#eventCount,
         });
@@ -317,6 +317,7 @@
                     attempt.place.markAnswered();
                     attempt.silence.restart();
                     await this.#sendEvents(events);
+                    attempt.place.recordOutput(this.#outputTokens);
                 }
             }
         }
@@ -485,6 +486,11 @@
         };
     }
 
+    /** Tokens of the output so far, as far as events tell. */
+    get #outputTokens(): number {
+        return this.#eventCount * (this.#exchange.service.engine?.tokensPerEvent ?? 1);
+    }
+
     get #now(): number {
         return this.#context.clock.getMonotonic();
     }
--- a/support/platform/place_replay.ts
+++ b/support/platform/place_replay.ts
@@ -3,7 +3,14 @@
  *
  * @module
  */
-import { choosePlace, DigestPace, DigestReason, LoadLedger, type ServingTarget } from "../../core/serving/mod.ts";
+import {
+    choosePlace,
+    DigestPace,
+    DigestReason,
+    LoadLedger,
+    type ServingTarget,
+    type WorkHold,
+} from "../../core/serving/mod.ts";
 import { createRandom, pickLogNormal, type Random } from "../fixtures/random.ts";
 
 /** When instances tell of their work. */
@@ -39,6 +46,8 @@
     seconds?: number;
     /** Seed of the load. Defaults to 1. */
     seed?: number;
+    /** True where instances count outputs as they grow. Defaults to true. */
+    isOutputCounted?: boolean;
     /** Creates the pace of an instance. Defaults to that of the program. */
     createPace?: () => ReplayedPace;
 }
@@ -61,8 +70,7 @@
     unread: number;
     /** Tokens that it has made. */
     made: number;
-    markAnswered: () => void;
-    release: () => void;
+    hold: WorkHold;
 }
 
 interface ReplayedInstance {
@@ -84,6 +92,8 @@
 /** Prompt tokens that one step reads at most, and that are read in a millisecond. */
 const CHUNK = 112;
 const READ_PER_MILLISECOND = 14;
+/** Spread of the logarithm of callers' estimates. */
+const HINT_SPREAD = 1.2;
 /** Time that a digest is under way, in milliseconds. */
 const DIGEST_DELAY = 2;
 
@@ -118,9 +128,10 @@
     #makeTokens(): void {
         for (const run of [...this.#running]) {
             run.made += 1;
+            run.hold.recordOutput(run.made);
             if (run.made >= run.outputTokens) {
                 this.#running.splice(this.#running.indexOf(run), 1);
-                run.release();
+                run.hold.release();
             }
         }
     }
@@ -140,7 +151,7 @@
                 this.#running.push(run);
                 if (run.made === 0) {
                     this.#outcome.firstTokens.push(now - run.arrivedAt);
-                    run.markAnswered();
+                    run.hold.markAnswered();
                 }
             }
         }
@@ -168,7 +179,7 @@
 /** Replays a steady load of long prompts with long and short answers. */
 export function replayPlaces(options: PlaceReplayOptions = {}): PlaceOutcome {
     const { instances: count = 73, engines: engineCount = 40, rate = 47, seconds = 20, seed = 1 } = options;
-    const { createPace = () => new DigestPace() } = options;
+    const { isOutputCounted = true, createPace = () => new DigestPace() } = options;
     const random = createRandom(seed);
     const outcome: PlaceOutcome = { firstTokens: [], preemptions: 0, digests: 0 };
     const engines = Array.from(
@@ -190,7 +201,13 @@
             underWay.shift()?.apply();
         }
         if (random() < rate / 1000) {
-            startRun(instances[Math.floor(random() * count)], { engines, now, random, instances: count });
+            startRun(instances[Math.floor(random() * count)], {
+                engines,
+                now,
+                random,
+                instances: count,
+                isOutputCounted,
+            });
         }
         engines.forEach(engine => engine.step(now));
         for (const [index, instance] of instances.entries()) {
@@ -211,13 +228,24 @@
 
 function startRun(
     instance: ReplayedInstance | undefined,
-    site: { engines: readonly ReplayedEngine[]; now: number; random: Random; instances: number; },
+    site: {
+        engines: readonly ReplayedEngine[];
+        now: number;
+        random: Random;
+        instances: number;
+        isOutputCounted: boolean;
+    },
 ): void {
     if (instance === undefined) {
         return;
     }
     const { engines, now, random, instances } = site;
     const item = pickItem(random);
+    // Callers' estimates are right at the median and often far off.
+    const expected = {
+        ...item,
+        outputTokens: item.outputTokens * pickLogNormal(random, { median: 1, spread: HINT_SPREAD }),
+    };
     const candidates = engines.map(({ target }) => ({
         target,
         held: instance.ledger.countWork(target.id, now),
@@ -225,7 +253,7 @@
         isLimited: false,
     }));
     const place = choosePlace(candidates, {
-        item: { ...item, outputTokens: item.outputTokens * pickLogNormal(random, { median: 1, spread: 0.5 }) },
+        item: expected,
         engine: ENGINE,
         zone: "zone-a",
         instances,
@@ -236,8 +264,9 @@
     if (engine === undefined) {
         return;
     }
-    const { markAnswered, release } = instance.ledger.addWork(engine.target.id, item);
-    engine.addRun({ ...item, arrivedAt: now, unread: item.promptTokens, made: 0, markAnswered, release });
+    const hold = instance.ledger.addWork(engine.target.id, expected);
+    const recordOutput = site.isOutputCounted ? hold.recordOutput : () => undefined;
+    engine.addRun({ ...item, arrivedAt: now, unread: item.promptTokens, made: 0, hold: { ...hold, recordOutput } });
 }
 
 /** Picks a long answer, or a verdict of a few tokens. */
