Split a stream's progress from its relay

stream_call.ts held the count of events, their identities and pauses beside the attempts; core/serving/stream_progress.ts holds them now. No change in what is done; the @platform scenarios pass.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -15,6 +15,7 @@
 export * from "./route_table.ts";
 export * from "./serving_types.ts";
 export * from "./shared_limits.ts";
+export * from "./stream_progress.ts";
 export * from "./target_directory.ts";
 export * from "./target_health.ts";
 export * from "./watch_duty.ts";
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -3,7 +3,14 @@
  *
  * @module
  */
-import { estimateOutput, EventSplitter, isRepeatable, type RelayedEvent, type WorkItem } from "../core/serving/mod.ts";
+import {
+    estimateOutput,
+    EventSplitter,
+    isRepeatable,
+    type RelayedEvent,
+    StreamProgress,
+    type WorkItem,
+} from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { readBody } from "../network/mod.ts";
 import { type MemoryCopy, type TargetAnswerHead } from "../platform/mod.ts";
@@ -78,11 +85,7 @@
     #verdict: Verdict = "not-run";
     #runs = 0;
     #retryAfterSeconds = 0.3;
-    #lastEventId: string | undefined;
-    #eventCount = 0;
-    #lastEventAt = 0;
-    #firstEventAt = 0;
-    #longestPause = 0;
+    readonly #progress: StreamProgress;
     #moves = 0;
     #isAfterMove = false;
     #isFramed = true;
@@ -94,7 +97,7 @@
         this.#context = context;
         this.#exchange = options.exchange;
         this.#active = options.active;
-        this.#lastEventId = options.exchange.request.resumeAfter;
+        this.#progress = new StreamProgress(options.exchange.request.resumeAfter);
         this.#item = computeWorkItem(options.exchange.request);
     }
 
@@ -126,7 +129,7 @@
             service,
             item: { ...this.#item, outputTokens: estimateOutput(this.#item.outputTokens, this.#outputTokens) },
             notice,
-            countEvents: () => this.#eventCount,
+            countEvents: () => this.#progress.eventCount,
         });
         void this.#move.run();
     }
@@ -228,7 +231,7 @@
             milliseconds,
         });
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
-        if (result.kind === "moved" || this.#eventCount > 0) {
+        if (result.kind === "moved" || this.#progress.eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
         }
         const hasFailed = result.kind === "failed";
@@ -251,7 +254,7 @@
         const silence = new SilenceWatch(this.#context, {
             exchange: this.#exchange,
             place,
-            countEvents: () => this.#eventCount,
+            countEvents: () => this.#progress.eventCount,
             mayRepeat: () => this.#runs + 1 < this.#exchange.route.maxAttempts,
             leave: () => stall.abort(),
             move: () => this.#moveSilentRun(stall),
@@ -260,7 +263,7 @@
             const answer = await this.#context.connections.sendRequest(buildTargetCall(this.#exchange, {
                 target: place.target,
                 remainingMilliseconds: this.#remaining,
-                resumeAfter: this.#lastEventId,
+                resumeAfter: this.#progress.lastEventId,
                 copy,
                 signal: AbortSignal.any([this.#exchange.signal, stall.signal]),
             }));
@@ -359,47 +362,31 @@
     async #sendEvents(events: readonly RelayedEvent[]): Promise<void> {
         const { response, route, arrivedAt } = this.#exchange;
         for (const event of events) {
-            if (!this.#isNext(event.id)) {
+            if (!this.#progress.isNext(event.id)) {
                 continue;
             }
-            if (this.#eventCount === 0) {
-                this.#firstEventAt = this.#now;
+            const pause = this.#progress.recordEvent(event.id, this.#now);
+            if (pause === undefined) {
                 this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
             }
-            this.#eventCount += 1;
-            this.#lastEventId = event.id ?? this.#lastEventId;
-            this.#observePause();
+            else if (this.#isAfterMove) {
+                this.#recordMovePause(pause);
+            }
             if (!response.destroyed && !response.write(event.bytes)) {
                 await waitForDrain(response);
             }
         }
     }
 
-    #observePause(): void {
-        const pause = this.#now - this.#lastEventAt;
-        const hasMoved = this.#moves > 0 && this.#lastEventAt > 0 && this.#place !== undefined && this.#isAfterMove;
-        if (hasMoved) {
-            this.#isAfterMove = false;
-            this.#context.metrics.observeMovePause(pause);
-            this.#context.log.record("trouble", "stream went on after a move", {
-                request: this.#exchange.request.id,
-                target: this.targetId,
-                pauseMilliseconds: Math.round(pause),
-                events: this.#eventCount,
-            });
-        }
-        if (this.#lastEventAt > 0 && pause > this.#longestPause) {
-            this.#longestPause = pause;
-        }
-        this.#lastEventAt = this.#now;
-    }
-
-    /** Tells whether an event goes on from the last one; a target may repeat what its predecessor had sent. */
-    #isNext(id: string | undefined): boolean {
-        if (id === undefined || this.#lastEventId === undefined) {
-            return true;
-        }
-        return !(Number(id) <= Number(this.#lastEventId));
+    #recordMovePause(pause: number): void {
+        this.#isAfterMove = false;
+        this.#context.metrics.observeMovePause(pause);
+        this.#context.log.record("trouble", "stream went on after a move", {
+            request: this.#exchange.request.id,
+            target: this.targetId,
+            pauseMilliseconds: Math.round(pause),
+            events: this.#progress.eventCount,
+        });
     }
 
     /** Moves a run whose connection is lost; only the move's end tells that it has stopped there. */
@@ -477,18 +464,14 @@
         return {
             promptTokens,
             expectedTokens: Math.round(outputTokens),
-            events: this.#eventCount,
             moves: this.#moves,
-            ...this.#eventCount === 0 ? {} : {
-                firstEventMilliseconds: Math.round(this.#firstEventAt - this.#exchange.arrivedAt),
-                longestPauseMilliseconds: Math.round(this.#longestPause),
-            },
+            ...this.#progress.describeEvents(this.#exchange.arrivedAt),
         };
     }
 
     /** Tokens of the output so far, as far as events tell. */
     get #outputTokens(): number {
-        return this.#eventCount * (this.#exchange.service.engine?.tokensPerEvent ?? 1);
+        return this.#progress.eventCount * (this.#exchange.service.engine?.tokensPerEvent ?? 1);
     }
 
     get #now(): number {
