Move no run to an engine that went unlisted with its own, and decide apart what is sent of a configuration

A run moved to one of the engines that had gone unlisted with its own, since their penalty left them in the plan; and an instance that heard of a version late read the store, which the scenario took for a fault. Change: engines that went unlisted take no moved run. What is sent of a configuration is a decision of its own with its table of cases; the scenario with real instances allows the store's list beside a peer where the configuration is short, for that is what an instance that is behind for 120 ms is meant to do.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./choose_place.ts";
+export * from "./configuration_news.ts";
 export * from "./decide_silence.ts";
 export * from "./decide_stop.ts";
 export * from "./decide_wait.ts";
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -152,6 +152,11 @@
         return this.#lapsedUntil.has(id);
     }
 
+    /** Lists the identities of targets that are in use and no longer listed. */
+    listMissing(): string[] {
+        return [...this.#lapsedUntil.keys()];
+    }
+
     /** Computes the share of a service's targets that are no longer listed, of those in use. */
     computeMissingShare(service: string): number {
         const targets = [...this.#targets.values()].filter(target => target.service === service);
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -114,6 +114,17 @@
             | 2     | 0       | 0    |
             | 0     | 3       | 3    |
 
+    Scenario Outline: a configuration of <routes> routes is sent to <peers> peers <how>
+        When a configuration of <routes> routes is told to <peers> peers
+        Then it is sent <how>
+
+        Examples:
+            | routes | peers | how         |
+            | 48     | 5     | whole       |
+            | 48     | 8     | whole       |
+            | 48     | 70    | as version  |
+            | 310    | 3     | as version  |
+
     Scenario: refused callers come back spread out and within a third of their time
         When 200 callers with 6000 ms are refused with 50 waiting
         Then their times to come back differ and none is over 2 seconds
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -32,7 +32,7 @@
             | answers nonsense              |
             | forgets its history           |
 
-    Scenario Outline: a configuration with <routes> further routes reaches 6 instances, those off duty <source>
+    Scenario Outline: a configuration with <routes> further routes reaches 6 instances, three of them from the <source>
         Given a serving site with 6 instances
         And the first watch of each instance has ended
         When the operator writes version 9 with <routes> further routes
@@ -40,9 +40,9 @@
         And the instances that do not watch got it from the "<source>"
 
         Examples:
-            | routes | source     |
-            | 10     | peer       |
-            | 300    | store list |
+            | routes | source             |
+            | 10     | peer or store list |
+            | 300    | store list         |
 
     Scenario Outline: an instance that learns a configuration from the <source> tells its peers <told>
         When an instance learns a configuration from the "<source>"
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -14,6 +14,7 @@
     decideWatching,
     type DepartingEngine,
     EventSplitter,
+    isSentWhole,
     LoadLedger,
     planDeparture,
     RetryShare,
@@ -522,6 +523,16 @@
     },
 );
 
+let isWhole = false;
+
+When("a configuration of {int} routes is told to {int} peers", function(count: number, peers: number) {
+    isWhole = isSentWhole({ routes: count, peers });
+});
+
+Then(/^it is sent (whole|as version)$/, function(how: string) {
+    assert.equal(isWhole, how === "whole");
+});
+
 let routes: RouteTable | undefined;
 
 When("a route has the rank {int} and the account's rank is {string}", function(route: number, account: string) {
--- a/serving/move_watch.ts
+++ b/serving/move_watch.ts
@@ -201,8 +201,9 @@
 
     #listDestinations(service: ServiceDefinition): DestinationEngine[] {
         const { engine } = service;
-        return this.#options.context.state.listCandidates(service).flatMap(({ target, held, penalty }) =>
-            penalty > 1 || engine === undefined ? [] : [{
+        const { state } = this.#options.context;
+        return state.listCandidates(service).flatMap(({ target, held, penalty }) =>
+            penalty > 1 || engine === undefined || state.directory.isMissing(target.id) ? [] : [{
                 id: target.id,
                 zone: target.zone,
                 freeTokens: engine.memoryTokens - held.tokens,
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { decideWatching, DigestPace, DigestReason, type SharePosition } from "../core/serving/mod.ts";
+import { decideWatching, DigestPace, DigestReason, isSentWhole, type SharePosition } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerLinks } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import {
@@ -61,11 +61,6 @@
 const WATCHER_KEEP_ALIVE = 300;
 /** Digests that may be missed before a peer counts as lost. */
 const MISSED_DIGESTS = 3;
-/**
- * Most routes that are sent to all peers together, about 200 KB; beyond that peers read the configuration from the store.
- * A narrow link of 7 Mbit/s takes a quarter of a second for it.
- */
-const MAX_SENT_ROUTES = 400;
 /** Time between digests to a peer that does not answer, in milliseconds. */
 const RETRY_LOST = 2000;
 /** Time after which a peer that nobody tells of is forgotten, in milliseconds. */
@@ -198,9 +193,9 @@
         const listeners = [...this.#peers.values()].filter(({ isLost, heardAt, isWatching }) =>
             !isLost && heardAt !== undefined && !isWatching
         );
-        const isShort = configuration !== undefined
-            && configuration.routes.length * listeners.length <= MAX_SENT_ROUTES;
-        const told = { ...rest, ...isShort ? { configuration } : {} };
+        const isWhole = configuration !== undefined
+            && isSentWhole({ routes: configuration.routes.length, peers: listeners.length });
+        const told = { ...rest, ...isWhole ? { configuration } : {} };
         if (Object.keys(told).length > 0) {
             const message: NewsMessage = { kind: "news", instance: this.#options.instance, ...told };
             listeners.forEach(peer => this.#links.send(peer.address, message));
--- a/serving/run_move.ts
+++ b/serving/run_move.ts
@@ -201,14 +201,15 @@
 
     #takePlace(): HeldPlace | undefined {
         const { service, item, notice } = this.#options;
-        const planned = this.#context.state.directory.findTarget(notice.plan.destination ?? "");
+        const { directory } = this.#context.state;
+        const planned = directory.findTarget(notice.plan.destination ?? "");
         if (planned !== undefined && !planned.isLeaving && !this.#refused.has(planned.id)) {
             return this.#context.finder.takePlace(planned, item);
         }
         const result = this.#context.finder.chooseTarget({
             service,
             item: { ...item, promptTokens: 0 },
-            avoid: this.#refused,
+            avoid: new Set([...this.#refused, ...directory.listMissing()]),
             copyZone: this.#options.source.zone,
         });
         return result.kind === "placed" ? this.#context.finder.takePlace(result.target, item) : undefined;
