Keep sums of peers' work per target

Cause: each look at a target added up all peers' digests, 37,000 look-ups for a choice among 108 engines at 340 instances. Change: sums change as digests come and go; old ones are looked for every 250 ms. A scenario compares 2000 random digests of 300 peers, lost and silent ones among them, with sums made anew.

--- a/core/serving/load_ledger.ts
+++ b/core/serving/load_ledger.ts
@@ -53,6 +53,8 @@
 
 /** Age at which a peer's digest is no longer counted, in milliseconds: several times the interval in a large fleet. */
 const DIGEST_LIFETIME = 6000;
+/** Time between two looks for old digests, in milliseconds: short beside their lifetime. */
+const EXPIRY_INTERVAL = 250;
 
 /** Adds up what is known of each target's work. */
 export class LoadLedger {
@@ -60,6 +62,9 @@
     onEngineChange: (reason: DigestReason) => void = () => undefined;
     readonly #own = new Map<string, Map<object, WorkItem & { hasAnswered: boolean; }>>();
     readonly #peers = new Map<string, PeerDigest>();
+    /** Sums of the peers' digests by target: a choice looks at many targets, and there may be hundreds of peers. */
+    readonly #peerWork = new Map<string, HeldWork>();
+    #expiredAt = 0;
 
     /** Adds one request to a target. */
     addWork(target: string, item: WorkItem): WorkHold {
@@ -96,12 +101,18 @@
 
     /** Replaces what is known of a peer's work. */
     applyDigest(peer: string, digest: { work: WorkDigest; receivedAt: number; }): void {
+        this.dropPeer(peer);
         this.#peers.set(peer, digest);
+        this.#addToSums(digest.work, 1);
     }
 
     /** Drops what is known of a peer's work. */
     dropPeer(peer: string): void {
-        this.#peers.delete(peer);
+        const digest = this.#peers.get(peer);
+        if (digest !== undefined) {
+            this.#peers.delete(peer);
+            this.#addToSums(digest.work, -1);
+        }
     }
 
     /** Gives this instance's own counts at engines; plain requests are over before a peer could make use of them. */
@@ -129,17 +140,40 @@
 
     /** Counts the work of all instances at a target. */
     countWork(target: string, now: number): HeldWork {
-        const held = this.countOwn(target);
-        for (const [peer, digest] of this.#peers) {
-            if (now - digest.receivedAt > DIGEST_LIFETIME) {
-                this.#peers.delete(peer);
-                continue;
+        this.#expireDigests(now);
+        const own = this.countOwn(target);
+        const others = this.#peerWork.get(target);
+        return others === undefined ? own : {
+            requests: own.requests + others.requests,
+            tokens: own.tokens + others.tokens,
+            waitingPromptTokens: own.waitingPromptTokens + others.waitingPromptTokens,
+        };
+    }
+
+    #addToSums(work: WorkDigest, sign: 1 | -1): void {
+        for (const [target, [requests, tokens, waitingPromptTokens]] of Object.entries(work)) {
+            const sum = this.#peerWork.get(target) ?? { requests: 0, tokens: 0, waitingPromptTokens: 0 };
+            sum.requests += sign * requests;
+            sum.tokens += sign * tokens;
+            sum.waitingPromptTokens += sign * waitingPromptTokens;
+            if (sum.requests === 0) {
+                this.#peerWork.delete(target);
+            }
+            else {
+                this.#peerWork.set(target, sum);
+            }
+        }
+    }
+
+    #expireDigests(now: number): void {
+        if (now - this.#expiredAt < EXPIRY_INTERVAL) {
+            return;
+        }
+        this.#expiredAt = now;
+        for (const [peer, { receivedAt }] of this.#peers) {
+            if (now - receivedAt > DIGEST_LIFETIME) {
+                this.dropPeer(peer);
             }
-            const [requests = 0, tokens = 0, waitingPromptTokens = 0] = digest.work[target] ?? [];
-            held.requests += requests;
-            held.tokens += tokens;
-            held.waitingPromptTokens += waitingPromptTokens;
         }
-        return held;
     }
 }
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -40,6 +40,10 @@
         When a request of 3000 tokens with an estimate of 100 has made 500 tokens
         Then its engine counts at least 3500 tokens and peers are told with the next digest
 
+    Scenario: counts of work are the sums of what is known of each peer
+        When 300 peers send 2000 digests of 40 engines, some are lost and some go silent
+        Then each engine counts the sum of the digests that still hold
+
     Scenario: a copy goes to an engine of the same zone unless that is much fuller
         When a run is copied from "zone-a" with engines of 2 zones
         Then it goes to "zone-a" while that engine is fuller by 0.2, and to "zone-b" by 0.6
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -14,6 +14,7 @@
     decideWatching,
     type DepartingEngine,
     EventSplitter,
+    type HeldWork,
     isSentWhole,
     LoadLedger,
     planDeparture,
@@ -25,6 +26,7 @@
     TargetDirectory,
     TargetHealth,
     type WaitDecision,
+    type WorkDigest,
 } from "../../core/serving/mod.ts";
 import { createRandom } from "../../support/fixtures/random.ts";
 import { createDeparture, type MoveOutcome, replayMoves } from "../../support/platform/move_replay.ts";
@@ -237,6 +239,50 @@
     },
 );
 
+let summed: { ledger: LoadLedger; latest: Map<string, { work: WorkDigest; receivedAt: number; }>; } | undefined;
+/** Time of the last look at the counts, and lifetime of a digest, in milliseconds. */
+const COUNTED_AT = 20_000;
+const DIGEST_LIFETIME = 6000;
+
+When(
+    "{int} peers send {int} digests of {int} engines, some are lost and some go silent",
+    function(peers: number, digests: number, engines: number) {
+        const random = createRandom(11);
+        const pick = (most: number): number => Math.floor(random() * most);
+        const ledger = new LoadLedger();
+        const latest = new Map<string, { work: WorkDigest; receivedAt: number; }>();
+        for (let index = 0; index < digests; index += 1) {
+            const peer = `peer-${pick(peers)}`;
+            const receivedAt = index * COUNTED_AT / digests;
+            const targets = Array.from({ length: pick(4) }, () => `engine-${pick(engines)}`);
+            const work = Object.fromEntries(
+                targets.map(target => [target, [1 + pick(5), pick(9000), pick(3000)] as WorkDigest[string]]),
+            );
+            ledger.applyDigest(peer, { work, receivedAt });
+            latest.set(peer, { work, receivedAt });
+            ledger.countWork("engine-0", receivedAt);
+            if (random() < 0.1) {
+                ledger.dropPeer(peer);
+                latest.delete(peer);
+            }
+        }
+        summed = { ledger, latest };
+    },
+);
+
+Then("each engine counts the sum of the digests that still hold", function() {
+    assert.ok(summed !== undefined);
+    const holding = [...summed.latest.values()].filter(digest => COUNTED_AT - digest.receivedAt <= DIGEST_LIFETIME);
+    for (let index = 0; index < 40; index += 1) {
+        const target = `engine-${index}`;
+        const sum = [0, 1, 2].map(field =>
+            holding.reduce((total, { work }) => total + (work[target]?.[field] ?? 0), 0)
+        );
+        const counts: HeldWork = summed.ledger.countWork(target, COUNTED_AT);
+        assert.deepEqual([counts.requests, counts.tokens, counts.waitingPromptTokens], sum, target);
+    }
+});
+
 /** Chooses the zone that a run of zone-a is copied to while that zone's engine is fuller than the other's by `share`. */
 function chooseCopyZone(share: number): string | undefined {
     const candidates = ["zone-a", "zone-b"].map(zone => ({
