--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -12,7 +12,7 @@
 export interface TargetChange {
     /** The target as it was last listed. */
     target: ServingTarget;
-    /** What happened to it. */
+    /** What happened to it; one that is missing is no longer listed but may be back. */
     kind: "added" | "leaving" | "removed" | "missing";
 }
 
