--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -17,7 +17,7 @@
     type TargetRequestOptions,
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
-import type { PlaceFinder } from "./place_finder.ts";
+import type { HeldPlace, PlaceAnswer, PlaceFinder } from "./place_finder.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { TargetCall, TargetConnections } from "./target_connections.ts";
@@ -80,6 +80,44 @@
     milliseconds: number;
 }
 
+/** Finds a place for an attempt at a request. */
+export function findPlace(
+    context: ServingContext,
+    attempt: { exchange: CallerExchange; item: WorkItem; avoid: ReadonlySet<string>; },
+): Promise<PlaceAnswer> {
+    const { exchange, item, avoid } = attempt;
+    const { service, route, priority, arrivedAt, deadline, signal } = exchange;
+    const now = context.clock.getMonotonic();
+    return context.finder.findPlace({
+        service,
+        item,
+        priority,
+        avoid,
+        objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
+        remainingMilliseconds: deadline - now,
+        signal,
+    });
+}
+
+/** Describes an attempt that has ended. */
+export function describeAttempt(
+    place: HeldPlace,
+    attempt: { result: string; startedAt: number; now: number; },
+): AttemptRecord {
+    const { result, startedAt, now } = attempt;
+    return {
+        target: place.target.id,
+        result,
+        load: Number(place.score.toFixed(2)),
+        milliseconds: Math.round(now - startedAt),
+    };
+}
+
+/** Tells whether a status promises that the request did not run, although its target may have run it. */
+export function isUntruePromise(head: TargetAnswerHead): boolean {
+    return [408, 421, 429, 503].includes(head.status) && !head.isRefusal;
+}
+
 /** Logs and counts the end of a request. */
 export function recordEnd(
     context: ServingContext,
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -83,6 +83,7 @@
     readonly #ownAddress: string;
     #timer: NodeJS.Timeout | undefined;
     readonly #pace = new DigestPace();
+    #position: SharePosition | undefined;
     #digestTimer: NodeJS.Timeout | undefined;
     #digestDue = Infinity;
     #askedAt = 0;
@@ -155,9 +156,13 @@
         ]));
     }
 
+    /** Finds this instance's place among all; kept until the peers change, since each choice of a target asks. */
     #findPosition(): SharePosition {
-        const before = [...this.#peers.keys()].filter(name => name < this.#options.instance);
-        return { instances: this.#peers.size + 1, rank: before.length };
+        this.#position ??= {
+            instances: this.#peers.size + 1,
+            rank: [...this.#peers.keys()].filter(name => name < this.#options.instance).length,
+        };
+        return this.#position;
     }
 
     #startTimer(): void {
@@ -320,6 +325,7 @@
             isLost: false,
         };
         this.#peers.set(name, peer);
+        this.#position = undefined;
         return peer;
     }
 
@@ -338,6 +344,7 @@
             }
             if (silence > FORGET_AFTER) {
                 this.#peers.delete(name);
+                this.#position = undefined;
             }
         }
     }
--- a/serving/plain_call.ts
+++ b/serving/plain_call.ts
@@ -12,6 +12,9 @@
     type AttemptRecord,
     buildTargetCall,
     type CallerExchange,
+    describeAttempt,
+    findPlace,
+    isUntruePromise,
     recordEnd,
     type ServingContext,
     writeAnswerHead,
@@ -24,6 +27,8 @@
     | { kind: "answered"; head: TargetAnswerHead; body: Buffer; }
     | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; };
 
+/** Size of a plain request, which says nothing of it. */
+const NO_SIZE = { promptTokens: 0, outputTokens: 0 };
 /** Largest answer that is held in memory, in bytes; plain answers are a few kilobytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most targets that are asked while each refuses before running. */
@@ -59,7 +64,11 @@
         state.getRetryShare(this.#exchange.service.name).recordRequest(clock.getMonotonic());
         let reason = "";
         for (let sends = 0; sends < MAX_SENDS; sends += 1) {
-            const answer = await this.#findPlace();
+            const answer = await findPlace(this.#context, {
+                exchange: this.#exchange,
+                item: NO_SIZE,
+                avoid: this.#avoid,
+            });
             if (answer.kind === "refused") {
                 reason = answer.reason;
                 this.#retryAfterSeconds = answer.retryAfterSeconds;
@@ -78,32 +87,12 @@
         this.#fail(reason);
     }
 
-    #findPlace(): ReturnType<ServingContext["finder"]["findPlace"]> {
-        const { route, service, arrivedAt, signal } = this.#exchange;
-        const now = this.#context.clock.getMonotonic();
-        return this.#context.finder.findPlace({
-            service,
-            item: { promptTokens: 0, outputTokens: 0 },
-            priority: this.#exchange.priority,
-            avoid: this.#avoid,
-            objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
-            remainingMilliseconds: this.#remaining,
-            signal,
-        });
-    }
-
     async #runAttempt(place: HeldPlace): Promise<AttemptResult> {
         const { clock, state, metrics } = this.#context;
         const startedAt = clock.getMonotonic();
         const result = await this.#send(place).finally(place.release);
-        const now = clock.getMonotonic();
         const name = result.kind === "answered" ? String(result.head.status) : result.reason;
-        this.#attempts.push({
-            target: place.target.id,
-            result: name,
-            load: Number(place.score.toFixed(2)),
-            milliseconds: Math.round(now - startedAt),
-        });
+        this.#attempts.push(describeAttempt(place, { result: name, startedAt, now: clock.getMonotonic() }));
         metrics.countAttempt(this.#exchange.service.name, result.kind === "answered" ? "answered" : result.verdict);
         if (!this.#exchange.isCallerGone()) {
             const isUnreachable = result.kind === "failed" && result.isUnreachable === true;
@@ -234,8 +223,3 @@
         return Math.min(this.#remaining, patience);
     }
 }
-
-/** Tells whether a status promises that the request did not run, although its target may have run it. */
-function isUntruePromise(head: TargetAnswerHead): boolean {
-    return [408, 421, 429, 503].includes(head.status) && !head.isRefusal;
-}
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -21,6 +21,9 @@
     buildTargetCall,
     type CallerExchange,
     computeWorkItem,
+    describeAttempt,
+    findPlace,
+    isUntruePromise,
     recordEnd,
     type ServingContext,
     writeAnswerHead,
@@ -190,16 +193,8 @@
     }
 
     async #findPlace(): Promise<HeldPlace | undefined> {
-        const { route, service, arrivedAt, signal } = this.#exchange;
-        const answer = await this.#context.finder.findPlace({
-            service,
-            item: this.#item,
-            priority: this.#exchange.priority,
-            avoid: this.#avoid,
-            objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - this.#now),
-            remainingMilliseconds: this.#remaining,
-            signal,
-        });
+        const attempt = { exchange: this.#exchange, item: this.#item, avoid: this.#avoid };
+        const answer = await findPlace(this.#context, attempt);
         if (answer.kind === "placed") {
             return answer.place;
         }
@@ -223,13 +218,7 @@
         const { state, metrics } = this.#context;
         const { result, startedAt } = attempt;
         const name = result.kind === "failed" ? result.reason : result.kind;
-        const milliseconds = Math.round(this.#now - startedAt);
-        this.#attempts.push({
-            target: place.target.id,
-            result: name,
-            load: Number(place.score.toFixed(2)),
-            milliseconds,
-        });
+        this.#attempts.push(describeAttempt(place, { result: name, startedAt, now: this.#now }));
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
         if (result.kind === "moved" || this.#progress.eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
@@ -417,7 +406,7 @@
     #sendAnswer(answer: { head: TargetAnswerHead; body: Buffer; }): void {
         const { response } = this.#exchange;
         const { head, body } = answer;
-        if (response.headersSent || [408, 421, 429, 503].includes(head.status)) {
+        if (response.headersSent || isUntruePromise(head)) {
             this.#verdict = "ran";
             this.#fail(`failed with ${head.status}`);
             return;
--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import { type Address, parseAddress, waitMilliseconds } from "../../../network/mod.ts";
 import { createRandom, pickExponential, type Random } from "../../fixtures/random.ts";
-import { callHttp, type HttpResult, type RunningChild, startChild } from "../../processes/mod.ts";
+import { callHttp, collectAnswer, type HttpResult, type RunningChild, startChild } from "../../processes/mod.ts";
 import { buildSiteConfiguration, formatSettingsText, ServingSite, SITE_KEY, type SiteTarget } from "../mod.ts";
 import { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { SoakLedger } from "./soak_ledger.ts";
@@ -396,19 +396,7 @@
                 ...kind === "lookup" ? {} : { "content-length": "8" },
             },
             signal: AbortSignal.timeout(6000),
-        }, response => {
-            const chunks: Buffer[] = [];
-            const settle = (isComplete: boolean): void =>
-                resolve({
-                    status: response.statusCode ?? 0,
-                    headers: response.headers as Record<string, string>,
-                    body: Buffer.concat(chunks),
-                    isComplete,
-                });
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
-            response.on("end", () => settle(response.complete));
-            response.on("error", () => settle(false));
-        });
+        }, response => void collectAnswer(response).then(resolve));
         request.on("socket", socket => {
             // A request that crosses the close of an idle connection was not read; its caller sends it again.
             if (socket.connecting) {
--- a/support/processes/http_call.ts
+++ b/support/processes/http_call.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request as startRequest } from "node:http";
+import { type IncomingMessage, request as startRequest } from "node:http";
 import { parseAddress } from "../../network/mod.ts";
 
 /** A call to make. */
@@ -55,23 +55,37 @@
                 ...call.body === undefined ? {} : { "content-length": Buffer.byteLength(call.body) },
             },
             ...call.signal === undefined ? {} : { signal: call.signal },
-        }, response => {
-            const chunks: Buffer[] = [];
-            const settle = (isComplete: boolean): void =>
-                resolve({
-                    status: response.statusCode ?? 0,
-                    headers: response.headers as Record<string, string>,
-                    body: Buffer.concat(chunks),
-                    isComplete,
-                });
-            response.on("data", (chunk: Buffer) => {
-                chunks.push(chunk);
-                call.onChunk?.(chunk);
-            });
-            response.on("end", () => settle(response.complete));
-            response.on("error", () => settle(false));
-        });
+        }, response => void collectAnswer(response, call).then(resolve));
         request.on("error", reject);
         request.end(call.body);
     });
 }
+
+/**
+ * Collects an answer up to its end, or to where its connection broke.
+ *
+ * @param response Answer whose headers have come.
+ * @param options Who is told of each piece of the body.
+ * @returns The answer.
+ */
+export function collectAnswer(
+    response: IncomingMessage,
+    { onChunk }: Pick<HttpCall, "onChunk"> = {},
+): Promise<HttpResult> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        const settle = (isComplete: boolean): void =>
+            resolve({
+                status: response.statusCode ?? 0,
+                headers: response.headers as Record<string, string>,
+                body: Buffer.concat(chunks),
+                isComplete,
+            });
+        response.on("data", (chunk: Buffer) => {
+            chunks.push(chunk);
+            onChunk?.(chunk);
+        });
+        response.on("end", () => settle(response.complete));
+        response.on("error", () => settle(false));
+    });
+}
