Soak: send SIGHUP only to a process that has started

Cause: the signal ended a process in the first 75 ms, before Node.js runs the program, which no program can prevent. Change: a start is complete when the process logs "started"; the soak waits for that line.

--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -46,6 +46,8 @@
     readinessAddress: string;
     storeProxy: FaultProxy;
     child: RunningChild;
+    /** Resolves once the process has logged its start, or has exited. */
+    started: Promise<void>;
     /** True from the signal with which the test stops the process until its restart. */
     isStopping: boolean;
     /** True while the process is stopped with SIGSTOP. */
@@ -59,6 +61,8 @@
     narrative: "/narrative/1",
     verdict: "/verdict/1",
 };
+/** Part of the line that an instance logs once its sockets are open. */
+const STARTED_EVENT = "\"event\":\"started\"";
 const PROGRAM_PATH = "dist/bin/knapweed_serve.js";
 /** Number of concurrent callers. */
 const CALLER_COUNT = 6;
@@ -181,6 +185,7 @@
             readinessAddress: ready,
             storeProxy,
             child,
+            started: waitForStart(child),
             isStopping: false,
             isPaused: false,
         };
@@ -312,7 +317,13 @@
                 instance.isPaused = false;
             }
         },
-        SIGHUP: async () => this.#pick(this.#instances).child.sendSignal("SIGHUP"),
+        SIGHUP: async () => {
+            const instance = this.#pick(this.#instances);
+            const { child } = instance;
+            // A signal that arrives before Node.js runs the program ends the process.
+            await instance.started;
+            child.sendSignal("SIGHUP");
+        },
         configuration: async () => this.#writeConfiguration(),
         leaving: async duration => {
             const target = this.#pick(this.#site.targets);
@@ -346,6 +357,7 @@
         await instance.child.waitForExit();
         await waitMilliseconds(downTime);
         instance.child = startChild(PROGRAM_PATH, { arguments: ["--settings", instance.settingsPath] });
+        instance.started = waitForStart(instance.child);
         instance.isStopping = false;
         this.#watchExit(instance);
         await this.#waitUntilReady(instance);
@@ -393,6 +405,13 @@
     }
 }
 
+/** Waits until a process logs that it has started, or has exited. */
+async function waitForStart(child: RunningChild): Promise<void> {
+    while (child.isRunning() && !child.getOutput().includes(STARTED_EVENT)) {
+        await waitMilliseconds(10);
+    }
+}
+
 function isPortFree(address: Address): Promise<boolean> {
     return new Promise(resolve => {
         const server = createServer();
