Bound responses without end, and tell a reset and a late refusal from an answer

Causes, each shown by a scenario that failed first: - EventSplitter searched its buffer from the start at each chunk and had no limit: 4 MB without an event's end blocked the loop for 4.3 s. It now searches each byte once, limits an event to 256 KiB and refuses lines that are no fields. - Interim responses, and leading zeros of a chunk size, pass Node's parser without limit (72 MB were taken from one target). Interim responses are limited to 8, and a response whose bytes are not its body to 1 MiB and 8 times the body. - Each buffered answer could take 8 MiB of a process with 140 MB; all together now share 32 MiB. - Comments restarted the stall detector, so a target that sends them now and then was never found to be stalled. - If a reset arrives with the last data, Node.js reports an orderly end, and an answer without a length that broke off reached the caller as a success. The remote end of the socket is now checked when the stream ends. - A late copy of a refusal without a request's name, on a connection in use again, was taken for the refusal of the next request, which had run: it was told "not run". Such a refusal now counts only on a new connection. - An attempt that its own timeout aborted before the connection was up marked the target as unreachable.

--- a/core/serving/event_splitter.ts
+++ b/core/serving/event_splitter.ts
@@ -2,6 +2,9 @@
  * Splits a byte stream of server-sent events into complete events, so that a caller does not receive a partial event if
  * the connection to the target breaks.
  *
+ * Load pattern: a faulty target sends bytes without end that complete no event. The buffer is bounded, and each byte is
+ * searched once, so that such a target neither fills the memory of the instance nor blocks its other streams.
+ *
  * @module
  */
 
@@ -9,46 +12,94 @@
 export interface RelayedEvent {
     /** Value of the event's `id` field; `undefined` if it has none. */
     id: string | undefined;
+    /** True if the event consists of comments only, which targets send to keep a connection open. */
+    isComment: boolean;
     /** All bytes of the event, including the blank line that ends it. */
     bytes: Uint8Array;
 }
 
+/** Thrown if received bytes are not a server-sent event. */
+export class MalformedEventError extends Error {
+    override name = "MalformedEventError";
+}
+
+/** Options of an {@linkcode EventSplitter}. */
+export interface EventSplitterOptions {
+    /** Maximum size of one event, in bytes. Defaults to 256 KiB. */
+    maxEventBytes?: number;
+}
+
+/** An event holds a few tokens, and usually less than a kilobyte. */
+const DEFAULT_MAX_EVENT_BYTES = 256 * 1024;
+const MIN_BUFFER_BYTES = 1024;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Maximum length of the blank line that ends an event, with the line ending before it: LF CR LF. */
+const EVENT_END_BYTES = 3;
+/** A line of an event: empty, a comment, a field name, or a field name and a value. */
+const LINE_PATTERN = /^(?::.*|[\w-]{1,64}(?::.*)?|)$/;
 
 /** Buffers received bytes and returns events as they become complete. */
 export class EventSplitter {
-    #pending: Uint8Array = new Uint8Array(0);
+    readonly #maxEventBytes: number;
+    #buffer = new Uint8Array(0);
+    /** Number of buffered bytes. */
+    #length = 0;
+    /** Number of buffered bytes that have been searched for the end of an event. */
+    #searchedBytes = 0;
+
+    constructor(options: EventSplitterOptions = {}) {
+        this.#maxEventBytes = options.maxEventBytes ?? DEFAULT_MAX_EVENT_BYTES;
+    }
 
-    /** Adds `chunk` to the buffered bytes and returns the events that it completes. */
+    /**
+     * Adds `chunk` to the buffered bytes and returns the events that it completes.
+     *
+     * @throws {MalformedEventError} If an event is longer than allowed, or its lines are not those of an event.
+     */
     handleChunk(chunk: Uint8Array): RelayedEvent[] {
-        let remaining = this.#pending.length === 0 ? chunk : mergeBytes(this.#pending, chunk);
+        this.#append(chunk);
         const events: RelayedEvent[] = [];
-        for (let end = findEventEnd(remaining); end > 0; end = findEventEnd(remaining)) {
-            const bytes = remaining.subarray(0, end);
-            events.push({ id: findEventId(bytes), bytes });
-            remaining = remaining.subarray(end);
+        let start = 0;
+        let searchFrom = this.#searchedBytes;
+        const bytes = this.#buffer.subarray(0, this.#length);
+        for (let end = findEventEnd(bytes, searchFrom); end > 0; end = findEventEnd(bytes, searchFrom)) {
+            events.push(parseEvent(bytes.slice(start, end)));
+            start = end;
+            searchFrom = end;
+        }
+        this.#buffer.copyWithin(0, start, this.#length);
+        this.#length -= start;
+        this.#searchedBytes = Math.max(0, this.#length - EVENT_END_BYTES + 1);
+        if (this.#length > this.#maxEventBytes) {
+            throw new MalformedEventError(
+                `Cannot read an event: ${this.#length} bytes without its end exceed the limit of ${this.#maxEventBytes}.`,
+            );
         }
-        this.#pending = remaining;
         return events;
     }
 
     /** Returns the buffered bytes of an event that is not complete yet. */
     getPendingBytes(): Uint8Array {
-        return this.#pending;
+        return this.#buffer.subarray(0, this.#length);
     }
-}
 
-function mergeBytes(first: Uint8Array, second: Uint8Array): Uint8Array {
-    const merged = new Uint8Array(first.length + second.length);
-    merged.set(first);
-    merged.set(second, first.length);
-    return merged;
+    /** Copies `chunk` to the end of the buffer, whose capacity doubles when it is used up. */
+    #append(chunk: Uint8Array): void {
+        const length = this.#length + chunk.length;
+        if (length > this.#buffer.length) {
+            const buffer = new Uint8Array(Math.max(MIN_BUFFER_BYTES, length, 2 * this.#buffer.length));
+            buffer.set(this.#buffer.subarray(0, this.#length));
+            this.#buffer = buffer;
+        }
+        this.#buffer.set(chunk, this.#length);
+        this.#length = length;
+    }
 }
 
-/** Finds the end of the first event, which is a blank line after an LF or CRLF line ending; 0 if there is none. */
-function findEventEnd(bytes: Uint8Array): number {
-    for (let index = bytes.indexOf(LINE_FEED); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
+/** Finds the end of the first event that ends after `from`: a blank line after an LF or CRLF; 0 if there is none. */
+function findEventEnd(bytes: Uint8Array, from: number): number {
+    for (let index = bytes.indexOf(LINE_FEED, from); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
         const next = bytes[index + 1];
         if (next === LINE_FEED) {
             return index + 2;
@@ -62,6 +113,16 @@
 
 const decoder = new TextDecoder();
 
-function findEventId(bytes: Uint8Array): string | undefined {
-    return /^id: ?(.*?)\r?$/m.exec(decoder.decode(bytes))?.[1];
+function parseEvent(bytes: Uint8Array): RelayedEvent {
+    const lines = decoder.decode(bytes).split(/\r?\n/);
+    const malformed = lines.find(line => !LINE_PATTERN.test(line));
+    if (malformed !== undefined) {
+        throw new MalformedEventError(`Cannot read an event: ${JSON.stringify(malformed.slice(0, 40))} is no field.`);
+    }
+    const idLine = lines.find(line => line.startsWith("id:"));
+    return {
+        id: idLine?.slice("id:".length).replace(/^ /, ""),
+        isComment: lines.every(line => line === "" || line.startsWith(":")),
+        bytes,
+    };
 }
--- a/features/platform/targets.feature
+++ b/features/platform/targets.feature
@@ -29,6 +29,7 @@
             | lookup | an encoded body                     | 1     | 200    | whole     | 1    | 2        |
             | lookup | half an answer                      | 1     | 200    | whole     | 1    | 2        |
             | lookup | half an unframed answer             | 1     | 200    | whole     | 1    | 2        |
+            | lookup | half an unframed answer and a reset at once | 1 | 200 | whole | 1 | 2 |
             | lookup | an unframed answer                  | 1     | 200    | whole     | 0    | 1        |
             | lookup | no HTTP                             | 1     | 200    | whole     | 1    | 2        |
             | lookup | a reset                             | 1     | 200    | whole     | 1    | 2        |
@@ -41,6 +42,7 @@
             | stamp  | no signature                        | 1     | 502    | whole     | 0    | 1        |
             | stamp  | half an answer                      | 1     | 502    | whole     | 0    | 1        |
             | stamp  | half an unframed answer             | 1     | 502    | whole     | 0    | 1        |
+            | stamp  | half an unframed answer and a reset at once | 1 | 502 | whole | 0 | 1 |
             | stamp  | no HTTP                             | 1     | 502    | whole     | 0    | 1        |
             | stamp  | a reset                             | 1     | 502    | whole     | 0    | 1        |
             | stamp  | silence                             | 1     | 504    | whole     | 0    | 1        |
@@ -51,6 +53,20 @@
             | narrative | a reset                          | 1     | 502    | whole     | 0    | 1        |
             | narrative | no signature                     | 1     | 502    | whole     | 0    | 1        |
 
+    Scenario: a late copy of an answer does not reach the next caller on its connection
+        Given a serving site with 1 targets of each service
+        When the targets respond with "its answer twice" 4 times
+        And 8 callers send a "stamp" one after the other, at intervals of 15 ms
+        Then each response with the status 200 is the caller's own, and the others do not claim that the request did not run
+
+    Scenario: a late copy of a refusal is not taken for the refusal of the next request on its connection
+        Given a serving site with 1 targets of each service
+        When 1 callers send a "stamp" one after the other
+        And the targets respond with "an earlier refusal" 1 times
+        And a caller sends a "stamp"
+        Then the response has the status 502 and is whole
+        And the request ran 1 times and arrived at targets 1 times
+
     Scenario: a stamp is refused as not run if all targets refuse it
         Given a serving site
         When the targets respond with "a refusal" 9 times
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -19,69 +19,52 @@
 import { findAddresses, type HttpResult } from "../../support/processes/mod.ts";
 import { openStandIn } from "../../support/stand_ins/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
+import {
+    closeSite,
+    createRequestId,
+    formatRequestId,
+    getLastResponse,
+    getSite,
+    siteContext,
+} from "../support/site_context.ts";
 
-let site: ServingSite | undefined;
-let responses: HttpResult[] = [];
 let stream: { result: Promise<HttpResult | undefined>; text: string; } | undefined;
 let storeReply: StoreReply<unknown> | undefined;
-let requestCount = 0;
-
-function getSite(): ServingSite {
-    if (site === undefined) {
-        throw new Error("Cannot run the step: the scenario has not started a serving site.");
-    }
-    return site;
-}
-
-function getLastResponse(): HttpResult {
-    const response = responses.at(-1);
-    if (response === undefined) {
-        throw new Error("Cannot run the step: no response has been received.");
-    }
-    return response;
-}
-
-function createRequestId(): string {
-    requestCount += 1;
-    return requestCount.toString(16).padStart(16, "0");
-}
 
 function listEngines(): SiteTarget[] {
     return getSite().targets.filter(target => target.service === "engines");
 }
 
 After(() => {
-    site?.close();
-    site = undefined;
-    responses = [];
+    closeSite();
     stream = undefined;
 });
 
 Given("a serving site", async function() {
-    site = await startServingSite();
+    siteContext.site = await startServingSite();
 });
 
 Given("a serving site with slow streams", async function() {
-    site = await startServingSite({ eventMilliseconds: 60 });
+    siteContext.site = await startServingSite({ eventMilliseconds: 60 });
 });
 
 Given("a serving site whose engines send an event every {int} ms", async function(eventMilliseconds: number) {
-    site = await startServingSite({ eventMilliseconds });
+    siteContext.site = await startServingSite({ eventMilliseconds });
 });
 
 Given(
     "a serving site with {int} engines that send an event every {int} ms",
     async function(engines: number, eventMilliseconds: number) {
-        site = await startServingSite({ engines, eventMilliseconds });
+        siteContext.site = await startServingSite({ engines, eventMilliseconds });
     },
 );
 
 Given("a serving site with {int} instances", async function(instances: number) {
-    site = await startServingSite({ instances });
+    siteContext.site = await startServingSite({ instances });
 });
 
 Given("a serving site with {int} targets of each service", async function(count: number) {
-    site = await startServingSite({ plainTargets: count, engines: count });
+    siteContext.site = await startServingSite({ plainTargets: count, engines: count });
 });
 
 When("{int} targets of each service shut down", function(count: number) {
@@ -94,16 +77,43 @@
 
 When("{int} callers send a {string} one after the other", async function(count: number, kind: string) {
     for (let index = 0; index < count; index += 1) {
-        responses.push(await getSite().call({ kind, id: createRequestId() }));
+        siteContext.responses.push(await getSite().call({ kind, id: createRequestId() }));
     }
 });
 
+When(
+    "{int} callers send a {string} one after the other, at intervals of {int} ms",
+    async function(count: number, kind: string, milliseconds: number) {
+        for (let index = 0; index < count; index += 1) {
+            siteContext.responses.push(await getSite().call({ kind, id: createRequestId() }));
+            await waitMilliseconds(milliseconds);
+        }
+    },
+);
+
+Then(
+    "each response with the status 200 is the caller's own, and the others do not claim that the request did not run",
+    function() {
+        const firstCount = siteContext.requestCount - siteContext.responses.length + 1;
+        for (const [index, { status, headers, body }] of siteContext.responses.entries()) {
+            if (status === 200) {
+                assert.equal(headers["attempt-id"], formatRequestId(firstCount + index));
+            }
+            else {
+                assert.ok(![408, 421, 429, 503].includes(status), body.toString());
+            }
+        }
+        assert.ok(siteContext.responses.filter(({ status }) => status === 200).length >= 4, "too few were served");
+    },
+);
+
 Then("the generation was moved once", function() {
     assert.equal(listEngines().flatMap(({ standIn }) => standIn.resumed).length, 1);
 });
 
 Given("a serving site whose store is down", async function() {
-    site = new ServingSite();
+    const site = new ServingSite();
+    siteContext.site = site;
     await site.openStore();
     site.store.faults.isReset = true;
     await site.addInstance();
@@ -124,16 +134,16 @@
 });
 
 When("a caller sends a {string}", async function(kind: string) {
-    responses.push(await getSite().call({ kind, id: createRequestId(), deadlineMilliseconds: 1500 }));
+    siteContext.responses.push(await getSite().call({ kind, id: createRequestId(), deadlineMilliseconds: 1500 }));
 });
 
 When("{int} callers send a {string}", async function(count: number, kind: string) {
     const calls = Array.from({ length: count }, () => getSite().call({ kind, id: createRequestId() }));
-    responses.push(...await Promise.all(calls));
+    siteContext.responses.push(...await Promise.all(calls));
 });
 
 When("a caller sends a {string} with the headers", async function(kind: string, table: DataTable) {
-    responses.push(await getSite().call({ kind, id: createRequestId(), headers: table.rowsHash() }));
+    siteContext.responses.push(await getSite().call({ kind, id: createRequestId(), headers: table.rowsHash() }));
 });
 
 Then(/^the response has the status (\d+) and is whole$/, function(status: string) {
@@ -146,11 +156,11 @@
 });
 
 Then("all responses have the status {int}", function(status: number) {
-    assert.deepEqual(responses.map(response => response.status), responses.map(() => status));
+    assert.deepEqual(siteContext.responses.map(response => response.status), siteContext.responses.map(() => status));
 });
 
 Then("the request ran {int} times and arrived at targets {int} times", function(runs: number, arrivals: number) {
-    const lastRequestId = requestCount.toString(16).padStart(16, "0");
+    const lastRequestId = formatRequestId(siteContext.requestCount);
     const { targets } = getSite();
     assert.equal(
         targets.flatMap(({ standIn }) => standIn.started.filter(started => started === lastRequestId)).length,
@@ -190,7 +200,7 @@
 });
 
 Given("a serving site whose account has the priority {string}", async function(priority: string) {
-    site = await startServingSite({ accountPriority: priority === "none" ? undefined : Number(priority) });
+    siteContext.site = await startServingSite({ accountPriority: priority === "none" ? undefined : Number(priority) });
 });
 
 Then("the target got the priority {string}", function(priority: string) {
@@ -525,13 +535,13 @@
 let publishedUpdates: StoreUpdate[] = [];
 
 When("an instance adopts a configuration from the {string}", async function(source: string) {
-    site = await startServingSite();
+    siteContext.site = await startServingSite();
     const configuration = decodeConfiguration({
         name: "main",
         revision: 1,
         spec: buildSiteConfiguration(9),
     });
-    const [instance] = site.instances;
+    const [instance] = getSite().instances;
     assert.ok(configuration !== undefined && instance !== undefined);
     const state = new ServingState({
         settings: instance.settings,
--- /dev/null
+++ b/features/support/site_context.ts
@@ -0,0 +1,52 @@
+/**
+ * The serving site of the current scenario, with the responses that its callers have received.
+ *
+ * @module
+ */
+import type { ServingSite } from "../../support/platform/mod.ts";
+import type { HttpResult } from "../../support/processes/mod.ts";
+
+/** State that the steps of several files share. */
+export const siteContext = {
+    /** Site that the scenario has started. */
+    site: undefined as ServingSite | undefined,
+    /** Responses to the scenario's callers, in the order of the calls. */
+    responses: [] as HttpResult[],
+    /** Number of request identifiers created in this run; it is never reset, so that identifiers are not repeated. */
+    requestCount: 0,
+};
+
+/** Gets the site of the scenario. @throws {Error} If the scenario has started none. */
+export function getSite(): ServingSite {
+    if (siteContext.site === undefined) {
+        throw new Error("Cannot run the step: the scenario has not started a serving site.");
+    }
+    return siteContext.site;
+}
+
+/** Gets the latest response. @throws {Error} If no response has been received. */
+export function getLastResponse(): HttpResult {
+    const response = siteContext.responses.at(-1);
+    if (response === undefined) {
+        throw new Error("Cannot run the step: no response has been received.");
+    }
+    return response;
+}
+
+/** Creates a request identifier that no other request has. */
+export function createRequestId(): string {
+    siteContext.requestCount += 1;
+    return formatRequestId(siteContext.requestCount);
+}
+
+/** Formats the identifier of the request with a given number. */
+export function formatRequestId(count: number): string {
+    return count.toString(16).padStart(16, "0");
+}
+
+/** Closes the site, if there is one, and drops the responses. */
+export function closeSite(): void {
+    siteContext.site?.close();
+    siteContext.site = undefined;
+    siteContext.responses = [];
+}
--- a/network/http_server.ts
+++ b/network/http_server.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Address } from "./address.ts";
+import type { ByteBudget } from "./response_limits.ts";
 
 /** Handles one HTTP request. */
 export type HttpHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
@@ -85,21 +86,39 @@
  * Reads the entire body of an HTTP message into memory.
  *
  * @param stream Message to read.
- * @param options Maximum accepted size, in bytes.
+ * @param options Maximum accepted size, in bytes; budget of all bodies that are read at the same time, which defaults
+ * to none; and a function that is called with the size of each chunk.
  * @returns The body.
- * @throws {BodyTooLargeError} If the body is longer than `maxBytes`.
+ * @throws {BodyTooLargeError} If the body is longer than `maxBytes`, or than what is left of the budget.
  */
-export async function readBody(stream: IncomingMessage, options: { maxBytes: number; }): Promise<Buffer> {
+export async function readBody(
+    stream: IncomingMessage,
+    options: { maxBytes: number; budget?: ByteBudget; onChunk?: (bytes: number) => void; },
+): Promise<Buffer> {
+    const { maxBytes, budget, onChunk } = options;
     const chunks: Buffer[] = [];
     let size = 0;
-    for await (const chunk of stream as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > options.maxBytes) {
-            throw new BodyTooLargeError(`Cannot read the body: it is longer than ${options.maxBytes} bytes.`);
+    let taken = 0;
+    try {
+        for await (const chunk of stream as AsyncIterable<Buffer>) {
+            size += chunk.length;
+            if (size > maxBytes) {
+                throw new BodyTooLargeError(`Cannot read the body: it is longer than ${maxBytes} bytes.`);
+            }
+            if (budget?.take(chunk.length) === false) {
+                throw new BodyTooLargeError(
+                    `Cannot read the body: after ${taken} bytes, the memory for all bodies is used up.`,
+                );
+            }
+            taken += chunk.length;
+            onChunk?.(chunk.length);
+            chunks.push(chunk);
         }
-        chunks.push(chunk);
+        return Buffer.concat(chunks);
+    }
+    finally {
+        budget?.release(taken);
     }
-    return Buffer.concat(chunks);
 }
 
 /**
--- a/network/mod.ts
+++ b/network/mod.ts
@@ -8,4 +8,6 @@
 export * from "./frame_server.ts";
 export * from "./http_server.ts";
 export * from "./peer_connection_pool.ts";
+export * from "./reset_detection.ts";
+export * from "./response_limits.ts";
 export * from "./wait_milliseconds.ts";
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -13,7 +13,6 @@
     StreamProgress,
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
-import { readBody } from "../network/mod.ts";
 import { type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
 import {
     abortResponse,
@@ -66,8 +65,6 @@
     startMove(notice: MoveNotice): void;
 }
 
-/** Maximum size of a response other than a stream, in bytes. */
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 
@@ -283,12 +280,12 @@
         targetResponse: TargetResponse,
         attempt: RelayAttempt,
     ): Promise<AttemptResult> {
-        const { head, response } = targetResponse;
+        const { head } = targetResponse;
         if (head.status === 200 && head.isSigned && head.requestId === this.#exchange.request.id) {
             this.#writeHead(head);
             return this.#relayEvents(targetResponse, attempt);
         }
-        const body = await readBody(response, { maxBytes: MAX_RESPONSE_BYTES });
+        const body = await this.#context.connections.readResponseBody(targetResponse);
         if (head.isRefusal) {
             return { kind: "failed", verdict: "not-run", reason: `refused with ${head.status}` };
         }
@@ -308,18 +305,23 @@
         const { response: incoming } = targetResponse;
         const splitter = new EventSplitter();
         let failure = "stream broke off";
+        let hasFailed = false;
         try {
             for await (const chunk of incoming as AsyncIterable<Buffer>) {
+                targetResponse.recordBody(chunk.length);
                 const events = splitter.handleChunk(chunk);
-                if (events.length > 0) {
+                if (events.some(event => !event.isComment)) {
                     attempt.reservation.markResponseStarted();
                     attempt.stallDetector.restart();
+                }
+                if (events.length > 0) {
                     await this.#sendEvents(events);
                     attempt.reservation.recordOutput(this.#outputTokens);
                 }
             }
         }
         catch (error) {
+            hasFailed = true;
             failure = error instanceof Error ? error.message : String(error);
         }
         finally {
@@ -333,7 +335,7 @@
         // If only the caller's response is framed, the end of the target's stream cannot be told from an interruption.
         const isEndCertain = targetResponse.head.isFramed || !this.#isCallerResponseFramed;
         if (
-            isEndCertain && targetResponse.isComplete() && splitter.getPendingBytes().length === 0
+            isEndCertain && !hasFailed && targetResponse.isComplete() && splitter.getPendingBytes().length === 0
             && !this.#exchange.signal.aborted
         ) {
             return { kind: "complete" };
@@ -363,6 +365,10 @@
             if (!this.#progress.isNew(event.id)) {
                 continue;
             }
+            if (event.isComment) {
+                response.write(event.bytes);
+                continue;
+            }
             const pause = this.#progress.recordEvent(event.id, this.#now);
             if (pause === undefined) {
                 this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -6,7 +6,14 @@
 import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { AttemptProgress } from "../core/verdict/mod.ts";
-import { parseAddress } from "../network/mod.ts";
+import {
+    applyInterimResponseLimit,
+    ByteBudget,
+    hasFailed,
+    observeReset,
+    parseAddress,
+    readBody,
+} from "../network/mod.ts";
 import { decodeResponseHead, type HeaderPair, type TargetResponseHead } from "../platform/mod.ts";
 
 /** Thrown if a request received no response that belongs to it. */
@@ -14,20 +21,23 @@
     override name = "TargetCallError";
     /** Stage that the attempt had reached when it failed. */
     readonly progress: AttemptProgress;
+    /** True if the caller of {@linkcode TargetConnections.sendRequest} aborted the attempt. */
+    readonly isAborted: boolean;
 
     /**
      * @param message Description of the failure.
-     * @param progress Stage that the attempt had reached when it failed.
+     * @param state Stage that the attempt had reached when it failed, and whether it was aborted.
      */
-    constructor(message: string, progress: AttemptProgress) {
+    constructor(message: string, state: { progress: AttemptProgress; isAborted: boolean; }) {
         super(message);
-        this.progress = progress;
+        this.progress = state.progress;
+        this.isAborted = state.isAborted;
     }
 }
 
-/** Checks whether an error means that no connection to the target could be established. */
+/** Checks whether an error means that the target accepted no connection; an aborted attempt does not show this. */
 export function isConnectFailure(error: unknown): boolean {
-    return error instanceof TargetCallError && error.progress === "not-connected";
+    return error instanceof TargetCallError && error.progress === "not-connected" && !error.isAborted;
 }
 
 /** A request to a target. */
@@ -60,10 +70,21 @@
      * Checks whether the body is complete; a body without a length ends when its connection is closed without a reset.
      */
     isComplete: () => boolean;
+    /** Records that `bytes` of the body have been read, which shows that the response makes progress. */
+    recordBody: (bytes: number) => void;
     /** Closes the connection, so that the target stops processing the request. */
     close: () => void;
 }
 
+/** A request whose response is not complete yet. */
+interface PendingResponse {
+    request: ClientRequest;
+    /** Bytes that had arrived on the connection before the response. */
+    initialBytes: number;
+    /** Bytes of the body that have been read. */
+    bodyBytes: number;
+}
+
 /**
  * Timeout for establishing a connection, in milliseconds. Targets accept a connection within a few milliseconds; a lost
  * packet is retransmitted after a few hundred milliseconds.
@@ -110,6 +131,7 @@
 
     override createConnection(options: { host: string; port: number; }): Socket {
         const socket = connect({ host: options.host, port: options.port, noDelay: true });
+        observeReset(socket);
         const timer = setTimeout(
             () => socket.destroy(new Error("connection was not accepted in time")),
             CONNECT_TIMEOUT_MILLISECONDS,
@@ -131,9 +153,23 @@
 /** Listeners that destroy an idle connection when unsolicited bytes arrive on it. */
 const idleListeners = new WeakMap<Socket, () => void>();
 
+/** Maximum size of a response that is buffered, in bytes; most have a few kilobytes. */
+const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Interval at which the overhead of pending responses is checked, in milliseconds. */
+const OVERHEAD_CHECK_INTERVAL_MILLISECONDS = 100;
+/** Maximum size of the head of a response and of unread data, in bytes. */
+const MAX_OVERHEAD_BYTES = 1024 * 1024;
+/** Maximum size of a chunked response, as a multiple of its body: a chunk of one byte takes six bytes. */
+const MAX_OVERHEAD_FACTOR = 8;
+/** Maximum size of all responses that are buffered at the same time, in bytes. */
+const MAX_ALL_BUFFERED_RESPONSES_BYTES = 32 * 1024 * 1024;
+
 /** Keeps a pool of connections for each target. */
 export class TargetConnections {
     readonly #agents = new Map<string, TargetAgent>();
+    readonly #responseBudget = new ByteBudget(MAX_ALL_BUFFERED_RESPONSES_BYTES);
+    readonly #pending = new Set<PendingResponse>();
+    #overheadTimer: NodeJS.Timeout | undefined;
 
     /** Closes the idle connections to a target that was removed or is leaving. */
     closeIdleConnections(targetId: string): void {
@@ -146,11 +182,25 @@
 
     /** Closes all connections. */
     close(): void {
+        clearTimeout(this.#overheadTimer);
         for (const agent of this.#agents.values()) {
             agent.destroy();
         }
     }
 
+    /**
+     * Reads the whole body of a response into memory.
+     *
+     * @throws {BodyTooLargeError} If the body is too large.
+     */
+    readResponseBody({ response, recordBody }: TargetResponse): Promise<Buffer> {
+        return readBody(response, {
+            maxBytes: MAX_BUFFERED_RESPONSE_BYTES,
+            budget: this.#responseBudget,
+            onChunk: recordBody,
+        });
+    }
+
     /**
      * Sends a request and waits for the head of its response.
      *
@@ -172,9 +222,14 @@
             });
             const fail = (message: string): void => {
                 request.destroy();
-                reject(new TargetCallError(message, progress));
+                reject(new TargetCallError(message, { progress, isAborted: call.signal.aborted }));
             };
+            const pending = { request, initialBytes: 0, bodyBytes: 0 };
+            request.on("close", () => this.#pending.delete(pending));
             request.on("socket", socket => {
+                pending.initialBytes = socket.bytesRead;
+                this.#pending.add(pending);
+                this.#startOverheadTimer();
                 const markSent = (): void => {
                     progress = "sent";
                 };
@@ -186,10 +241,18 @@
                 }
             });
             request.on("error", error => fail(error.message));
+            applyInterimResponseLimit(request);
             request.on("timeout", () => undefined);
             request.on("response", response => {
                 const head = decodeResponseHead(response);
                 progress = "answering";
+                // A late copy of an earlier refusal would say "not run" of a request that may have run.
+                if (head.isRefusal && head.requestId === undefined && request.reusedSocket) {
+                    agent.pauseReuse();
+                    progress = "sent";
+                    fail(`refusal with ${head.status} names no request on a reused connection`);
+                    return;
+                }
                 if (head.requestId !== undefined && head.requestId !== call.requestId) {
                     agent.pauseReuse();
                     progress = "sent";
@@ -202,7 +265,10 @@
                     head,
                     response,
                     // Node.js reports a response without a length as complete even if its connection was reset.
-                    isComplete: () => response.complete && !socket.errored,
+                    isComplete: () => response.complete && !hasFailed(socket),
+                    recordBody: bytes => {
+                        pending.bodyBytes += bytes;
+                    },
                     close: () => request.destroy(),
                 });
             });
@@ -210,6 +276,22 @@
         });
     }
 
+    /** Starts the timer that aborts responses with too much overhead, unless it is running. */
+    #startOverheadTimer(): void {
+        this.#overheadTimer ??= setTimeout(() => {
+            this.#overheadTimer = undefined;
+            for (const { request, initialBytes, bodyBytes } of this.#pending) {
+                const receivedBytes = (request.socket?.bytesRead ?? 0) - initialBytes;
+                if (receivedBytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_FACTOR * bodyBytes) {
+                    request.destroy(new Error(`${receivedBytes} bytes arrived with a body of ${bodyBytes}`));
+                }
+            }
+            if (this.#pending.size > 0) {
+                this.#startOverheadTimer();
+            }
+        }, OVERHEAD_CHECK_INTERVAL_MILLISECONDS);
+    }
+
     #getAgent(targetId: string): TargetAgent {
         const agent = this.#agents.get(targetId) ?? new TargetAgent();
         this.#agents.set(targetId, agent);
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -8,7 +8,6 @@
  */
 import { isRepeatable } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
-import { readBody } from "../network/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
 import {
     type AttemptRecord,
@@ -34,8 +33,6 @@
 
 /** Load that a unary request adds to its target, in tokens; such a request states no size. */
 const EMPTY_REQUEST_LOAD = { promptTokens: 0, outputTokens: 0 };
-/** Maximum size of a response, which is held in memory, in bytes; unary responses usually have a few kilobytes. */
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 /** Timeout of an attempt that may be followed by another, as a multiple of the route's latency objective. */
@@ -121,7 +118,7 @@
                 remainingMilliseconds: this.#remainingMilliseconds,
                 signal: AbortSignal.any([this.#exchange.signal, timeout]),
             }));
-            const body = await readBody(targetResponse.response, { maxBytes: MAX_RESPONSE_BYTES });
+            const body = await this.#context.connections.readResponseBody(targetResponse);
             return this.#classifyResponse({ head: targetResponse.head, body, isComplete: targetResponse.isComplete() });
         }
         catch (error) {
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { sendJson, waitMilliseconds } from "../../network/mod.ts";
 import type { FaultTable, StandIn } from "../stand_ins/mod.ts";
 
@@ -52,8 +53,70 @@
 /** Body of each complete response. */
 const RESPONSE_BODY = "the whole answer";
 
+/** Size of one write of an endless response, in bytes. */
+const ENDLESS_WRITE_BYTES = 16 * 1024;
+/** Interval between the bytes of a response that trickles, in milliseconds. */
+const TRICKLE_MILLISECONDS = 50;
+
+/** Builds a function that sends `start` and then `repeated`, as fast as the connection takes it, until it is closed. */
+function buildEndlessResponse(start: (requestId: string) => string, repeated: string): SendResponse {
+    return (target, request) => {
+        const text = repeated.repeat(Math.ceil(ENDLESS_WRITE_BYTES / repeated.length));
+        void target.sendWithoutEnd(request.socket, { start: start(readRequestId(request)), repeated: text });
+    };
+}
+
+function formatSignedHead(requestId: string, headers: string): string {
+    return `HTTP/1.1 200 OK\r\nattempt-id: ${requestId}\r\nresponse-seal: seal\r\n${headers}\r\n\r\n`;
+}
+
+const formatChunkedHead = (requestId: string): string => formatSignedHead(requestId, "transfer-encoding: chunked");
+const formatUnframedHead = (requestId: string): string => formatSignedHead(requestId, "connection: close");
+
 /** Functions that send a normal or a faulty response, by the name that scenarios use. */
 const RESPONSES: Record<string, SendResponse> = {
+    "a status line without end": buildEndlessResponse(() => "HTTP/1.1 200 ", "o"),
+    "a head without end": buildEndlessResponse(() => "HTTP/1.1 200 OK\r\n", "x-header: 1\r\n"),
+    "a header without end": buildEndlessResponse(() => "HTTP/1.1 200 OK\r\nx-header: ", "1"),
+    "interim answers without end": buildEndlessResponse(() => "", "HTTP/1.1 102 Processing\r\n\r\n"),
+    "a body without end": buildEndlessResponse(formatUnframedHead, "x"),
+    "chunks without end": buildEndlessResponse(formatChunkedHead, "4\r\nabcd\r\n"),
+    "a chunk extension without end": buildEndlessResponse(id => `${formatChunkedHead(id)}4;x=`, "1"),
+    "a chunk size without end": buildEndlessResponse(formatChunkedHead, "0"),
+    "a trailer without end": buildEndlessResponse(id => `${formatChunkedHead(id)}0\r\n`, "x-trailer: 1\r\n"),
+    "an event without end": buildEndlessResponse(id => `${formatUnframedHead(id)}id: 1\ndata: `, "x"),
+    "lines without end": buildEndlessResponse(id => `${formatUnframedHead(id)}id: 1\n`, "data: x\n"),
+    "an event id without end": buildEndlessResponse(id => `${formatUnframedHead(id)}id: `, "1"),
+    "bytes that are no events": buildEndlessResponse(formatUnframedHead, "\u0001\u0002 nothing\n\n"),
+    "comments now and then": (target, request) =>
+        void target.sendWithoutEnd(request.socket, {
+            start: formatUnframedHead(readRequestId(request)),
+            repeated: ":\n\n",
+            milliseconds: TRICKLE_MILLISECONDS,
+        }),
+    "a byte now and then": (target, request) =>
+        void target.sendWithoutEnd(request.socket, {
+            start: `${formatUnframedHead(readRequestId(request))}id: 1\ndata: `,
+            repeated: "x",
+            milliseconds: TRICKLE_MILLISECONDS,
+        }),
+    "a head that trickles": (target, request) =>
+        void target.sendWithoutEnd(request.socket, {
+            start: "HTTP/1.1 200 OK\r\n",
+            repeated: "x: 1\r\n",
+            milliseconds: TRICKLE_MILLISECONDS,
+        }),
+    // The copy arrives while the connection is idle, or while the next request is on it.
+    "its answer twice": (target, request, response) => {
+        target.sendResponse(request, response, { status: 200 });
+        const head = formatSignedHead(readRequestId(request), `content-length: ${RESPONSE_BODY.length}`);
+        setTimeout(() => request.socket.write(head + RESPONSE_BODY), 30);
+    },
+    // Accepts the request and runs it, but a copy of an earlier refusal arrives in place of the response.
+    "an earlier refusal": (target, request) => {
+        target.started.push(readRequestId(request));
+        request.socket.write("HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n");
+    },
     ok: (target, request, response) => target.sendResponse(request, response, { status: 200 }),
     "a failure": (target, request, response) => target.sendResponse(request, response, { status: 500 }),
     "a failure that looks like a promise": (target, request, response) =>
@@ -72,8 +135,10 @@
         target.writeHead(request, response, { "content-length": String(RESPONSE_BODY.length) });
         response.write(RESPONSE_BODY.slice(0, 4), () => response.destroy());
     },
-    "an unframed answer": (target, request, response) => target.sendUnframedResponse(request, response, false),
-    "half an unframed answer": (target, request, response) => target.sendUnframedResponse(request, response, true),
+    "an unframed answer": (target, request, response) => target.sendUnframedResponse(request, response, undefined),
+    "half an unframed answer": (target, request, response) => target.sendUnframedResponse(request, response, 5),
+    "half an unframed answer and a reset at once": (target, request, response) =>
+        target.sendUnframedResponse(request, response, 0),
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
@@ -89,6 +154,10 @@
     readonly started: string[] = [];
     /** Identifiers of the generations that were resumed here from a copied KV cache. */
     readonly resumed: string[] = [];
+    /** Bytes of endless responses that the connections have taken. */
+    endlessBytes = 0;
+    /** Number of endless responses whose connection the receiver has closed. */
+    endedEndlessResponses = 0;
     readonly #generations = new Map<string, StandInGeneration>();
 
     constructor(options: TargetStandInOptions) {
@@ -158,18 +227,42 @@
         response.end(RESPONSE_BODY);
     }
 
-    /** Sends a response without a length, which ends with the connection; with `isReset`, a partial one and a reset. */
-    sendUnframedResponse(request: IncomingMessage, response: ServerResponse, isReset: boolean): void {
-        const head = `HTTP/1.1 200 OK\r\nattempt-id: ${
-            readRequestId(request)
-        }\r\nresponse-seal: seal\r\nconnection: close\r\n\r\n`;
+    /** Sends `start` and then `repeated` until the connection is closed, at intervals of `milliseconds` if given. */
+    async sendWithoutEnd(
+        socket: Socket,
+        bytes: { start: string; repeated: string; milliseconds?: number; },
+    ): Promise<void> {
+        socket.on("error", () => socket.destroy());
+        socket.write(bytes.start);
+        while (socket.writable && !socket.destroyed) {
+            this.endlessBytes += bytes.repeated.length;
+            if (!socket.write(bytes.repeated)) {
+                await new Promise<void>(resolve => {
+                    socket.once("drain", resolve);
+                    socket.once("close", resolve);
+                });
+            }
+            await waitMilliseconds(bytes.milliseconds ?? 0);
+        }
+        this.endedEndlessResponses += 1;
+    }
+
+    /**
+     * Sends a response without a length, which ends with the connection; if `resetAfter` is given, a partial one and a
+     * reset after that number of milliseconds.
+     */
+    sendUnframedResponse(request: IncomingMessage, response: ServerResponse, resetAfter: number | undefined): void {
+        const body = resetAfter === undefined ? RESPONSE_BODY : RESPONSE_BODY.slice(0, 4);
         const { socket } = response;
-        socket?.write(head + (isReset ? RESPONSE_BODY.slice(0, 4) : RESPONSE_BODY), () => {
-            if (isReset) {
-                setTimeout(() => socket.resetAndDestroy(), 5);
+        socket?.write(formatUnframedHead(readRequestId(request)) + body, () => {
+            if (resetAfter === undefined) {
+                socket.end();
+            }
+            else if (resetAfter === 0) {
+                socket.resetAndDestroy();
             }
             else {
-                socket.end();
+                setTimeout(() => socket.resetAndDestroy(), resetAfter);
             }
         });
     }
--- a/support/processes/http_call.ts
+++ b/support/processes/http_call.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { type IncomingMessage, request as startRequest } from "node:http";
-import { parseAddress } from "../../network/mod.ts";
+import { connect } from "node:net";
+import { hasFailed, observeReset, parseAddress } from "../../network/mod.ts";
 
 /** An HTTP request. */
 export interface HttpCall {
@@ -46,8 +47,11 @@
 export function callHttp(call: HttpCall): Promise<HttpResult> {
     return new Promise((resolve, reject) => {
         const request = startRequest({
-            ...parseAddress(call.address),
-            agent: false,
+            createConnection: () => {
+                const socket = connect(parseAddress(call.address));
+                observeReset(socket);
+                return socket;
+            },
             method: call.method ?? "GET",
             path: call.path,
             headers: {
@@ -85,7 +89,9 @@
             chunks.push(chunk);
             onChunk?.(chunk);
         });
-        response.on("end", () => settle(response.complete));
+        const { socket } = response;
+        // Node.js reports a response without a length as complete even if its connection was reset.
+        response.on("end", () => settle(response.complete && !hasFailed(socket)));
         response.on("error", () => settle(false));
     });
 }
