--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -6,6 +6,7 @@
  */
 export * from "./configuration_broadcast.ts";
 export * from "./digest_rate_limiter.ts";
+export * from "./evacuated_zones.ts";
 export * from "./event_splitter.ts";
 export * from "./load_tracker.ts";
 export * from "./move_action.ts";
@@ -16,7 +17,9 @@
 export * from "./shared_limits.ts";
 export * from "./shutdown_admission.ts";
 export * from "./stall_action.ts";
+export * from "./store_position.ts";
 export * from "./stream_progress.ts";
+export * from "./target_backpressure.ts";
 export * from "./target_directory.ts";
 export * from "./target_health.ts";
 export * from "./target_selection.ts";
--- a/core/serving/queue_admission.ts
+++ b/core/serving/queue_admission.ts
@@ -3,13 +3,15 @@
  *
  * Load pattern: a burst beyond the capacity of all targets. A request that would be queued beyond its latency objective
  * also delays the requests behind it. It is refused at once, and the retries of refused callers are spread over the
- * time until capacity is free again.
+ * time until capacity is free again. If all targets have asked for a pause, no retry comes before its end.
  *
  * @module
  */
 
 /** Input of {@linkcode decideQueueAdmission}. */
 export interface QueueAdmissionInput {
+    /** Time until the first target accepts requests again, in milliseconds; 0 unless all have asked for a pause. */
+    earliestMilliseconds: number;
     /** Requests that are queued already. */
     waiting: number;
     /** Requests of the service that have released their target in the last second. */
@@ -27,7 +29,7 @@
     /** The request may be queued for up to `milliseconds`. */
     | { kind: "wait"; milliseconds: number; }
     /** The request is refused, and its caller is told to retry after `retryAfterSeconds`. */
-    | { kind: "refuse"; retryAfterSeconds: number; };
+    | { kind: "refuse"; reason: "full" | "paused"; retryAfterSeconds: number; };
 
 /** Share of the latency objective that a request may spend in the queue; the rest is for the response itself. */
 const MAX_WAIT_OBJECTIVE_SHARE = 0.4;
@@ -44,27 +46,38 @@
 
 /** Decides whether a request is queued. */
 export function decideQueueAdmission(input: QueueAdmissionInput): QueueAdmission {
-    const { waiting, freedPerSecond, objectiveMilliseconds, remainingMilliseconds } = input;
+    const { earliestMilliseconds, waiting, freedPerSecond, objectiveMilliseconds, remainingMilliseconds } = input;
     const maxWait = Math.min(
         objectiveMilliseconds * MAX_WAIT_OBJECTIVE_SHARE,
         remainingMilliseconds * MAX_WAIT_REMAINING_SHARE,
     );
-    const expectedWait = 1000 * (waiting + 1) / Math.max(1, freedPerSecond);
-    if (maxWait > 0 && expectedWait <= Math.max(maxWait, 1000 / Math.max(1, freedPerSecond))) {
+    const expectedWait = Math.max(earliestMilliseconds, 1000 * (waiting + 1) / Math.max(1, freedPerSecond));
+    const isPausedTooLong = earliestMilliseconds > maxWait;
+    if (maxWait > 0 && !isPausedTooLong && expectedWait <= Math.max(maxWait, 1000 / Math.max(1, freedPerSecond))) {
         return { kind: "wait", milliseconds: maxWait };
     }
-    return { kind: "refuse", retryAfterSeconds: chooseRetryAfter({ ...input, expectedMilliseconds: expectedWait }) };
+    return {
+        kind: "refuse",
+        reason: isPausedTooLong ? "paused" : "full",
+        retryAfterSeconds: chooseRetryAfter({ ...input, expectedMilliseconds: expectedWait }),
+    };
 }
 
 /**
  * Chooses the time after which a refused caller retries, at random to spread the retries.
  *
- * @param input Estimated time until capacity is free and time until the deadline, in milliseconds, and a random number
- * generator that returns numbers from 0 (inclusive) to 1 (exclusive).
+ * @param input Earliest time at which a target accepts requests, estimated time until capacity is free and time until
+ * the deadline, in milliseconds from now, and a random number generator that returns numbers from 0 (inclusive) to 1
+ * (exclusive).
  * @returns Time from now, in seconds.
  */
 export function chooseRetryAfter(
-    input: { expectedMilliseconds: number; remainingMilliseconds: number; random: () => number; },
+    input: {
+        earliestMilliseconds: number;
+        expectedMilliseconds: number;
+        remainingMilliseconds: number;
+        random: () => number;
+    },
 ): number {
     const maxRetryAfter = input.remainingMilliseconds * MAX_RETRY_AFTER_SHARE / 1000;
     const expectedWait = input.expectedMilliseconds / 1000;
@@ -72,5 +85,7 @@
         maxRetryAfter,
         Math.max(MIN_CAPACITY_WAIT_SECONDS, expectedWait) * MAX_RETRY_AFTER_FACTOR,
     );
-    return Math.max(0, latest * (1 - RETRY_AFTER_JITTER_SHARE * input.random()));
+    const jitter = RETRY_AFTER_JITTER_SHARE * input.random();
+    const earliest = input.earliestMilliseconds / 1000;
+    return earliest > 0 ? earliest * (1 + jitter) : Math.max(0, latest * (1 - jitter));
 }
--- a/core/serving/serving_types.ts
+++ b/core/serving/serving_types.ts
@@ -140,6 +140,8 @@
     coldMilliseconds: number;
     /** Time at which the target last started, in Unix milliseconds; 0 if unknown. */
     startedAt: number;
+    /** Revision of the store at which the target's object was last changed; `undefined` if it is not known. */
+    revision?: number;
 }
 
 /** Size of a generation, as its request states it. */
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -6,9 +6,13 @@
  * while requests keep arriving. If every target whose object has expired were removed, all requests would be refused,
  * although the targets still serve.
  *
+ * Load pattern: the store is restored from a copy that is some seconds old, so that targets which have announced their
+ * shutdown, or are gone, are listed as ready again until they or the operators have written their objects again.
+ *
  * @module
  */
 import type { ServingTarget } from "./serving_types.ts";
+import { comparePositions, type StorePosition } from "./store_position.ts";
 
 /** A change to a target that affects running requests. */
 export interface TargetChange {
@@ -20,8 +24,10 @@
     kind: "added" | "leaving" | "removed" | "missing";
 }
 
-/** All targets at one revision of the store; instances send it to each other with these field names. */
+/** All targets at one position of the store; instances send it to each other with these field names. */
 export interface TargetSnapshot {
+    /** Era of the store; absent in messages of instances that do not know of eras, which counts as 0. */
+    era?: number | undefined;
     /** Revision of the store up to which the list is current. */
     revision: number;
     /**
@@ -53,6 +59,32 @@
  * instance must stop sending requests to a removed target.
  */
 const MASS_REMOVAL_GRACE_PERIOD_MILLISECONDS = 1200;
+/** Time for which a departed target is remembered, in milliseconds: the copy of a restored store is younger. */
+const DEPARTURE_RETENTION_MILLISECONDS = 60_000;
+
+/** Changes to the list of targets up to a revision of the store. */
+export interface TargetListEvents {
+    /** Revision of the store up to which the list is current once these changes are applied. */
+    revision: number;
+    /** Revision of the latest of these changes; defaults to `revision`. */
+    changeRevision?: number;
+    /** Added and changed targets. */
+    changed: ServingTarget[];
+    /** Identifiers of removed targets. */
+    removed: string[];
+}
+
+/** A target that has announced its shutdown or was removed. */
+interface Departure {
+    /** Start time of the target. */
+    startedAt: number;
+    /** Era of the store in which this became known. */
+    era: number;
+    /** True if the target itself has announced its shutdown. */
+    isAnnouncedByTarget: boolean;
+    /** Time at which this became known, on the monotonic clock in milliseconds. */
+    recordedAt: number;
+}
 
 /** Keeps the list of targets and of evacuated zones. */
 export class TargetDirectory {
@@ -61,9 +93,13 @@
     /** End of the grace period of each missing target, by identifier. */
     readonly #missingUntil = new Map<string, number>();
     #evacuatedZones = new Set<string>();
+    readonly #departures = new Map<string, Departure>();
     #isLoaded = false;
+    #era = 0;
     #revision = 0;
     #changeRevision = 0;
+    /** Revision at which the store was first listed after its restoration; 0 if it was not restored. */
+    #restoredRevision = 0;
     #storeRecoveredAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: TargetDirectoryOptions = {}) {
@@ -75,6 +111,11 @@
         return this.#isLoaded;
     }
 
+    /** Era of the store. */
+    get era(): number {
+        return this.#era;
+    }
+
     /** Revision of the store up to which the list is current. */
     get revision(): number {
         return this.#revision;
@@ -102,10 +143,20 @@
 
     /** Replaces the list by a snapshot and returns the changes; ignores a snapshot that is older than the list. */
     applySnapshot(snapshot: TargetSnapshot, now: number): TargetChange[] {
-        if (snapshot.revision < this.#revision) {
+        const position: StorePosition = { era: snapshot.era ?? 0, revision: snapshot.revision };
+        if (this.#isLoaded && comparePositions(position, { era: this.#era, revision: this.#revision }) < 0) {
             return [];
         }
-        const previousChangeRevision = this.#isLoaded ? this.#changeRevision : undefined;
+        const isRestored = this.#isLoaded && position.era > this.#era;
+        if (isRestored) {
+            this.#restoredRevision = position.revision;
+            this.#revision = 0;
+            this.#changeRevision = 0;
+            // Targets that are missing from the copy write their objects again if they are alive.
+            this.markStoreRecovered(now);
+        }
+        this.#era = position.era;
+        const previousChangeRevision = this.#isLoaded && !isRestored ? this.#changeRevision : undefined;
         this.#isLoaded = true;
         const listed = new Set(snapshot.targets.map(target => target.id));
         const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
@@ -123,10 +174,7 @@
     }
 
     /** Applies changes up to a revision of the store and returns those that affect running requests. */
-    applyEvents(
-        events: { revision: number; changeRevision?: number; changed: ServingTarget[]; removed: string[]; },
-        now: number,
-    ): TargetChange[] {
+    applyEvents(events: TargetListEvents, now: number): TargetChange[] {
         return this.#apply(events, { now, missingUntil: now });
     }
 
@@ -134,16 +182,13 @@
      * Applies changes; removed targets that were not leaving are missing until `missingUntil`, if that is in the
      * future.
      */
-    #apply(
-        events: { revision: number; changeRevision?: number; changed: ServingTarget[]; removed: string[]; },
-        times: { now: number; missingUntil: number; },
-    ): TargetChange[] {
+    #apply(events: TargetListEvents, times: { now: number; missingUntil: number; }): TargetChange[] {
         const { now } = times;
         this.#revision = Math.max(this.#revision, events.revision);
         if (events.changed.length > 0 || events.removed.length > 0) {
             this.#changeRevision = Math.max(this.#changeRevision, events.changeRevision ?? events.revision);
         }
-        const changes = events.changed.flatMap(target => this.#applyTarget(target));
+        const changes = events.changed.flatMap(target => this.#applyTarget(target, now));
         const unannounced = events.removed.filter(id => this.#targets.get(id)?.isLeaving === false);
         const massRemovalUntil = unannounced.length >= MASS_REMOVAL_COUNT
             ? now + MASS_REMOVAL_GRACE_PERIOD_MILLISECONDS
@@ -156,16 +201,33 @@
                 changes.push(...this.#listTarget(id).map(target => ({ kind: "missing" as const, target })));
             }
             else if (!isMissing) {
-                changes.push(...this.#removeTarget(id));
+                changes.push(...this.#removeTarget(id, now));
             }
         }
         return [...changes, ...this.expireMissing(now)];
     }
 
-    /** Records that a target has announced its shutdown itself, before the store reports it. */
-    markLeaving(id: string): TargetChange[] {
+    /**
+     * Records that a target has announced its shutdown itself, before the store reports it. The announcement holds for
+     * this start of the target, whatever the store reports later.
+     */
+    markLeaving({ id, startedAt }: Pick<ServingTarget, "id" | "startedAt">, now: number): TargetChange[] {
         const known = this.#targets.get(id);
-        return known === undefined ? [] : this.#applyTarget({ ...known, isLeaving: true });
+        if (known === undefined || known.startedAt !== startedAt) {
+            return [];
+        }
+        this.#recordDeparture(known, { now, isAnnouncedByTarget: true });
+        return this.#applyTarget({ ...known, isLeaving: true }, now);
+    }
+
+    /** Lists the targets in use that have announced their shutdown themselves. */
+    listAnnouncedLeaving(): Pick<ServingTarget, "id" | "startedAt">[] {
+        return [...this.#targets.values()]
+            .filter(({ id, startedAt }) => {
+                const departure = this.#departures.get(id);
+                return departure?.isAnnouncedByTarget === true && departure.startedAt === startedAt;
+            })
+            .map(({ id, startedAt }) => ({ id, startedAt }));
     }
 
     /** Checks whether a target is no longer listed but still in use. */
@@ -187,7 +249,7 @@
     /** Removes missing targets that did not reappear within their grace period. */
     expireMissing(now: number): TargetChange[] {
         const expired = [...this.#missingUntil].filter(([, until]) => until <= now);
-        return expired.flatMap(([id]) => this.#removeTarget(id));
+        return expired.flatMap(([id]) => this.#removeTarget(id, now));
     }
 
     /** Finds a target, whether it accepts new requests or not. */
@@ -204,14 +266,30 @@
 
     /** Returns the complete list, for peers whose list is outdated. */
     getSnapshot(): TargetSnapshot {
-        return { revision: this.#revision, changeRevision: this.#changeRevision, targets: [...this.#targets.values()] };
+        return {
+            era: this.#era,
+            revision: this.#revision,
+            changeRevision: this.#changeRevision,
+            targets: [...this.#targets.values()],
+        };
     }
 
     /** Adds or replaces a target; one with a new start time has restarted, and counts as removed and added. */
-    #applyTarget(target: ServingTarget): TargetChange[] {
-        const known = this.#targets.get(target.id);
+    #applyTarget(listed: ServingTarget, now: number): TargetChange[] {
+        const known = this.#targets.get(listed.id);
+        const hasDeparted = this.#hasDeparted(listed);
+        if (known === undefined ? hasDeparted : listed.startedAt < known.startedAt && this.#isFromCopy(listed)) {
+            return [];
+        }
+        const target = hasDeparted ? { ...listed, isLeaving: true } : listed;
         this.#targets.set(target.id, target);
         this.#missingUntil.delete(target.id);
+        if (target.isLeaving) {
+            this.#recordDeparture(target, { now, isAnnouncedByTarget: false });
+        }
+        else {
+            this.#departures.delete(target.id);
+        }
         if (known !== undefined && known.startedAt !== target.startedAt) {
             return [{ kind: "removed", target: known }, { kind: "added", target }];
         }
@@ -227,8 +305,45 @@
         return target === undefined ? [] : [target];
     }
 
-    #removeTarget(id: string): TargetChange[] {
+    /**
+     * Checks whether a listed target is known to have departed: it announced this itself, or the entry comes from the
+     * copy of a restored store and this became known before.
+     */
+    #hasDeparted(target: ServingTarget): boolean {
+        const departure = this.#departures.get(target.id);
+        if (departure === undefined || departure.startedAt !== target.startedAt) {
+            return false;
+        }
+        return departure.isAnnouncedByTarget || departure.era < this.#era && this.#isFromCopy(target);
+    }
+
+    /** Checks whether a target's object has not been written since the store was restored from a copy. */
+    #isFromCopy(target: ServingTarget): boolean {
+        return (target.revision ?? 0) <= this.#restoredRevision;
+    }
+
+    #recordDeparture(
+        { id, startedAt }: ServingTarget,
+        { now, isAnnouncedByTarget }: { now: number; isAnnouncedByTarget: boolean; },
+    ): void {
+        for (const [other, { recordedAt }] of this.#departures) {
+            if (now - recordedAt > DEPARTURE_RETENTION_MILLISECONDS && !this.#targets.has(other)) {
+                this.#departures.delete(other);
+            }
+        }
+        const known = this.#departures.get(id);
+        const isSameStart = known?.startedAt === startedAt;
+        this.#departures.set(id, {
+            startedAt,
+            era: isSameStart ? known.era : this.#era,
+            isAnnouncedByTarget: isAnnouncedByTarget || isSameStart && known.isAnnouncedByTarget,
+            recordedAt: now,
+        });
+    }
+
+    #removeTarget(id: string, now: number): TargetChange[] {
         const known = this.#listTarget(id);
+        known.forEach(target => this.#recordDeparture(target, { now, isAnnouncedByTarget: false }));
         this.#targets.delete(id);
         this.#missingUntil.delete(id);
         return known.map(target => ({ kind: "removed", target }));
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -22,6 +22,11 @@
      * True if this instance has used up its share of the target's connections, or of its request rate if it is cold.
      */
     isLimited: boolean;
+    /**
+     * Time until which the target wants no requests from this instance, on the monotonic clock in milliseconds;
+     * `undefined` if it accepts requests.
+     */
+    pausedUntil?: number | undefined;
 }
 
 /** Input of {@linkcode chooseLeastLoadedTarget}. */
@@ -49,7 +54,9 @@
     /** There is no target, or the request has failed at all of them. */
     | { kind: "no-target"; }
     /** All targets are full or limited at present. */
-    | { kind: "full"; };
+    | { kind: "full"; }
+    /** All targets want no requests from this instance; `until` is the time at which the first one accepts them. */
+    | { kind: "paused"; until: number; };
 
 /** Weight of prompts that wait for prefill, relative to KV cache in use: prefill delays every stream of the engine. */
 const PREFILL_WEIGHT = 1.2;
@@ -87,7 +94,8 @@
     input: TargetSelectionInput,
 ): TargetSelection {
     const untried = candidates.filter(candidate => !input.avoid.has(candidate.target.id));
-    const usable = untried.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
+    const accepting = untried.filter(candidate => candidate.pausedUntil === undefined);
+    const usable = accepting.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
     let best: TargetCandidate | undefined;
     let bestScore = Infinity;
     for (const candidate of usable) {
@@ -103,7 +111,13 @@
     if (best !== undefined) {
         return { kind: "placed", target: best.target, score: bestScore };
     }
-    return untried.length === 0 ? { kind: "no-target" } : { kind: "full" };
+    if (untried.length === 0) {
+        return { kind: "no-target" };
+    }
+    if (accepting.length === 0) {
+        return { kind: "paused", until: Math.min(...untried.map(candidate => candidate.pausedUntil ?? Infinity)) };
+    }
+    return { kind: "full" };
 }
 
 /**
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -7,7 +7,7 @@
 import assert from "node:assert/strict";
 import { waitMilliseconds } from "../../network/mod.ts";
 import { parseAddress } from "../../network/mod.ts";
-import { decodeConfiguration, StoreClient, type StoreReply } from "../../platform/mod.ts";
+import { decodeConfiguration, StoreClient } from "../../platform/mod.ts";
 import { ServingState, type StateSource, type StoreUpdate } from "../../serving/mod.ts";
 import {
     buildSiteConfiguration,
@@ -29,7 +29,6 @@
 } from "../support/site_context.ts";
 
 let stream: { result: Promise<HttpResult | undefined>; text: string; } | undefined;
-let storeReply: StoreReply<unknown> | undefined;
 
 function listEngines(): SiteTarget[] {
     return getSite().targets.filter(target => target.service === "engines");
@@ -277,12 +276,19 @@
 const ENGINE_EVENTS: Record<string, (engine: SiteTarget) => void> = {
     "announces its shutdown": engine => getSite().writeTarget(engine, { state: "draining" }),
     "announces its shutdown only in its own report": engine => void (engine.standIn.faults.isLeaving = true),
+    "announces its shutdown only in its answers": engine => {
+        engine.standIn.faults.announcesLeaving = true;
+        // The instance learns of it from the answer to another request.
+        for (let count = 0; count < 6; count += 1) {
+            void getSite().call({ kind: "verdict", id: createRequestId() }).catch(() => undefined);
+        }
+    },
     "is removed from the store": engine => getSite().store.removeObject("servers", engine.id),
     crashes: engine => engine.standIn.abortGenerations(),
 };
 
 When(
-    /^its engine (announces its shutdown|announces its shutdown only in its own report|is removed from the store|crashes) after (\d+) events$/,
+    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes) after (\d+) events$/,
     async function(event: string, events: string) {
         await waitForEvents(Number(events));
         const engine = listEngines().find(({ standIn }) => standIn.activeGenerations > 0);
@@ -353,10 +359,10 @@
     }
     STORE_FAULTS[fault]?.(store);
     if (fault.includes("watch")) {
-        storeReply = await client.watchObjects("things", { revision: 1, waitMilliseconds: 20 });
+        siteContext.storeReply = await client.watchObjects("things", { revision: 1, waitMilliseconds: 20 });
     }
     else if (fault.includes("put")) {
-        storeReply = await client.putObject("things", { name: "d", spec: {} });
+        siteContext.storeReply = await client.putObject("things", { name: "d", spec: {} });
     }
     else {
         const list = await client.listObjects("things");
@@ -364,14 +370,14 @@
             list.kind !== "ok" || list.value.objects.length === 3,
             "the list does not have the objects of all pages",
         );
-        storeReply = list;
+        siteContext.storeReply = list;
     }
     client.close();
     server.close();
 });
 
 Then("the result of the call is {string}", function(kind: string) {
-    assert.equal(storeReply?.kind, kind);
+    assert.equal(siteContext.storeReply?.kind, kind);
 });
 
 When(
--- a/features/support/site_context.ts
+++ b/features/support/site_context.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { StoreReply } from "../../platform/mod.ts";
 import type { ServingSite } from "../../support/platform/mod.ts";
 import type { HttpResult } from "../../support/processes/mod.ts";
 
@@ -12,6 +13,8 @@
     site: undefined as ServingSite | undefined,
     /** Responses to the scenario's callers, in the order of the calls. */
     responses: [] as HttpResult[],
+    /** Reply of the store to the scenario's own call. */
+    storeReply: undefined as StoreReply<unknown> | undefined,
     /** Number of request identifiers created in this run; it is never reset, so that identifiers are not repeated. */
     requestCount: 0,
 };
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -17,6 +17,7 @@
     type TargetResponseHead,
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
+import type { EngineClient } from "./engine_client.ts";
 import type { RequestScheduler, Reservation, ReservationResult } from "./request_scheduler.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
@@ -30,6 +31,8 @@
     scheduler: RequestScheduler;
     /** Connections to targets. */
     connections: TargetConnections;
+    /** Calls to the control endpoints of engines. */
+    engines: EngineClient;
     /** Decision log. */
     log: DecisionLog;
     /** Counters and histograms. */
--- /dev/null
+++ b/serving/engine_client.ts
@@ -0,0 +1,66 @@
+/**
+ * Calls the control endpoints of engines on behalf of a serving process: sends nothing to an engine that wants no
+ * requests, and records what an engine states about itself in its responses.
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock/mod.ts";
+import type { ServingTarget } from "../core/serving/mod.ts";
+import {
+    type EngineReport,
+    fetchReport,
+    type MoveStep,
+    type MoveStepResponse,
+    releaseCopy,
+    sendMoveStep,
+} from "../platform/mod.ts";
+import type { ServingState } from "./serving_state.ts";
+
+/** Options of an {@linkcode EngineClient}. */
+export interface EngineClientOptions {
+    /** State in which the engines' notices are recorded. */
+    state: ServingState;
+    /** Source of time. */
+    clock: Clock;
+}
+
+/** Calls the control endpoints of engines. */
+export class EngineClient {
+    readonly #options: EngineClientOptions;
+
+    constructor(options: EngineClientOptions) {
+        this.#options = options;
+    }
+
+    /** Fetches the report of an engine; resolves to `undefined` if there is no usable response. */
+    async fetchReport(engine: ServingTarget, timeoutMilliseconds: number): Promise<EngineReport | undefined> {
+        return this.#isPaused(engine)
+            ? undefined
+            : fetchReport(engine.address, { timeoutMilliseconds, onNotice: this.#buildNoticeHandler(engine) });
+    }
+
+    /** Requests one step of a move from the engine that runs the generation. */
+    async sendMoveStep(engine: ServingTarget, step: Omit<MoveStep, "source" | "onNotice">): Promise<MoveStepResponse> {
+        return this.#isPaused(engine)
+            ? { kind: "unanswered", reason: "the engine wants no requests" }
+            : sendMoveStep({ ...step, source: engine.address, onNotice: this.#buildNoticeHandler(engine) });
+    }
+
+    /** Releases a KV cache copy at both engines; resolves to true if the source engine confirmed it. */
+    async releaseCopy(
+        engine: ServingTarget,
+        copy: { handle: string; timeoutMilliseconds: number; },
+    ): Promise<boolean> {
+        return !this.#isPaused(engine)
+            && releaseCopy({ ...copy, source: engine.address, onNotice: this.#buildNoticeHandler(engine) });
+    }
+
+    #isPaused({ id }: ServingTarget): boolean {
+        const { state, clock } = this.#options;
+        return state.backpressure.findPauseEnd(id, clock.getMonotonic()) !== undefined;
+    }
+
+    #buildNoticeHandler(engine: ServingTarget): NonNullable<MoveStep["onNotice"]> {
+        return notice => this.#options.state.applyTargetNotice(engine, notice);
+    }
+}
--- a/serving/leaving_engine_poller.ts
+++ b/serving/leaving_engine_poller.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { fetchReport } from "../platform/mod.ts";
+import type { EngineClient } from "./engine_client.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { ActiveStream } from "./stream_call.ts";
 
@@ -15,6 +15,8 @@
 export interface LeavingEnginePollerOptions {
     /** State in which leaving engines are recorded. */
     state: ServingState;
+    /** Calls to the control endpoints of engines. */
+    engines: EngineClient;
     /** Source of time. */
     clock: Clock;
     /** Lists the streams that are being relayed. */
@@ -63,14 +65,14 @@
     }
 
     #pollEngines(): void {
-        const { state, listStreams } = this.#options;
+        const { state, engines, listStreams } = this.#options;
         const ids = new Set([...listStreams()].filter(stream => stream.isMovable).map(stream => stream.targetId));
         for (const id of ids) {
             const target = state.directory.findTarget(id);
             if (target !== undefined && !target.isLeaving) {
-                void fetchReport(target.address, REPORT_TIMEOUT_MILLISECONDS).then(report => {
+                void engines.fetchReport(target, REPORT_TIMEOUT_MILLISECONDS).then(report => {
                     if (report?.isLeaving === true) {
-                        state.markLeaving(id);
+                        state.markLeaving(target, "target");
                     }
                 });
             }
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export { parsePeerMessage, type PeerMessage } from "./peer_messages.ts";
 export * from "./serving_process.ts";
 export * from "./serving_state.ts";
--- a/serving/move_coordinator.ts
+++ b/serving/move_coordinator.ts
@@ -12,7 +12,7 @@
     type ServingTarget,
     type TargetChange,
 } from "../core/serving/mod.ts";
-import { type EngineReport, fetchReport } from "../platform/mod.ts";
+import type { EngineReport } from "../platform/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import type { ActiveStream } from "./stream_call.ts";
 
@@ -119,7 +119,7 @@
         return Promise.all(
             targets.map(async target => ({
                 target,
-                report: await fetchReport(target.address, REPORT_TIMEOUT_MILLISECONDS),
+                report: await this.#options.context.engines.fetchReport(target, REPORT_TIMEOUT_MILLISECONDS),
             })),
         );
     }
@@ -227,12 +227,14 @@
     #listDestinations(service: ServiceDefinition): DestinationEngine[] {
         const { engine } = service;
         const { state } = this.#options.context;
-        return state.listCandidates(service).flatMap(({ target, load, penalty }) =>
-            penalty > 1 || engine === undefined || state.directory.isMissing(target.id) ? [] : [{
-                id: target.id,
-                zone: target.zone,
-                freeTokens: engine.memoryTokens - load.tokens,
-            }]
+        return state.listCandidates(service).flatMap(({ target, load, penalty, pausedUntil }) =>
+            penalty > 1 || pausedUntil !== undefined || engine === undefined || state.directory.isMissing(target.id)
+                ? []
+                : [{
+                    id: target.id,
+                    zone: target.zone,
+                    freeTokens: engine.memoryTokens - load.tokens,
+                }]
         );
     }
 }
--- a/serving/move_operation.ts
+++ b/serving/move_operation.ts
@@ -15,7 +15,7 @@
     type ServingTarget,
 } from "../core/serving/mod.ts";
 import { waitMilliseconds } from "../network/mod.ts";
-import { type KvCacheCopy, type MoveStepResponse, releaseCopy, sendMoveStep } from "../platform/mod.ts";
+import { type KvCacheCopy, type MoveStepResponse } from "../platform/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import type { Reservation } from "./request_scheduler.ts";
 
@@ -189,8 +189,7 @@
     async #runStep(reservation: Reservation, isFinal: boolean): Promise<MoveStepResponse> {
         const { source, requestId, notice } = this.#options;
         const startedAt = this.#now;
-        const response = await sendMoveStep({
-            source: source.address,
+        const response = await this.#context.engines.sendMoveStep(source, {
             destination: reservation.target.address,
             requestId,
             isFinal,
@@ -219,7 +218,9 @@
         const { service, requestLoad, notice } = this.#options;
         const { directory } = this.#context.state;
         const planned = directory.findTarget(notice.plan.destination ?? "");
-        if (planned !== undefined && !planned.isLeaving && !this.#excludedTargets.has(planned.id)) {
+        const isUsable = planned !== undefined && !planned.isLeaving
+            && this.#context.state.backpressure.findPauseEnd(planned.id, this.#now) === undefined;
+        if (isUsable && !this.#excludedTargets.has(planned.id)) {
             return this.#context.scheduler.reserveGivenTarget(planned, requestLoad);
         }
         const result = this.#context.scheduler.chooseTarget({
@@ -249,7 +250,10 @@
         if (this.#handle === undefined) {
             return;
         }
-        void releaseCopy(this.#options.source.address, this.#handle, RELEASE_TIMEOUT_MILLISECONDS);
+        void this.#context.engines.releaseCopy(this.#options.source, {
+            handle: this.#handle,
+            timeoutMilliseconds: RELEASE_TIMEOUT_MILLISECONDS,
+        });
     }
 
     get #now(): number {
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -9,11 +9,13 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import {
+    comparePositions,
     DigestRateLimiter,
     DigestReason,
     isElectedWatcher,
     isSentInFull,
     type SharePosition,
+    type StorePosition,
 } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerConnectionPool } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -114,6 +116,7 @@
     /** Time since which a peer has had newer state than this instance; `undefined` if none has. */
     #behindSince: number | undefined;
     #isPeerListKnown = false;
+    #hasPeerReplied = false;
 
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
@@ -151,6 +154,11 @@
         this.#sendDigests();
     }
 
+    /** True once a peer has replied with its state, which may be newer than that of a restored store. */
+    get hasPeerReplied(): boolean {
+        return this.#hasPeerReplied;
+    }
+
     /** Checks whether a peer that watches the store sends digests. */
     hasWatcher(): boolean {
         return [...this.#peers.values()].some(peer => peer.isWatching && !peer.isLost);
@@ -281,6 +289,12 @@
         for (const target of message.unreachable) {
             this.#options.state.recordUnreachableByPeer(target);
         }
+        for (const target of message.leaving) {
+            this.#options.state.markLeaving(target, `peer ${message.instance}`);
+        }
+        for (const target of message.paused) {
+            this.#options.state.recordPausedForPeer(target);
+        }
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
     }
 
@@ -298,10 +312,14 @@
             ...state.table !== undefined && ownVersions.configuration > versions.configuration
                 ? { configuration: state.table.configuration }
                 : {},
-            ...state.directory.isLoaded && ownVersions.targets > versions.targets
+            ...state.directory.isLoaded
+                    && comparePositions(getTargetsPosition(ownVersions), getTargetsPosition(versions)) > 0
                 ? { targets: state.directory.getSnapshot() }
                 : {},
-            ...state.zones !== undefined && ownVersions.zones > versions.zones ? { zones: state.zones } : {},
+            ...state.zones !== undefined
+                    && comparePositions(getZonesPosition(ownVersions), getZonesPosition(versions)) > 0
+                ? { zones: state.zones }
+                : {},
         };
         this.#connections.send(message.address, reply);
     }
@@ -327,6 +345,7 @@
 
     #handleState(message: StateMessage): void {
         const { state } = this.#options;
+        this.#hasPeerReplied = true;
         const source = `peer ${message.instance}` as const;
         if (message.configuration !== undefined) {
             state.adoptConfiguration(message.configuration, source);
@@ -352,7 +371,7 @@
             known.lastMentionedAt = now;
             return known;
         }
-        const versions = { configuration: -1, targets: 0, zones: 0 };
+        const versions = { configuration: -1, targets: 0, targetsEra: 0, zones: -1, zonesEra: 0 };
         const peer = {
             address,
             lastDigestAt: undefined,
@@ -397,6 +416,8 @@
             address: this.#ownAddress,
             work: this.#options.state.loadTracker.getDigest(),
             unreachable: this.#options.state.listUnreachable(),
+            leaving: this.#options.state.directory.listAnnouncedLeaving(),
+            paused: this.#options.state.backpressure.listPaused(now),
             versions: this.#getVersions(),
             isWatching: this.#options.isWatching(),
         };
@@ -435,8 +456,9 @@
             return;
         }
         this.#stateRequestedAt = now;
-        const isConfigurationBehind = peer.versions.configuration > this.#getVersions().configuration;
-        if (isConfigurationBehind && await this.#options.readConfiguration()) {
+        const isConfigurationBehind = (): boolean => peer.versions.configuration > this.#getVersions().configuration;
+        // A restored store may hold an older configuration than the peer.
+        if (isConfigurationBehind() && await this.#options.readConfiguration() && !isConfigurationBehind()) {
             return;
         }
         if (behindMilliseconds > STORE_READ_DELAY_MILLISECONDS) {
@@ -449,12 +471,14 @@
     #listPeersAhead(now: number): Peer[] {
         const ownVersions = this.#getVersions();
         const { directory, zones } = this.#options.state;
+        const ownTargets = { era: directory.era, revision: Math.max(directory.revision, ownVersions.targets) };
+        const ownZones = { era: zones?.era ?? 0, revision: zones?.revision ?? -1 };
         return [...this.#peers.values()].filter(({ versions, isLost, lastDigestAt }) =>
             !isLost
             && now - (lastDigestAt ?? Number.NEGATIVE_INFINITY) < MAX_DIGEST_AGE_MILLISECONDS
             && (versions.configuration > ownVersions.configuration
-                || versions.targets > Math.max(directory.revision, ownVersions.targets)
-                || versions.zones > (zones?.revision ?? -1))
+                || comparePositions(getTargetsPosition(versions), ownTargets) > 0
+                || comparePositions(getZonesPosition(versions), ownZones) > 0)
         );
     }
 
@@ -467,7 +491,17 @@
         return {
             configuration: table?.configuration.version ?? -1,
             targets: directory.isLoaded ? directory.changeRevision : 0,
+            targetsEra: directory.era,
             zones: zones?.changeRevision ?? -1,
+            zonesEra: zones?.era ?? 0,
         };
     }
 }
+
+function getTargetsPosition(versions: StateVersions): StorePosition {
+    return { era: versions.targetsEra, revision: versions.targets };
+}
+
+function getZonesPosition(versions: StateVersions): StorePosition {
+    return { era: versions.zonesEra, revision: versions.zones };
+}
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import * as v from "valibot";
-import type { LoadDigest, ServingConfiguration, TargetSnapshot } from "../core/serving/mod.ts";
-import type { StoreUpdate, ZoneSnapshot } from "./serving_state.ts";
+import type { LoadDigest, ServingConfiguration, TargetSnapshot, ZoneSnapshot } from "../core/serving/mod.ts";
+import type { StoreUpdate } from "./serving_state.ts";
 
 /** Versions of the state that an instance has. */
 export interface StateVersions {
@@ -13,8 +13,20 @@
     configuration: number;
     /** Revision of the latest change to the list of targets; 0 if it is unknown. */
     targets: number;
+    /** Era of the store for that revision; instances that do not know of eras leave it out, which counts as 0. */
+    targetsEra: number;
     /** Revision of the latest change to the evacuated zones; -1 if they are unknown. */
     zones: number;
+    /** Era of the store for that revision; instances that do not know of eras leave it out, which counts as 0. */
+    zonesEra: number;
+}
+
+/** A target that has told an instance that it wants no requests. */
+export interface RefusingTarget {
+    /** Identifier of the target. */
+    id: string;
+    /** Start time of the target. */
+    startedAt: number;
 }
 
 /** Message with the load that the sender's requests put on engines and the versions of its state. */
@@ -29,6 +41,10 @@
     work: LoadDigest;
     /** Identifiers of targets that the sender has recently failed to connect to. */
     unreachable: string[];
+    /** Targets that have announced their shutdown in a response to the sender. */
+    leaving: RefusingTarget[];
+    /** Identifiers of targets that want no requests from the sender for now. */
+    paused: string[];
     /** Versions of the sender's state. */
     versions: StateVersions;
     /** True if the sender watches the store and all its watches work. */
@@ -72,7 +88,13 @@
 /** Any message between instances. */
 export type PeerMessage = DigestMessage | UpdateMessage | StateRequestMessage | StateMessage;
 
-const VersionsSchema = v.object({ configuration: v.number(), targets: v.number(), zones: v.number() });
+const VersionsSchema = v.object({
+    configuration: v.number(),
+    targets: v.number(),
+    targetsEra: v.optional(v.number(), 0),
+    zones: v.number(),
+    zonesEra: v.optional(v.number(), 0),
+});
 const LoadDigestSchema = v.record(v.string(), v.tuple([v.number(), v.number(), v.number()]));
 
 const MessageSchema = v.variant("kind", [
@@ -82,6 +104,8 @@
         address: v.string(),
         work: LoadDigestSchema,
         unreachable: v.array(v.string()),
+        leaving: v.optional(v.array(v.object({ id: v.string(), startedAt: v.number() })), []),
+        paused: v.optional(v.array(v.string()), []),
         versions: VersionsSchema,
         isWatching: v.boolean(),
     }),
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -54,7 +54,10 @@
 /** A reservation, or the reason for refusing the request. */
 export type ReservationResult =
     | { kind: "placed"; reservation: Reservation; }
-    | { kind: "refused"; reason: "no-target" | "full"; retryAfterSeconds: number; };
+    | { kind: "refused"; reason: RefusalReason; retryAfterSeconds: number; };
+
+/** Why a request got no target: there is none, all are full, or all have asked for a pause. */
+export type RefusalReason = "no-target" | "full" | "paused";
 
 /** Options of a {@linkcode RequestScheduler}. */
 export interface RequestSchedulerOptions {
@@ -95,6 +98,7 @@
             }
         }
         const decision = decideQueueAdmission({
+            earliestMilliseconds: this.#computePauseMilliseconds(request),
             waiting: queue.size + queue.pending,
             freedPerSecond: this.#countReleases(request.service.name),
             objectiveMilliseconds: request.objectiveMilliseconds,
@@ -102,7 +106,7 @@
             random: this.#options.random,
         });
         if (decision.kind === "refuse") {
-            return { kind: "refused", reason: "full", retryAfterSeconds: decision.retryAfterSeconds };
+            return { kind: "refused", reason: decision.reason, retryAfterSeconds: decision.retryAfterSeconds };
         }
         const waitDeadline = this.#options.clock.getMonotonic() + decision.milliseconds;
         return queue.add(() => this.#waitForReservation(request, waitDeadline), { priority: -request.priority });
@@ -124,8 +128,10 @@
             if (result !== undefined) {
                 return result;
             }
-            if (this.#options.clock.getMonotonic() >= waitDeadline || request.signal.aborted) {
-                return this.#refuse(request, "full");
+            const now = this.#options.clock.getMonotonic();
+            const pauseMilliseconds = this.#computePauseMilliseconds(request);
+            if (now + pauseMilliseconds >= waitDeadline || request.signal.aborted) {
+                return this.#refuse(request, pauseMilliseconds > 0 ? "paused" : "full");
             }
             await waitMilliseconds(RETRY_INTERVAL_MILLISECONDS);
         }
@@ -176,10 +182,17 @@
         return { target, score: options.score, markResponseStarted, recordOutput, release };
     }
 
-    #refuse(request: ReservationRequest, reason: "no-target" | "full"): ReservationResult {
+    /** Computes the time until the first of the targets that have all asked for a pause accepts requests; 0 if none. */
+    #computePauseMilliseconds(request: ReservationRequest): number {
+        const result = this.chooseTarget(request);
+        return result.kind === "paused" ? Math.max(0, result.until - this.#options.clock.getMonotonic()) : 0;
+    }
+
+    #refuse(request: ReservationRequest, reason: RefusalReason): ReservationResult {
         const releases = Math.max(1, this.#countReleases(request.service.name));
         const retryAfterSeconds = chooseRetryAfter({
             expectedMilliseconds: reason === "full" ? 1000 / releases : NO_TARGET_DELAY_MILLISECONDS,
+            earliestMilliseconds: reason === "paused" ? this.#computePauseMilliseconds(request) : 0,
             remainingMilliseconds: request.remainingMilliseconds,
             random: this.#options.random,
         });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -10,6 +10,7 @@
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import { CallerServer } from "./caller_server.ts";
+import { EngineClient } from "./engine_client.ts";
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
 import { MoveCoordinator } from "./move_coordinator.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -42,6 +43,10 @@
 const STOP_RESERVE_MILLISECONDS = 350;
 /** Time without a request after which a stopping process ends, in milliseconds: longer than a request is in transit. */
 const IDLE_BEFORE_STOP_MILLISECONDS = 150;
+/** Time for which a starting instance waits for the state of a peer before it is ready, in milliseconds. */
+const PEER_STATE_WAIT_MILLISECONDS = 300;
+/** Time over which the instances spread their registrations after the store was restored, in milliseconds. */
+const REGISTRATION_SPREAD_MILLISECONDS = 2000;
 /** Delay between attempts to register this instance in the store, in milliseconds. */
 const REGISTRATION_RETRY_MILLISECONDS = 1000;
 
@@ -62,6 +67,7 @@
     readonly #context: ServingContext;
     readonly #servers: Server[] = [];
     #timer: NodeJS.Timeout | undefined;
+    #startedAt = 0;
     #stopRequestedAt: number | undefined;
     #wasReady = false;
 
@@ -94,11 +100,13 @@
             readConfiguration: () => this.#storeWatcher.readKind(StoreKind.configuration),
             readTargets: () => this.#storeWatcher.readKind(StoreKind.targets),
         });
+        const engines = new EngineClient({ state: this.#state, clock });
         this.#scheduler = new RequestScheduler({ ...shared, zone: settings.zone });
         this.#context = {
             ...shared,
             scheduler: this.#scheduler,
             connections: this.#connections,
+            engines,
             getRemainingGraceMilliseconds: () =>
                 this.#stopRequestedAt === undefined
                     ? undefined
@@ -107,6 +115,7 @@
         this.#callerServer = new CallerServer(this.#context);
         this.#leavingEnginePoller = new LeavingEnginePoller({
             state: this.#state,
+            engines,
             clock,
             listStreams: () => this.#callerServer.activeStreams,
             receivesStoreUpdates: () => this.#storeWatcher.isWatching || this.#peerExchange.hasWatcher(),
@@ -115,6 +124,7 @@
             context: this.#context,
             listStreams: () => this.#callerServer.activeStreams,
         });
+        this.#state.restoreListeners.push(() => this.#registerAgain(random() * REGISTRATION_SPREAD_MILLISECONDS));
         this.#state.targetListeners.push(change => {
             moveCoordinator.handleChange(change);
             if (change.kind === "leaving" || change.kind === "removed") {
@@ -126,6 +136,7 @@
     /** Starts watching the store, opens all sockets, and registers this instance in the store. */
     async start(): Promise<void> {
         const settings = this.#settings;
+        this.#startedAt = this.#clock.getMonotonic();
         this.#storeWatcher.start();
         await this.#callerServer.open(settings.callerAddress);
         await this.#openReadinessServer();
@@ -217,12 +228,23 @@
 
     /** Gets the reason why this instance is not ready for callers; empty if it is ready. */
     #getUnreadyReason(): string {
-        return this.#stopRequestedAt === undefined ? this.#state.unreadyReason : "stopping";
+        if (this.#stopRequestedAt !== undefined) {
+            return "stopping";
+        }
+        const { unreadyReason } = this.#state;
+        if (unreadyReason !== "") {
+            return unreadyReason;
+        }
+        // The store may have been restored from a copy that is older than the state of the peers.
+        const isAlone = this.#settings.seedAddresses.length === 0
+            || this.#clock.getMonotonic() - this.#startedAt >= PEER_STATE_WAIT_MILLISECONDS;
+        return this.#peerExchange.hasPeerReplied || isAlone ? "" : "no state of a peer yet";
     }
 
     #startMaintenance(): void {
         this.#timer = setInterval(() => {
             this.#state.expireMissingTargets();
+            this.#state.expireHeldZones();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
                 this.#wasReady = isReady;
@@ -235,6 +257,15 @@
         }, MAINTENANCE_INTERVAL_MILLISECONDS);
     }
 
+    /** Writes the registration of this instance again after `delay` milliseconds. */
+    #registerAgain(delay: number): void {
+        setTimeout(() => {
+            if (this.#stopRequestedAt === undefined) {
+                void this.#registerInstance();
+            }
+        }, delay).unref();
+    }
+
     /** Registers this instance in the store and adds the other registered instances as peers. */
     async #registerInstance(): Promise<void> {
         const { instance, peerAddress } = this.#settings;
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -8,6 +8,7 @@
 import {
     ColdRateShare,
     DigestReason,
+    EvacuatedZones,
     LoadTracker,
     RetryBudgetShare,
     RouteTable,
@@ -15,12 +16,14 @@
     type ServingConfiguration,
     type ServingTarget,
     type SharePosition,
+    TargetBackpressure,
     type TargetCandidate,
     type TargetChange,
     TargetDirectory,
     TargetHealth,
     type TargetSnapshot,
     UNREACHABLE_WEIGHT,
+    type ZoneSnapshot,
 } from "../core/serving/mod.ts";
 import type { InstanceSettings } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -35,18 +38,10 @@
     log: DecisionLog;
 }
 
-/** Evacuated zones, which receive no new requests, at one revision of the store. */
-export interface ZoneSnapshot {
-    /** Revision of the store up to which the list is current. */
-    revision: number;
-    /** Revision of the latest change to the list. */
-    changeRevision: number;
-    /** Names of the evacuated zones. */
-    zones: string[];
-}
-
-/** Changes to the list of targets between two revisions of the store. */
+/** Changes to the list of targets between two revisions of the store, within one era. */
 export interface TargetEvents {
+    /** Era of the store; absent in messages of instances that do not know of eras, which counts as 0. */
+    era?: number | undefined;
     /** Revision of the latest change before these changes. */
     from: number;
     /** Revision of the latest of these changes. */
@@ -83,6 +78,8 @@
 const UNREACHABLE_RETENTION_MILLISECONDS = 2000;
 /** Penalty of a target that is no longer listed but may reappear, in units of a full target's load. */
 const MISSING_PENALTY = 0.5;
+/** Penalty of a target that wants no requests from a peer, in units of a full target's load. */
+const PAUSED_PENALTY = 0.4;
 /** Share of a target's connections that is used; the rest covers connections that are being closed. */
 const USABLE_CONNECTION_SHARE = 0.8;
 
@@ -94,6 +91,8 @@
     readonly loadTracker = new LoadTracker();
     /** Recent failures of each target. */
     readonly health = new TargetHealth();
+    /** Targets that have asked this instance to send nothing for a time. */
+    readonly backpressure = new TargetBackpressure();
     /** This instance's share of the request rate of cold targets. */
     readonly coldRateShare: ColdRateShare;
     #settings: InstanceSettings;
@@ -104,12 +103,14 @@
      * new versions of this instance's state.
      */
     readonly storeUpdateListeners: ((update: StoreUpdate) => void)[] = [];
+    /** Called when the store was restored from a copy, which may lack what this instance has written. */
+    readonly restoreListeners: (() => void)[] = [];
     readonly #options: ServingStateOptions;
     readonly #retryShares = new Map<string, RetryBudgetShare>();
     /** Time of the last failed connection, by target. */
     readonly #unreachable = new Map<string, number>();
     #table: RouteTable | undefined;
-    #zones: ZoneSnapshot | undefined;
+    readonly #zones = new EvacuatedZones();
     #findPosition: () => SharePosition | undefined = () => undefined;
 
     constructor(options: ServingStateOptions) {
@@ -126,7 +127,7 @@
 
     /** Evacuated zones; `undefined` until they are known. */
     get zones(): ZoneSnapshot | undefined {
-        return this.#zones;
+        return this.#zones.snapshot;
     }
 
     /** Reason why requests cannot be served yet; empty if they can. */
@@ -137,7 +138,7 @@
         if (!this.directory.isLoaded) {
             return "no list of targets yet";
         }
-        return this.#zones === undefined ? "no list of emptied zones yet" : "";
+        return this.#zones.snapshot === undefined ? "no list of emptied zones yet" : "";
     }
 
     /** Number of instances that share the common limits. */
@@ -185,11 +186,21 @@
 
     /** Replaces the list of targets with a newer one. */
     applySnapshot(snapshot: TargetSnapshot, source: StateSource): void {
+        const previousEra = this.directory.isLoaded ? this.directory.era : undefined;
         this.#publishChanges(this.directory.applySnapshot(snapshot, this.#now()), source);
+        const { era, revision } = this.directory;
+        if (previousEra !== undefined && era > previousEra) {
+            this.#options.log.record("belief", "store restored from a copy", { era, previousEra, revision, source });
+            this.#publishUpdate({}, source);
+            this.restoreListeners.forEach(listener => listener());
+        }
     }
 
     /** Applies changes to the list of targets. */
     applyEvents(events: TargetEvents, source: StateSource): void {
+        if ((events.era ?? 0) !== this.directory.era) {
+            return;
+        }
         const changes = this.directory.applyEvents(events, this.#now());
         for (const target of events.changed) {
             this.#markCold(target);
@@ -200,9 +211,13 @@
         }
     }
 
-    /** Marks a target as leaving, as reported by the target itself. */
-    markLeaving(id: string): void {
-        this.#publishChanges(this.directory.markLeaving(id), "target");
+    /** Marks one start of a target as leaving, as the target itself has reported to this instance or to a peer. */
+    markLeaving(target: Pick<ServingTarget, "id" | "startedAt">, source: StateSource): void {
+        const changes = this.directory.markLeaving(target, this.#now());
+        this.#publishChanges(changes, source);
+        if (changes.length > 0) {
+            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+        }
     }
 
     /** Records the result of an attempt at a target; peers are informed of a target that accepted no connection. */
@@ -213,6 +228,10 @@
             this.#unreachable.delete(id);
             return;
         }
+        // A target that has asked for a pause is to get its share of the requests again once the pause has ended.
+        if (this.backpressure.findPauseEnd(id, now) !== undefined) {
+            return;
+        }
         this.health.recordFailure(id, { now, weight: outcome.isUnreachable ? UNREACHABLE_WEIGHT : 1 });
         if (outcome.isUnreachable) {
             this.#unreachable.set(id, now);
@@ -220,6 +239,40 @@
         }
     }
 
+    /**
+     * Applies what a target states about itself in a response: that it is about to shut down, or that it wants no
+     * requests from this instance for a time.
+     */
+    applyTargetNotice(
+        target: Pick<ServingTarget, "id" | "startedAt">,
+        notice: { isLeaving: boolean; backpressureMilliseconds: number | undefined; },
+    ): void {
+        const { isLeaving, backpressureMilliseconds } = notice;
+        if (isLeaving) {
+            this.markLeaving(target, "target");
+        }
+        if (backpressureMilliseconds !== undefined) {
+            const now = this.#now();
+            const isNew = this.backpressure.findPauseEnd(target.id, now) === undefined;
+            this.backpressure.recordPause(target.id, { now, milliseconds: backpressureMilliseconds });
+            if (isNew) {
+                this.#options.log.record("belief", "target wants no requests", {
+                    target: target.id,
+                    milliseconds: backpressureMilliseconds,
+                });
+                this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+            }
+        }
+    }
+
+    /** Records that a target wants no requests from a peer, which shows that it is overloaded. */
+    recordPausedForPeer(id: string): void {
+        const now = this.#now();
+        if (this.directory.findTarget(id) !== undefined && this.health.computePenalty(id, now) < PAUSED_PENALTY) {
+            this.health.recordFailure(id, { now });
+        }
+    }
+
     /** Records that a peer could not connect to a target. */
     recordUnreachableByPeer(id: string): void {
         const now = this.#now();
@@ -246,16 +299,17 @@
 
     /** Replaces the evacuated zones with a newer list. */
     applyZones(snapshot: ZoneSnapshot, source: StateSource): void {
-        if (this.#zones !== undefined && snapshot.revision < this.#zones.revision) {
-            return;
+        const previous = this.#zones.listZones();
+        if (this.#zones.applySnapshot(snapshot, this.#now())) {
+            this.#publishZones(previous, source);
         }
-        const previous = this.#zones?.zones.join(",") ?? "";
-        this.#zones = snapshot;
-        this.directory.setEvacuatedZones(snapshot.zones);
-        if (previous !== snapshot.zones.join(",")) {
-            const { zones, revision } = snapshot;
-            this.#options.log.record("belief", "emptied zones changed", { zones, revision, source });
-            this.#publishUpdate({ zones: snapshot }, source);
+    }
+
+    /** Ends the evacuations that a restored store does not list, once their hold has passed. */
+    expireHeldZones(): void {
+        const previous = this.#zones.listZones();
+        if (this.#zones.expireHolds(this.#now())) {
+            this.#publishZones(previous, "store");
         }
     }
 
@@ -283,11 +337,23 @@
             load: this.loadTracker.computeTotalLoad(target.id, now),
             penalty: this.health.computePenalty(target.id, now)
                 + (this.directory.isMissing(target.id) ? MISSING_PENALTY : 0),
+            pausedUntil: this.backpressure.findPauseEnd(target.id, now),
             isLimited: this.loadTracker.computeOwnLoad(target.id).requests >= connections
                 || this.coldRateShare.isUsedUp(target.id, cold),
         }));
     }
 
+    #publishZones(previous: string[], source: StateSource): void {
+        const zones = this.#zones.listZones();
+        const { snapshot } = this.#zones;
+        this.directory.setEvacuatedZones(zones);
+        if (snapshot !== undefined && previous.join(",") !== zones.join(",")) {
+            const { era, revision, held } = snapshot;
+            this.#options.log.record("belief", "emptied zones changed", { zones, held, era, revision, source });
+            this.#publishUpdate({ zones: snapshot }, source);
+        }
+    }
+
     #publishChanges(changes: TargetChange[], source: StateSource): void {
         for (const change of changes) {
             const { id, service, zone, address } = change.target;
@@ -303,6 +369,7 @@
             if (change.kind === "removed") {
                 this.health.removeTarget(id);
                 this.coldRateShare.removeTarget(id);
+                this.backpressure.removeTarget(id);
             }
             this.#markCold(change.target);
             for (const listener of this.targetListeners) {
--- a/serving/stall_detector.ts
+++ b/serving/stall_detector.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import { decideStallAction, isRepeatable, StallAction } from "../core/serving/mod.ts";
-import { fetchReport } from "../platform/mod.ts";
 import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
 import type { Reservation } from "./request_scheduler.ts";
 
@@ -75,7 +74,7 @@
         const { exchange, reservation, countEvents, canRetry, abandonAttempt, moveGeneration } = this.#options;
         const { route, service, request } = exchange;
         const arrivedEvents = countEvents();
-        const report = await fetchReport(reservation.target.address, REPORT_TIMEOUT_MILLISECONDS);
+        const report = await this.#context.engines.fetchReport(reservation.target, REPORT_TIMEOUT_MILLISECONDS);
         if (this.#isStopped || countEvents() > arrivedEvents) {
             return;
         }
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import type { ServingTarget } from "../core/serving/mod.ts";
+import type { ServingTarget, StorePosition } from "../core/serving/mod.ts";
 import { waitMilliseconds } from "../network/mod.ts";
 import {
     decodeConfiguration,
@@ -63,8 +63,8 @@
 export class StoreWatcher {
     readonly #options: StoreWatcherOptions;
     readonly #handlers: Record<string, KindHandler>;
-    /** Revision to watch from, by kind; absent if the kind has to be listed first. */
-    readonly #revisions = new Map<string, number>();
+    /** Position to watch from, by kind; absent if the kind has to be listed first. */
+    readonly #positions = new Map<string, StorePosition>();
     /** Start and number of the current consecutive failures, by kind. */
     readonly #outages = new Map<string, { since: number; failures: number; }>();
     #isStopped = false;
@@ -101,13 +101,13 @@
 
     /** Describes the watches for a state dump. */
     dumpState(): Record<string, unknown> {
-        return { revisions: Object.fromEntries(this.#revisions), failing: Object.fromEntries(this.#outages) };
+        return { positions: Object.fromEntries(this.#positions), failing: Object.fromEntries(this.#outages) };
     }
 
     /** True if this instance watches the store and all watches work. */
     get isWatching(): boolean {
         const kinds = Object.keys(this.#handlers);
-        return this.#outages.size === 0 && kinds.every(kind => this.#revisions.has(kind));
+        return this.#outages.size === 0 && kinds.every(kind => this.#positions.has(kind));
     }
 
     /** Lists all objects of a kind once and applies them; resolves to true on success. */
@@ -124,7 +124,7 @@
         let isFirst = true;
         while (!this.#isStopped) {
             if (!isFirst && !this.#options.decideWatching()) {
-                this.#revisions.delete(kind);
+                this.#positions.delete(kind);
                 this.#outages.delete(kind);
                 await waitMilliseconds(STANDBY_INTERVAL_MILLISECONDS);
                 continue;
@@ -136,12 +136,12 @@
                 this.#recordRecovery(kind);
             }
             else if (failure.kind === "history-gone") {
-                this.#options.log.record("belief", "store history lost", { kind, revision: this.#revisions.get(kind) });
-                this.#revisions.delete(kind);
+                this.#options.log.record("belief", "store history lost", { kind, ...this.#positions.get(kind) });
+                this.#positions.delete(kind);
             }
             else {
                 // A watch from an old revision may report no changes after an outage, so the kind is listed again.
-                this.#revisions.delete(kind);
+                this.#positions.delete(kind);
                 await this.#recordFailureAndBackOff(kind, failure);
             }
         }
@@ -150,19 +150,19 @@
     async #listOrWatch(kind: string): Promise<StoreFailure | undefined> {
         const { store } = this.#options;
         const handler = this.#handlers[kind];
-        const revision = this.#revisions.get(kind);
-        if (revision === undefined) {
+        const position = this.#positions.get(kind);
+        if (position === undefined) {
             const reply = await store.listObjects(kind);
             if (reply.kind !== "ok") {
                 return reply;
             }
             this.#recordRecovery(kind);
             handler?.applyList(reply.value);
-            this.#revisions.set(kind, reply.value.revision);
+            this.#positions.set(kind, { era: reply.value.era, revision: reply.value.revision });
             return undefined;
         }
         const reply = await store.watchObjects(kind, {
-            revision,
+            ...position,
             waitMilliseconds: this.#options.watchMilliseconds ?? DEFAULT_WATCH_MILLISECONDS,
         });
         if (reply.kind !== "ok") {
@@ -170,7 +170,10 @@
         }
         this.#recordRecovery(kind);
         handler?.applyEvents(reply.value);
-        this.#revisions.set(kind, Math.max(revision, reply.value.revision));
+        this.#positions.set(kind, {
+            era: position.era,
+            revision: Math.max(position.revision, reply.value.revision),
+        });
         return undefined;
     }
 
@@ -217,12 +220,13 @@
 
     #applyTargetList(list: StoreList): void {
         const targets = list.objects.flatMap(object => this.#decodeTargets(object));
-        this.#options.state.applySnapshot({ revision: list.revision, targets }, "store");
+        const { era, revision } = list;
+        this.#options.state.applySnapshot({ era, revision, targets }, "store");
     }
 
-    #applyTargetEvents({ events, revision }: StoreEvents): void {
+    #applyTargetEvents({ events, era, revision }: StoreEvents): void {
         const { directory } = this.#options.state;
-        if (revision <= directory.revision && events.length === 0) {
+        if (era !== directory.era || revision <= directory.revision && events.length === 0) {
             return;
         }
         // A list received from a peer can be ahead of this watch; changes that it already includes must not be undone.
@@ -238,6 +242,7 @@
         const changeRevision = latestRevision > from ? latestRevision : revision;
         const changedTargets = decoded.flatMap(({ targets }) => targets);
         const targetEvents = {
+            era,
             from,
             changeRevision,
             revision,
@@ -258,12 +263,13 @@
 
     #applyZoneList(list: StoreList): void {
         const zones = list.objects.map(object => object.name).sort();
-        this.#options.state.applyZones({ revision: list.revision, changeRevision: list.revision, zones }, "store");
+        const { era, revision } = list;
+        this.#options.state.applyZones({ era, revision, changeRevision: revision, zones }, "store");
     }
 
-    #applyZoneEvents({ events, revision }: StoreEvents): void {
+    #applyZoneEvents({ events, era, revision }: StoreEvents): void {
         const known = this.#options.state.zones;
-        if (known === undefined || revision <= known.revision) {
+        if (known === undefined || known.era !== era || revision <= known.revision) {
             return;
         }
         const zones = new Set(known.zones);
@@ -276,7 +282,7 @@
             }
         }
         const changeRevision = events.length > 0 ? revision : known.changeRevision;
-        this.#options.state.applyZones({ revision, changeRevision, zones: [...zones].sort() }, "store");
+        this.#options.state.applyZones({ era, revision, changeRevision, zones: [...zones].sort() }, "store");
     }
 
     #logMalformed(kind: string, object: StoreObject): void {
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -281,6 +281,7 @@
         attempt: RelayAttempt,
     ): Promise<AttemptResult> {
         const { head } = targetResponse;
+        this.#context.state.applyTargetNotice(attempt.reservation.target, head);
         if (head.status === 200 && head.isSigned && head.requestId === this.#exchange.request.id) {
             this.#writeHead(head);
             return this.#relayEvents(targetResponse, attempt);
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -118,6 +118,7 @@
                 remainingMilliseconds: this.#remainingMilliseconds,
                 signal: AbortSignal.any([this.#exchange.signal, timeout]),
             }));
+            this.#context.state.applyTargetNotice(reservation.target, targetResponse.head);
             const body = await this.#context.connections.readResponseBody(targetResponse);
             return this.#classifyResponse({ head: targetResponse.head, body, isComplete: targetResponse.isComplete() });
         }
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -1,6 +1,6 @@
 /**
- * A stand-in for the platform's store, which holds objects by kind and name, and supports revisions, paged lists and
- * watches.
+ * A stand-in for the platform's store, which holds objects by kind and name, supports revisions, paged lists and
+ * watches, and can be restored from a copy.
  *
  * @module
  */
@@ -68,6 +68,36 @@
     readonly #pendingWakeups = new Set<() => void>();
     readonly #pendingWatches = new Set<ServerResponse>();
     #revision = 10;
+    #era = 1;
+    #copy: { revision: number; objects: [kind: string, objects: Map<string, StoredObject>][]; } | undefined;
+
+    /** Copies all objects; {@linkcode loadCopy} goes back to the latest copy. */
+    takeCopy(): void {
+        this.#copy = {
+            revision: this.#revision,
+            objects: [...this.#objects].map(([kind, objects]) => [kind, new Map(objects)]),
+        };
+    }
+
+    /** Goes back to the latest copy: starts a new era, drops all later changes, and breaks the pending watches. */
+    loadCopy(): void {
+        if (this.#copy === undefined) {
+            throw new Error("Cannot restore the store: no copy was taken.");
+        }
+        this.#era += 1;
+        this.#revision = this.#copy.revision;
+        this.#objects.clear();
+        for (const [kind, objects] of this.#copy.objects) {
+            this.#objects.set(kind, new Map(objects));
+        }
+        this.#changes.splice(0, Infinity, ...this.#changes.filter(change => change.revision <= this.#revision));
+        this.breakWatches();
+    }
+
+    /** Checks whether an object exists. */
+    hasObject(kind: string, name: string): boolean {
+        return this.#objects.get(kind)?.has(name) === true;
+    }
 
     /** Writes an object, as an operator or a target does. */
     putObject(kind: string, name: string, spec: unknown): void {
@@ -100,6 +130,7 @@
         const url = new URL(request.url ?? "/", "http://store");
         const [, , kind = "", name] = url.pathname.split("/").map(decodeURIComponent);
         this.calls.push(`${request.method} ${kind}`);
+        response.setHeader("store-era", String(this.#era));
         await waitMilliseconds(this.faults.delayMilliseconds);
         if (this.faults.isReset) {
             request.socket.resetAndDestroy();
@@ -162,7 +193,7 @@
 
     async #answerWatch(response: ServerResponse, watch: { kind: string; url: URL; }): Promise<void> {
         const from = Number(watch.url.searchParams.get("watch"));
-        if (from < this.faults.historyFrom) {
+        if (from < this.faults.historyFrom || from > this.#revision) {
             sendJson(response, { status: 410, value: {} });
             return;
         }
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -20,6 +20,10 @@
     moveStatus: number;
     /** Reports the state `draining` instead of `ready`. */
     isLeaving: boolean;
+    /** Announces its shutdown in a header of all responses. */
+    announcesLeaving: boolean;
+    /** Seconds that a refusal asks the sender to wait; 0 to ask for no pause. */
+    pauseSeconds: number;
 }
 
 /** A running generation, or the copy of its KV cache. */
@@ -122,6 +126,16 @@
     "a failure that looks like a promise": (target, request, response) =>
         target.sendResponse(request, response, { status: 503 }),
     "a refusal": (_, __, response) => sendJson(response, { status: 503, value: {}, headers: { "not-executed": "1" } }),
+    "a refusal with a pause": (target, request, response) =>
+        sendJson(response, {
+            status: 503,
+            value: {},
+            headers: {
+                "attempt-id": readRequestId(request),
+                "not-executed": "1",
+                "retry-after": String(target.faults.pauseSeconds),
+            },
+        }),
     "a misdirection": (_, __, response) => sendJson(response, { status: 421, value: {} }),
     "another request's answer": (target, request, response) =>
         target.sendResponse(request, response, { status: 200, requestId: "0000000000000000" }),
@@ -146,10 +160,18 @@
 
 /** Serves requests as a target does, and records which requests it has run. */
 export class TargetStandIn implements StandIn<TargetFaults> {
-    readonly faults: TargetFaults = { answer: "ok", faultyAnswers: 0, moveStep: "", moveStatus: 0, isLeaving: false };
+    readonly faults: TargetFaults = {
+        answer: "ok",
+        faultyAnswers: 0,
+        moveStep: "",
+        moveStatus: 0,
+        isLeaving: false,
+        announcesLeaving: false,
+        pauseSeconds: 0,
+    };
     readonly #options: TargetStandInOptions;
     /** Received requests, in order. */
-    readonly arrivals: { requestId: string; headers: Record<string, unknown>; }[] = [];
+    readonly arrivals: { requestId: string; headers: Record<string, unknown>; at: number; }[] = [];
     /** Identifiers of the requests that were run here from the start. */
     readonly started: string[] = [];
     /** Identifiers of the generations that were resumed here from a copied KV cache. */
@@ -170,6 +192,9 @@
     }
 
     async handleRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
+        if (this.faults.announcesLeaving) {
+            response.setHeader("server-leaving", "1");
+        }
         if (request.url === "/report") {
             const runs = [...this.#generations.values()].map(
                 generation => [generation.requestId, 100, generation.sentEvents, 5],
@@ -268,7 +293,11 @@
     }
 
     async #serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        this.arrivals.push({ requestId: readRequestId(request), headers: { ...request.headers } });
+        this.arrivals.push({
+            requestId: readRequestId(request),
+            headers: { ...request.headers },
+            at: performance.now(),
+        });
         if (this.faults.faultyAnswers > 0) {
             this.faults.faultyAnswers -= 1;
             RESPONSES[this.faults.answer]?.(this, request, response);
