Two watchers with substitutes in turn, and starts and configurations from peers

Each start made five calls, each large configuration one read an instance, idle watches a call every 3 s, and when the watchers failed all instances called the store at once. At 195 instances the election saw only peers heard within 1 s, so each elected among another subset. Change: two watchers in place of three; while too few of those before it watch, each next instance takes over 400 ms after the one before it (classifyWatcher). Only peers that are lost leave the order. The first watcher waits 3 s, the second 12 s. An instance that starts takes its state and the list of instances from the seeds, and reads the store after 600 ms without a reply; a seed reads it at once. A configuration is asked of a peer first, who sends at most four an interval, and read after 800 ms. A watcher that fails beside a working one calls again after up to 2 s, not 0.4 s. The scenario that expected three watchers expects two, and checks that all others got the configuration from a peer; the election is simulated in virtual time at 1 to 340 instances, with the number of callers and the time unwatched.

--- a/core/serving/watcher_election.ts
+++ b/core/serving/watcher_election.ts
@@ -2,9 +2,9 @@
  * Elects the instances that watch the platform's store on behalf of the fleet.
  *
  * Load pattern: if every instance of a fleet watches the store, each change costs the store one reply per instance.
- * Instead, a few instances watch the store and forward changes to the others. An instance that receives no digests from
- * a watcher watches the store itself, so that neither the loss of the watchers nor a network partition between
- * instances cuts it off from changes.
+ * Instead, two instances watch the store and forward changes to the others. If they fail, or the store refuses them, the
+ * next instances in a fixed order take over one after the other, so that neither an outage of the store nor the loss of
+ * the watchers makes all instances call it at once.
  *
  * @module
  */
@@ -20,36 +20,57 @@
     silenceMilliseconds: number;
 }
 
-/** Input of {@linkcode isElectedWatcher}. */
+/** Input of {@linkcode classifyWatcher}. */
 export interface WatcherElectionInput {
     /** Name of this instance. */
     instance: string;
-    /** The other instances. */
+    /** The other instances, without those that have missed several digests. */
     peers: readonly PeerWatchState[];
-    /** Number of instances that watch the store. Defaults to 3. */
+    /** Number of instances that watch the store. Defaults to 2. */
     watchers?: number;
 }
 
-/**
- * With three watchers, one remains if two fail at once, for instance one of them with its zone. More watchers would
- * cost more replies of the store and add little.
- */
-const DEFAULT_WATCHER_COUNT = 3;
+/** Place of an instance in the election. */
+export interface WatcherElection {
+    /** Number of instances that come before this one. */
+    rank: number;
+    /**
+     * Time for which too few of the instances before this one have to watch the store before it does so itself, in
+     * milliseconds; `undefined` while enough of them watch.
+     */
+    takeoverMilliseconds: number | undefined;
+}
+
+/** Two watchers see each change even if one of them fails; each further one would cost one more reply per change. */
+const DEFAULT_WATCHER_COUNT = 2;
 /**
  * Time without a digest after which an instance no longer counts as a watcher: half of the time within which all
  * instances have to apply a new configuration.
  */
 const MAX_SILENCE_MILLISECONDS = 1000;
+/** Time that the instance before this one has to take over, in milliseconds: a list and a digest take less. */
+const TAKEOVER_STEP_MILLISECONDS = 400;
+/** Longest time until the first instances take over together, in milliseconds, and what each rank adds to it. */
+const MAX_TAKEOVER_MILLISECONDS = 1200;
+const MAX_TAKEOVER_PER_RANK_MILLISECONDS = 10;
 /** Key by which rendezvous hashing ranks the instances. */
 const ELECTION_KEY = "watch-store";
 
-/** Checks whether this instance watches the store. */
-export function isElectedWatcher(input: WatcherElectionInput): boolean {
+/** Decides whether and after which time this instance watches the store. */
+export function classifyWatcher(input: WatcherElectionInput): WatcherElection {
     const { instance, peers, watchers = DEFAULT_WATCHER_COUNT } = input;
-    const responsive = peers.filter(peer => peer.silenceMilliseconds <= MAX_SILENCE_MILLISECONDS);
-    if (!responsive.some(peer => peer.isWatching)) {
-        return true;
+    const ranked = new RendezvousHash([instance, ...peers.map(peer => peer.instance)]).listByScore(ELECTION_KEY);
+    const rank = ranked.indexOf(instance);
+    const ahead = new Set(ranked.slice(0, rank));
+    const watchersAhead = peers.filter(peer =>
+        peer.isWatching && peer.silenceMilliseconds <= MAX_SILENCE_MILLISECONDS && ahead.has(peer.instance)
+    );
+    if (watchersAhead.length >= watchers) {
+        return { rank, takeoverMilliseconds: undefined };
     }
-    const ranked = new RendezvousHash([instance, ...responsive.map(peer => peer.instance)]).listByScore(ELECTION_KEY);
-    return ranked.slice(0, watchers).includes(instance);
+    const takeoverMilliseconds = Math.min(
+        TAKEOVER_STEP_MILLISECONDS * Math.max(0, rank - watchers + 1),
+        MAX_TAKEOVER_MILLISECONDS + MAX_TAKEOVER_PER_RANK_MILLISECONDS * rank,
+    );
+    return { rank, takeoverMilliseconds };
 }
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -156,17 +156,31 @@
             | has generated far more than has arrived    | may be retried     | leave  |
             | has generated far more than has arrived    | may not be retried | move   |
 
-    Scenario Outline: of <instances> instances <watchers> watch the store while <case>
-        When <instances> instances elect watchers of the store while <case>
-        Then <watchers> of them watch the store
+    Scenario Outline: <instances> instances elect <watchers> watchers of the store while <situation>
+        When <instances> instances elect watchers of the store for 10 seconds while <situation>
+        Then <watchers> of them watch the store at the end
+        And at most <callers> of them have called it
+        And nobody watched for at most <unwatched> ms
 
         Examples:
-            | instances | case                             | watchers |
-            | 73        | all receive each other's digests | 3        |
-            | 6         | all receive each other's digests | 3        |
-            | 6         | no watcher is healthy            | 6        |
-            | 6         | no instance receives a digest    | 6        |
-            | 6         | one instance is isolated         | 4        |
+            | instances | situation                       | watchers | callers | unwatched |
+            | 1         | all work                        | 1        | 1       | 0         |
+            | 6         | all work                        | 2        | 2       | 0         |
+            | 23        | all work                        | 2        | 2       | 0         |
+            | 73        | all work                        | 2        | 2       | 0         |
+            | 195       | all work                        | 2        | 2       | 0         |
+            | 340       | all work                        | 2        | 2       | 0         |
+            | 6         | the store refuses the first two | 2        | 4       | 1000      |
+            | 195       | the store refuses the first two | 2        | 5       | 1000      |
+            | 195       | the store refuses a third       | 2        | 5       | 1000      |
+            | 6         | the first two are killed        | 2        | 4       | 2000      |
+            | 195       | the first two are killed        | 2        | 5       | 2000      |
+            | 195       | nobody hears the first one      | 3        | 4       | 0         |
+            | 6         | no instance hears another       | 6        | 6       | 0         |
+
+    Scenario: an outage of the store does not make all of 195 instances call it at once
+        When 195 instances elect watchers of the store for 2 seconds while the store serves nobody
+        Then at most 4 of them have called it
 
     Scenario: a stream that arrives in arbitrary chunks is split into its events, each once
         When a stream of 20 events arrives in random chunks
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -35,17 +35,17 @@
             | responds with invalid JSON    |
             | discards its history          |
 
-    Scenario Outline: a configuration with <routes> additional routes reaches 6 instances, three of them from the <source>
+    Scenario Outline: a configuration with <routes> additional routes reaches 6 instances, four of them from a <source>
         Given a serving site with 6 instances
         And the first watch of each instance has ended
         When the operator writes configuration version 9 with <routes> additional routes
         Then each instance has adopted configuration version 9 within 1500 ms
-        And the instances that do not watch the store got it from the "<source>"
+        And the two that watch the store got it from there, and the others from a "<source>"
 
         Examples:
             | routes | source             |
-            | 10     | peer or store list |
-            | 300    | store list         |
+            | 10     | peer               |
+            | 300    | peer               |
 
     # "all": an update with the configuration is sent; "nothing": one without it; "nobody": no update is sent.
     Scenario Outline: an instance that adopts a configuration from the <source> sends its peers <update>
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -9,13 +9,14 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import {
+    classifyWatcher,
     comparePositions,
     DigestRateLimiter,
     DigestReason,
-    isElectedWatcher,
     isSentInFull,
     type SharePosition,
     type StorePosition,
+    type WatcherElection,
 } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerConnectionPool } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -97,6 +98,8 @@
  * older may have stopped.
  */
 const MAX_DIGEST_AGE_MILLISECONDS = 2000;
+/** Number of configurations of any size that an instance sends to peers in one interval of their requests. */
+const MIN_CONFIGURATIONS_PER_INTERVAL = 4;
 /** Minimum interval between state requests, in milliseconds. */
 const STATE_REQUEST_INTERVAL_MILLISECONDS = 250;
 
@@ -117,6 +120,9 @@
     #behindSince: number | undefined;
     #isPeerListKnown = false;
     #hasPeerReplied = false;
+    /** Time since which too few instances before this one have watched the store; `undefined` while enough do. */
+    #watchersMissingSince: number | undefined;
+    #configurationsSent = { since: 0, count: 0 };
 
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
@@ -154,6 +160,11 @@
         this.#sendDigests();
     }
 
+    /** True once the store or a peer has listed the instances. */
+    get isPeerListKnown(): boolean {
+        return this.#isPeerListKnown;
+    }
+
     /** True once a peer has replied with its state, which may be newer than that of a restored store. */
     get hasPeerReplied(): boolean {
         return this.#hasPeerReplied;
@@ -166,13 +177,38 @@
 
     /** Decides whether this instance is one of the few that watch the store on behalf of all. */
     decideWatching(): boolean {
+        const now = this.#options.clock.getMonotonic();
+        const { takeoverMilliseconds } = this.#classifyWatcher();
+        if (takeoverMilliseconds === undefined) {
+            this.#watchersMissingSince = undefined;
+            return false;
+        }
+        this.#watchersMissingSince ??= now;
+        return now - this.#watchersMissingSince >= takeoverMilliseconds;
+    }
+
+    /** True if this instance is the first in the order in which instances watch the store. */
+    get isFirstWatcher(): boolean {
+        return this.#classifyWatcher().rank === 0;
+    }
+
+    #classifyWatcher(): WatcherElection {
         const now = this.#options.clock.getMonotonic();
         const peers = [...this.#peers].flatMap(([instance, { lastDigestAt, isWatching, isLost }]) =>
             lastDigestAt === undefined || isLost
                 ? []
                 : [{ instance, isWatching, silenceMilliseconds: now - lastDigestAt }]
         );
-        return isElectedWatcher({ instance: this.#options.instance, peers });
+        return classifyWatcher({ instance: this.#options.instance, peers });
+    }
+
+    /** Requests state, with the list of all instances, from a random peer. */
+    requestPeerList(): void {
+        const peers = [...this.#peers.values()].filter(({ isLost }) => !isLost);
+        const peer = peers[Math.floor(this.#options.random() * peers.length)];
+        if (peer !== undefined) {
+            this.#connections.send(peer.address, this.#buildStateRequest());
+        }
     }
 
     /** Requests state from an address whose instance is not known yet. */
@@ -310,6 +346,7 @@
                 ...Object.fromEntries([...this.#peers].map(([name, peer]) => [name, peer.address])),
             },
             ...state.table !== undefined && ownVersions.configuration > versions.configuration
+                    && this.#takeConfigurationSend(state.table.configuration)
                 ? { configuration: state.table.configuration }
                 : {},
             ...state.directory.isLoaded
@@ -324,6 +361,20 @@
         this.#connections.send(message.address, reply);
     }
 
+    /**
+     * Checks whether this instance may send a configuration to one more peer now. Peers that get none ask another one,
+     * and those that got it send it on, so that a large configuration reaches a large fleet within a few such intervals.
+     */
+    #takeConfigurationSend({ routes }: { routes: readonly unknown[]; }): boolean {
+        const now = this.#options.clock.getMonotonic();
+        if (now - this.#configurationsSent.since >= STATE_REQUEST_INTERVAL_MILLISECONDS) {
+            this.#configurationsSent = { since: now, count: 0 };
+        }
+        this.#configurationsSent.count += 1;
+        return this.#configurationsSent.count <= MIN_CONFIGURATIONS_PER_INTERVAL
+            || isSentInFull({ routes: routes.length, peers: this.#configurationsSent.count });
+    }
+
     #handleUpdate(message: UpdateMessage): void {
         const { state } = this.#options;
         const source = `peer ${message.instance}` as const;
@@ -351,6 +402,7 @@
             state.adoptConfiguration(message.configuration, source);
         }
         if (message.targets !== undefined) {
+            this.#isPeerListKnown = true;
             state.applySnapshot(message.targets, source);
         }
         if (message.zones !== undefined) {
@@ -436,8 +488,7 @@
     /**
      * Requests state from a peer with newer versions if it does not arrive from the store in time.
      *
-     * A newer configuration is read from the store, and requested from the peer only if that fails. After a longer time
-     * the list of targets is also read from the store.
+     * After a longer time the configuration and the list of targets are also read from the store.
      */
     async #requestMissingState(): Promise<void> {
         const now = this.#options.clock.getMonotonic();
@@ -457,11 +508,11 @@
         }
         this.#stateRequestedAt = now;
         const isConfigurationBehind = (): boolean => peer.versions.configuration > this.#getVersions().configuration;
-        // A restored store may hold an older configuration than the peer.
-        if (isConfigurationBehind() && await this.#options.readConfiguration() && !isConfigurationBehind()) {
-            return;
-        }
         if (behindMilliseconds > STORE_READ_DELAY_MILLISECONDS) {
+            // A restored store may hold an older configuration than the peer.
+            if (isConfigurationBehind() && await this.#options.readConfiguration() && !isConfigurationBehind()) {
+                return;
+            }
             await this.#options.readTargets();
         }
         this.#connections.send(peer.address, this.#buildStateRequest());
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -43,8 +43,17 @@
 const STOP_RESERVE_MILLISECONDS = 350;
 /** Time without a request after which a stopping process ends, in milliseconds: longer than a request is in transit. */
 const IDLE_BEFORE_STOP_MILLISECONDS = 150;
-/** Time for which a starting instance waits for the state of a peer before it is ready, in milliseconds. */
-const PEER_STATE_WAIT_MILLISECONDS = 300;
+/**
+ * Time for which a starting instance waits for the state of a seed before it reads the store, in milliseconds. A store
+ * that was restored from a copy may be older than the state of the peers.
+ */
+const PEER_STATE_WAIT_MILLISECONDS = 600;
+/** Interval of requests to the seeds for their state during that time, in milliseconds. */
+const SEED_REQUEST_INTERVAL_MILLISECONDS = 150;
+/** Interval at which a starting instance checks whether the state has arrived, in milliseconds. */
+const SEED_POLL_INTERVAL_MILLISECONDS = 10;
+/** Times after the start at which the list of instances is requested from a peer, in milliseconds. */
+const PEER_LIST_REQUEST_MILLISECONDS = [1000, 3000, 8000];
 /** Time over which the instances spread their registrations after the store was restored, in milliseconds. */
 const REGISTRATION_SPREAD_MILLISECONDS = 2000;
 /** Delay between attempts to register this instance in the store, in milliseconds. */
@@ -68,6 +77,7 @@
     readonly #servers: Server[] = [];
     #timer: NodeJS.Timeout | undefined;
     #startedAt = 0;
+    #seedsRequestedAt = Number.NEGATIVE_INFINITY;
     #stopRequestedAt: number | undefined;
     #wasReady = false;
 
@@ -91,6 +101,9 @@
             ...shared,
             store: this.#store,
             decideWatching: () => this.#peerExchange.decideWatching(),
+            isFirstWatcher: () => this.#peerExchange.isFirstWatcher,
+            hasWatchingPeer: () => this.#peerExchange.hasWatcher(),
+            waitForPeerState: () => this.#waitForPeerState(),
         });
         this.#peerExchange = new PeerExchange({
             ...shared,
@@ -137,7 +150,6 @@
     async start(): Promise<void> {
         const settings = this.#settings;
         this.#startedAt = this.#clock.getMonotonic();
-        this.#storeWatcher.start();
         await this.#callerServer.open(settings.callerAddress);
         await this.#openReadinessServer();
         await this.#peerExchange.open();
@@ -149,10 +161,11 @@
                 getUnreadyReason: () => this.#getUnreadyReason(),
             }),
         );
-        for (const seed of settings.seedAddresses) {
-            this.#peerExchange.requestState(seed);
-        }
+        this.#storeWatcher.start();
         void this.#registerInstance();
+        for (const delay of PEER_LIST_REQUEST_MILLISECONDS) {
+            setTimeout(() => this.#peerExchange.requestPeerList(), delay).unref();
+        }
         this.#leavingEnginePoller.start();
         this.#startMaintenance();
         this.#log.record("process", "started", { instance: settings.instance, zone: settings.zone });
@@ -235,10 +248,36 @@
         if (unreadyReason !== "") {
             return unreadyReason;
         }
-        // The store may have been restored from a copy that is older than the state of the peers.
-        const isAlone = this.#settings.seedAddresses.length === 0
+        const isReplyExpected = this.#listOtherSeeds().length > 0 && !this.#peerExchange.hasPeerReplied
+            && this.#clock.getMonotonic() - this.#startedAt < PEER_STATE_WAIT_MILLISECONDS;
+        return isReplyExpected ? "no state of a peer yet" : "";
+    }
+
+    #listOtherSeeds(): string[] {
+        const { host, port } = this.#settings.peerAddress;
+        return this.#settings.seedAddresses.filter(seed => seed !== `${host}:${port}`);
+    }
+
+    /**
+     * Requests the state from the seeds. An instance that is a seed itself reads the store at once; the others do so only
+     * if no seed has replied with its state in time, since each instance that starts would cost the store several calls.
+     */
+    async #waitForPeerState(): Promise<void> {
+        const seeds = this.#listOtherSeeds();
+        const isSeed = seeds.length < this.#settings.seedAddresses.length;
+        const isEnded = (): boolean =>
+            this.#state.unreadyReason === "" || this.#stopRequestedAt !== undefined
             || this.#clock.getMonotonic() - this.#startedAt >= PEER_STATE_WAIT_MILLISECONDS;
-        return this.#peerExchange.hasPeerReplied || isAlone ? "" : "no state of a peer yet";
+        while (seeds.length > 0 && !isEnded()) {
+            if (this.#clock.getMonotonic() >= this.#seedsRequestedAt + SEED_REQUEST_INTERVAL_MILLISECONDS) {
+                this.#seedsRequestedAt = this.#clock.getMonotonic();
+                seeds.forEach(seed => this.#peerExchange.requestState(seed));
+            }
+            if (isSeed) {
+                return;
+            }
+            await waitMilliseconds(SEED_POLL_INTERVAL_MILLISECONDS);
+        }
     }
 
     #startMaintenance(): void {
@@ -266,8 +305,9 @@
         }, delay).unref();
     }
 
-    /** Registers this instance in the store and adds the other registered instances as peers. */
+    /** Registers this instance in the store, and adds the other registered instances unless a peer has listed them. */
     async #registerInstance(): Promise<void> {
+        await this.#waitForPeerState();
         const { instance, peerAddress } = this.#settings;
         const address = `${peerAddress.host}:${peerAddress.port}`;
         let isRegistered = false;
@@ -280,6 +320,9 @@
             if (!isRegistered) {
                 this.#log.record("process", "instance not entered", { kind: StoreKind.instances });
             }
+            if (isRegistered && this.#peerExchange.isPeerListKnown) {
+                return;
+            }
             const listed = isRegistered ? await this.#store.listObjects(StoreKind.instances) : undefined;
             if (listed?.kind === "ok") {
                 const peers = listed.value.objects.flatMap(object => decodePeer(object) ?? []);
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -36,8 +36,12 @@
     random: () => number;
     /** Decides whether this instance watches the store on behalf of all; called before each call to the store. */
     decideWatching: () => boolean;
-    /** Maximum wait of one watch, in milliseconds. Defaults to 3000. */
-    watchMilliseconds?: number;
+    /** Waits until the state has arrived from a peer, or none can be expected. */
+    waitForPeerState: () => Promise<void>;
+    /** Checks whether this instance is the first in the order in which instances watch the store. */
+    isFirstWatcher: () => boolean;
+    /** Checks whether a peer watches the store and forwards its changes. */
+    hasWatchingPeer: () => boolean;
 }
 
 /** Applies the objects of one kind to the state. */
@@ -47,17 +51,21 @@
 }
 
 /**
- * Maximum wait of one watch, in milliseconds. A watch whose connection has failed without an error is detected after
+ * Maximum wait of a watch of the first watcher, in milliseconds. A watch whose connection has failed without an error is detected after
  * this time plus the timeout of the call. This sum must stay below the time after which an instance counts as connected
  * to the store again, plus the time within which it has to apply a configuration.
  */
-const DEFAULT_WATCH_MILLISECONDS = 3000;
+const FIRST_WATCH_MILLISECONDS = 3000;
+/** Maximum wait of a watch of another watcher, in milliseconds; the first one detects connections that have failed. */
+const OTHER_WATCH_MILLISECONDS = 12_000;
 /** Interval at which an instance that does not watch the store checks whether it has to, in milliseconds. */
 const STANDBY_INTERVAL_MILLISECONDS = 100;
 /** Delay after the first failed call, in milliseconds; it doubles with each further failure. */
 const MIN_BACKOFF_MILLISECONDS = 40;
 /** Maximum delay after failed calls, in milliseconds: a store that has recovered must be used within seconds. */
 const MAX_BACKOFF_MILLISECONDS = 400;
+/** Maximum delay after failed calls while a peer watches the store, in milliseconds. */
+const MAX_BACKOFF_BESIDE_WATCHER_MILLISECONDS = 2000;
 
 /** Watches the store and applies its changes to the state. */
 export class StoreWatcher {
@@ -121,15 +129,14 @@
     }
 
     async #runWatchLoop(kind: string): Promise<void> {
-        let isFirst = true;
+        await this.#options.waitForPeerState();
         while (!this.#isStopped) {
-            if (!isFirst && !this.#options.decideWatching()) {
+            if (this.#options.state.unreadyReason === "" && !this.#options.decideWatching()) {
                 this.#positions.delete(kind);
                 this.#outages.delete(kind);
                 await waitMilliseconds(STANDBY_INTERVAL_MILLISECONDS);
                 continue;
             }
-            isFirst = false;
             const failure = await this.#listOrWatch(kind);
             this.#options.metrics.countStoreCall(kind, failure?.kind ?? "ok");
             if (failure === undefined) {
@@ -163,7 +170,7 @@
         }
         const reply = await store.watchObjects(kind, {
             ...position,
-            waitMilliseconds: this.#options.watchMilliseconds ?? DEFAULT_WATCH_MILLISECONDS,
+            waitMilliseconds: this.#options.isFirstWatcher() ? FIRST_WATCH_MILLISECONDS : OTHER_WATCH_MILLISECONDS,
         });
         if (reply.kind !== "ok") {
             return reply;
@@ -196,14 +203,15 @@
     }
 
     async #recordFailureAndBackOff(kind: string, failure: StoreFailure): Promise<void> {
-        const { clock, log, random } = this.#options;
+        const { clock, log, random, hasWatchingPeer } = this.#options;
         const outage = this.#outages.get(kind) ?? { since: clock.getMonotonic(), failures: 0 };
         outage.failures += 1;
         this.#outages.set(kind, outage);
         if (outage.failures === 1) {
             log.record("process", "store lost", { ...failure, kind, failure: failure.kind });
         }
-        const delay = Math.min(MAX_BACKOFF_MILLISECONDS, MIN_BACKOFF_MILLISECONDS * 2 ** (outage.failures - 1));
+        const maxBackoff = hasWatchingPeer() ? MAX_BACKOFF_BESIDE_WATCHER_MILLISECONDS : MAX_BACKOFF_MILLISECONDS;
+        const delay = Math.min(maxBackoff, MIN_BACKOFF_MILLISECONDS * 2 ** (outage.failures - 1));
         await waitMilliseconds(delay * (0.5 + random()));
     }
 
