--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -161,13 +161,14 @@
         const listed = new Set(snapshot.targets.map(target => target.id));
         const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
         const { revision, changeRevision, targets } = snapshot;
+        const hasChangedEntry = targets.some(target => !isSameEntry(target, this.#targets.get(target.id)));
         // Objects that expired during an outage reappear soon after the store's recovery if their targets are alive.
         const missingUntil = this.#storeRecoveredAt + this.#gracePeriodMilliseconds;
         const changes = this.#apply({ revision, changed: targets, removed }, { now, missingUntil });
         if (changeRevision !== undefined) {
             this.#changeRevision = changeRevision;
         }
-        else if (changes.length === 0 && previousChangeRevision !== undefined) {
+        else if (changes.length === 0 && !hasChangedEntry && previousChangeRevision !== undefined) {
             this.#changeRevision = previousChangeRevision;
         }
         return changes;
@@ -349,3 +350,10 @@
         return known.map(target => ({ kind: "removed", target }));
     }
 }
+
+/** Checks whether two entries of a target agree in all that a selection of targets depends on. */
+function isSameEntry(first: ServingTarget, second: ServingTarget | undefined): boolean {
+    return second !== undefined && first.service === second.service && first.address === second.address
+        && first.zone === second.zone && first.slots === second.slots && first.startedAt === second.startedAt
+        && first.coldMilliseconds === second.coldMilliseconds;
+}
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -182,6 +182,10 @@
         When 195 instances elect watchers of the store for 2 seconds while the store serves nobody
         Then at most 4 of them have called it
 
+    Scenario: a changed address of a target in a list read from the store counts as a change for peers
+        When a target changes only its address, and the store is listed
+        Then the revision of the latest change is that of the list
+
     Scenario: a stream that arrives in arbitrary chunks is split into its events, each once
         When a stream of 20 events arrives in random chunks
         Then the chunks are split into the events that were sent
--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -23,6 +23,16 @@
         Then the response of the serving process has the status 503
         And the caller is told to retry soon, and no engine has received the request
 
+    Scenario Outline: a request with <bytes> bytes of headers gets the status <status> if the configuration allows 16384
+        Given a serving site
+        When a caller sends a "stamp" with a header of <bytes> bytes
+        Then the response has the status <status> and is whole
+
+        Examples:
+            | bytes | status |
+            | 15000 | 200    |
+            | 17000 | 431    |
+
     Scenario: SIGHUP reloads the settings file, and an invalid file changes nothing
         Given a running serving process
         When the settings file changes and the serving process receives SIGHUP
--- a/features/platform/restore.feature
+++ b/features/platform/restore.feature
@@ -103,6 +103,10 @@
         And the store is restored from the copy 1 times without an outage
         Then both instances are registered within 3500 ms
 
+    Scenario: a conditional update with a version of an earlier era conflicts, although its revision was given out again
+        When a value is written, the store is restored from a copy, and another value gets the same revision
+        Then an update with the first version conflicts, a watch from it returns the other value, and its version is greater
+
     Scenario: messages of an instance that knows no eras and no leaving targets are understood
         When a digest without eras and leaving targets is received
         Then it counts as one of era 0 without leaving targets
--- a/features/steps/contract_steps.ts
+++ b/features/steps/contract_steps.ts
@@ -197,8 +197,8 @@
     create: key => ({ kind: "create", key, value: "other" }),
     replace: key => ({ kind: "replace", key, value: "other", version: 99 }),
     read: key => ({ kind: "read", key }),
-    // The stand-in gives its first object this version, so that the object counts as unchanged.
-    watch: key => ({ kind: "watch", key, version: 11, waitMilliseconds: 50 }),
+    // The stand-in gives its first object this revision in its first era, so that the object counts as unchanged.
+    watch: key => ({ kind: "watch", key, version: 2 ** 40 + 11, waitMilliseconds: 50 }),
     list: () => ({ kind: "list", prefix: "a/", after: "" }),
     remove: key => ({ kind: "remove", key }),
     instances: () => ({ kind: "instances" }),
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -756,6 +756,21 @@
     assert.equal(decideStallAction(state), action);
 });
 
+let listedDirectory = new TargetDirectory();
+
+When("a target changes only its address, and the store is listed", function() {
+    listedDirectory = new TargetDirectory();
+    listedDirectory.applySnapshot({ era: 1, revision: 10, targets: [createTarget("one")] }, 0);
+    listedDirectory.applySnapshot({ era: 1, revision: 20, targets: [createTarget("one")] }, 100);
+    assert.equal(listedDirectory.changeRevision, 10);
+    const changed = createTarget("one", { address: "127.0.0.1:2" });
+    listedDirectory.applySnapshot({ era: 1, revision: 30, targets: [changed] }, 200);
+});
+
+Then("the revision of the latest change is that of the list", function() {
+    assert.equal(listedDirectory.changeRevision, 30);
+});
+
 let splitEvents: string[] = [];
 let sentEvents: string[] = [];
 
--- a/features/steps/platform_restore_steps.ts
+++ b/features/steps/platform_restore_steps.ts
@@ -5,9 +5,10 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { PlatformReply } from "../../core/platform/mod.ts";
 import { EvacuatedZones } from "../../core/serving/mod.ts";
 import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
-import { StoreClient, StoreKind, type StoreReply } from "../../platform/mod.ts";
+import { KeyValueStore, StoreClient, StoreKind, type StoreReply } from "../../platform/mod.ts";
 import { parsePeerMessage, type PeerMessage } from "../../serving/mod.ts";
 import { ServingSite, type SiteTarget, StoreStandIn } from "../../support/platform/mod.ts";
 import { findAddresses } from "../../support/processes/mod.ts";
@@ -214,6 +215,47 @@
     }
 });
 
+let keyValueReplies: Record<"first" | "other" | "update" | "watch", PlatformReply> | undefined;
+
+When(
+    "a value is written, the store is restored from a copy, and another value gets the same revision",
+    async function() {
+        const [address = ""] = await findAddresses(1);
+        const store = new StoreStandIn();
+        const server = await openStandIn(store, { address });
+        const client = new KeyValueStore({ address: parseAddress(address), timeoutMilliseconds: 500 });
+        store.takeCopy();
+        const first = await client.call({ kind: "create", key: "things/one", value: "first" });
+        store.loadCopy();
+        const other = await client.call({ kind: "create", key: "things/one", value: "other" });
+        assert.ok(first.kind === "done");
+        const update = await client.call({
+            kind: "replace",
+            key: "things/one",
+            value: "third",
+            version: first.version,
+        });
+        const watch = await client.call({
+            kind: "watch",
+            key: "things/one",
+            version: first.version,
+            waitMilliseconds: 50,
+        });
+        keyValueReplies = { first, other, update, watch };
+        server.close();
+    },
+);
+
+Then(
+    "an update with the first version conflicts, a watch from it returns the other value, and its version is greater",
+    function() {
+        const { first, other, update, watch } = keyValueReplies ?? {};
+        assert.ok(first?.kind === "done" && other?.kind === "done" && other.version > first.version);
+        assert.equal(update?.kind, "conflict");
+        assert.ok(watch?.kind === "object" && watch.object.value === "other");
+    },
+);
+
 let parsedMessage: PeerMessage | undefined;
 
 When("a digest without eras and leaving targets is received", function() {
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -145,6 +145,11 @@
     siteContext.responses.push(await getSite().call({ kind, id: createRequestId(), headers: table.rowsHash() }));
 });
 
+When("a caller sends a {string} with a header of {int} bytes", async function(kind: string, bytes: number) {
+    const headers = { "x-padding": "x".repeat(bytes) };
+    siteContext.responses.push(await getSite().call({ kind, id: createRequestId(), headers }));
+});
+
 Then(/^the response has the status (\d+) and is whole$/, function(status: string) {
     const response = getLastResponse();
     assert.equal(response.status, Number(status), response.body.toString());
--- a/measure/serving/run_serving.ts
+++ b/measure/serving/run_serving.ts
@@ -1,7 +1,7 @@
 /**
  * Compares decisions of the serving process with simpler alternatives in simulations: target selection, with load
- * digests sent under the product's rate limit or at fixed intervals, and moves of generations, planned or all started
- * at once.
+ * digests sent under the product's rate limit or at fixed intervals, moves of generations, planned or all started at
+ * once, and the election of watchers of the store, whose substitutes take over in turn or at once.
  *
  * Flags: `--seeds 1,2,3,4,5`, `--rates 47,70`, `--seconds 20`, `--runs 4,6,9`, `--notice 1700`.
  *
@@ -11,6 +11,7 @@
 import { planMoves, type PlannedMove } from "../../core/serving/mod.ts";
 import { createMoveEngines, simulateMoves } from "../../support/platform/move_simulation.ts";
 import { FixedIntervalLimiter, simulateTargetSelection } from "../../support/platform/target_selection_simulation.ts";
+import { simulateWatcherElection } from "../../support/platform/watcher_election_simulation.ts";
 import { pickPercentile } from "../placement/pick_percentile.ts";
 
 interface ServingOptions {
@@ -104,6 +105,28 @@
     }
 }
 
+/** Fleet sizes, and the situation in which watchers are elected. */
+const ELECTION_SIZES = [6, 73, 195, 340];
+const ELECTION_SITUATIONS = ["the store refuses the first two", "the store serves nobody"];
+const ELECTION_SECONDS = 4;
+
+function printElections(): void {
+    printRow(["takeover", "instances", "called", "unwatched ms", "situation"]);
+    for (const situation of ELECTION_SITUATIONS) {
+        for (const instances of ELECTION_SIZES) {
+            for (const [name, isStaggered] of [["in turn", true], ["at once", false]] as const) {
+                const { callers, unwatchedMilliseconds } = simulateWatcherElection({
+                    instances,
+                    seconds: ELECTION_SECONDS,
+                    situation,
+                    isStaggered,
+                });
+                printRow([name, instances, callers, unwatchedMilliseconds, `  ${situation}`]);
+            }
+        }
+    }
+}
+
 const options = new Command("measure:serving")
     .option("--seeds <list>", "seeds of the simulations", parseNumbers, [1, 2, 3, 4, 5])
     .option("--rates <list>", "generations per second", parseNumbers, [47, 70])
@@ -114,3 +137,4 @@
     .opts<ServingOptions>();
 printPlacements(options);
 printMoves(options);
+printElections();
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -33,6 +33,8 @@
 const NOT_READY_RETRY_SECONDS = 0.5;
 /** Mean `retry-after` of a stopping instance, in seconds; short, since other instances can serve the caller at once. */
 const STOPPING_RETRY_SECONDS = 0.1;
+/** Maximum size of a request's headers, in bytes, whatever limit the configuration sets. */
+const MAX_PARSED_HEADER_BYTES = 65_536;
 /** Limits that apply until a configuration has been received. */
 const INITIAL_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
@@ -74,6 +76,7 @@
         this.#server = await openHttpServer({
             address,
             handler: (request, response) => this.#handleRequest(request, response),
+            maxHeaderSize: MAX_PARSED_HEADER_BYTES,
         });
         this.#server.requestTimeout = 0;
         this.applyLimits(INITIAL_LIMITS);
@@ -143,7 +146,17 @@
     }
 
     async #readRequest(incoming: IncomingMessage, response: ServerResponse): Promise<CallerRequest | undefined> {
-        const maxBytes = this.#context.state.table?.configuration.limits.maxBodyBytes ?? INITIAL_LIMITS.maxBodyBytes;
+        const limits = this.#context.state.table?.configuration.limits ?? INITIAL_LIMITS;
+        const maxBytes = limits.maxBodyBytes;
+        const headerBytes = countHeaderBytes(incoming);
+        if (headerBytes > limits.maxHeaderBytes) {
+            this.#refuse({ request: decodeCallerRequest(incoming, Buffer.alloc(0)), response }, {
+                code: "headers_too_large",
+                message:
+                    `Cannot read the request: its headers have ${headerBytes} bytes, over ${limits.maxHeaderBytes}.`,
+            });
+            return undefined;
+        }
         try {
             const request = decodeCallerRequest(incoming, await readBody(incoming, { maxBytes }));
             if (request.id === "") {
@@ -245,6 +258,12 @@
     }
 }
 
+/** Counts the bytes of a request's headers, including the separators and line endings. */
+function countHeaderBytes({ rawHeaders }: IncomingMessage): number {
+    const separatorBytes = ": \r\n".length * rawHeaders.length / 2;
+    return rawHeaders.reduce((sum, text) => sum + text.length, separatorBytes);
+}
+
 function computeDeadline(call: { request: CallerRequest; arrivedAt: number; }, route: Route): number {
     const callerTimeout = call.request.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS;
     const usableTime = Math.max(1, callerTimeout - RESPONSE_RESERVE_MILLISECONDS);
--- a/support/platform/watcher_election_simulation.ts
+++ b/support/platform/watcher_election_simulation.ts
@@ -14,6 +14,8 @@
     seconds: number;
     /** What happens after one second: a key of `SITUATIONS`. */
     situation: string;
+    /** True if the next instances take over one after the other, false if all do at once. Defaults to true. */
+    isStaggered?: boolean;
 }
 
 /** Result of {@linkcode simulateWatcherElection}. */
@@ -64,7 +66,7 @@
 
 /** Simulates an election that begins with two working watchers. */
 export function simulateWatcherElection(options: WatcherElectionSimulationOptions): WatcherElectionOutcome {
-    const { instances: count, seconds, situation } = options;
+    const { instances: count, seconds, situation, isStaggered = true } = options;
     const names = Array.from({ length: count }, (_, index) => `instance-${index}`);
     const instances = new RendezvousHash(names).listByScore("watch-store").map((name, index): SimulatedInstance => ({
         name,
@@ -84,7 +86,12 @@
             SITUATIONS[situation]?.(instances);
         }
         for (const instance of instances.filter(({ isAlive }) => isAlive)) {
-            stepInstance(instance, { instances, now, callers: now >= SITUATION_AT_MILLISECONDS ? callers : new Set() });
+            stepInstance(instance, {
+                instances,
+                now,
+                callers: now >= SITUATION_AT_MILLISECONDS ? callers : new Set(),
+                isStaggered,
+            });
         }
         const isWatched = instances.some(({ isAlive, isWatching }) => isAlive && isWatching);
         unwatchedMilliseconds = isWatched ? 0 : unwatchedMilliseconds + STEP_MILLISECONDS;
@@ -99,8 +106,9 @@
 
 function stepInstance(
     instance: SimulatedInstance,
-    { instances, now, callers }: { instances: SimulatedInstance[]; now: number; callers: Set<string>; },
+    step: { instances: SimulatedInstance[]; now: number; callers: Set<string>; isStaggered: boolean; },
 ): void {
+    const { instances, now, callers, isStaggered } = step;
     const keepAlive = DIGEST_MILLISECONDS + DIGEST_PER_PEER_MILLISECONDS * (instances.length - 1);
     const peers = instances.flatMap((peer): PeerWatchState[] => {
         const silenceMilliseconds = now - peer.lastDigestAt;
@@ -108,7 +116,10 @@
             ? []
             : [{ instance: peer.name, isWatching: peer.announcesWatching, silenceMilliseconds }];
     });
-    const { takeoverMilliseconds } = classifyWatcher({ instance: instance.name, peers });
+    const election = classifyWatcher({ instance: instance.name, peers });
+    const takeoverMilliseconds = isStaggered || election.takeoverMilliseconds === undefined
+        ? election.takeoverMilliseconds
+        : 0;
     instance.missingSince = takeoverMilliseconds === undefined ? undefined : instance.missingSince ?? now;
     const isElected = takeoverMilliseconds !== undefined
         && now - (instance.missingSince ?? now) >= takeoverMilliseconds;
