--- a/network/http_server.ts
+++ b/network/http_server.ts
@@ -97,12 +97,10 @@
 ): Promise<Buffer> {
     const { maxBytes, budget, onChunk } = options;
     const chunks: Buffer[] = [];
-    let size = 0;
     let taken = 0;
     try {
         for await (const chunk of stream as AsyncIterable<Buffer>) {
-            size += chunk.length;
-            if (size > maxBytes) {
+            if (taken + chunk.length > maxBytes) {
                 throw new BodyTooLargeError(`Cannot read the body: it is longer than ${maxBytes} bytes.`);
             }
             if (budget?.take(chunk.length) === false) {
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -305,8 +305,7 @@
     ): Promise<AttemptResult> {
         const { response: incoming } = targetResponse;
         const splitter = new EventSplitter();
-        let failure = "stream broke off";
-        let hasFailed = false;
+        let failure: string | undefined;
         try {
             for await (const chunk of incoming as AsyncIterable<Buffer>) {
                 targetResponse.recordBody(chunk.length);
@@ -322,7 +321,6 @@
             }
         }
         catch (error) {
-            hasFailed = true;
             failure = error instanceof Error ? error.message : String(error);
         }
         finally {
@@ -336,12 +334,13 @@
         // If only the caller's response is framed, the end of the target's stream cannot be told from an interruption.
         const isEndCertain = targetResponse.head.isFramed || !this.#isCallerResponseFramed;
         if (
-            isEndCertain && !hasFailed && targetResponse.isComplete() && splitter.getPendingBytes().length === 0
+            isEndCertain && failure === undefined && targetResponse.isComplete()
+            && splitter.getPendingBytes().length === 0
             && !this.#exchange.signal.aborted
         ) {
             return { kind: "complete" };
         }
-        const reason = attempt.attemptAbort.signal.aborted ? "stream is silent" : failure;
+        const reason = attempt.attemptAbort.signal.aborted ? "stream is silent" : failure ?? "stream broke off";
         return { kind: "failed", verdict: "may-have-run", reason };
     }
 
