--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -326,6 +326,9 @@
         finally {
             targetResponse.close();
         }
+        if (!targetResponse.head.isFramed) {
+            this.#recordUnframedEnd(targetResponse, { failure, unfinishedBytes: splitter.getPendingBytes().length });
+        }
         // The stream also ends if a move has stopped the generation; only the result of the move shows whether it has.
         const moved = await this.#waitForMove();
         if (moved !== undefined) {
@@ -344,6 +347,22 @@
         return { kind: "failed", verdict: "may-have-run", reason };
     }
 
+    /** Logs how a stream without a length ended, which nothing in the response itself shows. */
+    #recordUnframedEnd(
+        targetResponse: TargetResponse,
+        end: { failure: string | undefined; unfinishedBytes: number; },
+    ): void {
+        this.#context.log.record("trouble", "unframed stream ended", {
+            request: this.#exchange.request.id,
+            target: this.targetId,
+            events: this.#progress.eventCount,
+            unfinishedBytes: end.unfinishedBytes,
+            isClosedInOrder: targetResponse.isComplete(),
+            isMoving: this.isMoving,
+            reason: end.failure,
+        });
+    }
+
     async #waitForMove(): Promise<AttemptResult | undefined> {
         const to = await this.#move?.finishOrCancel();
         return to === undefined || this.#exchange.signal.aborted ? undefined : { kind: "moved", to };
