--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -269,6 +269,23 @@
     }
 });
 
+When("the engines send streams without a length", function() {
+    for (const { standIn } of listEngines()) {
+        standIn.faults.isUnframed = true;
+    }
+});
+
+When("the replies to final copies are lost", function() {
+    for (const { standIn } of listEngines()) {
+        standIn.faults.isFinalCopyReplyLost = true;
+    }
+});
+
+Then("the stream reached its caller in chunks", async function() {
+    const result = await stream?.result;
+    assert.equal(result?.headers["transfer-encoding"], "chunked");
+});
+
 When("the other engine responds with {string} {int} times", function(fault: string, times: number) {
     const otherEngine = listEngines().find(({ standIn }) => standIn.activeGenerations === 0);
     if (otherEngine !== undefined) {
@@ -290,10 +307,15 @@
     },
     "is removed from the store": engine => getSite().store.removeObject("servers", engine.id),
     crashes: engine => engine.standIn.abortGenerations(),
+    // The system closes the connections of a process that ends in an orderly way.
+    ends: engine => {
+        engine.standIn.abortGenerations();
+        engine.opened.close();
+    },
 };
 
 When(
-    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes) after (\d+) events$/,
+    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes|ends) after (\d+) events$/,
     async function(event: string, events: string) {
         await waitForEvents(Number(events));
         const engine = listEngines().find(({ standIn }) => standIn.activeGenerations > 0);
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -18,6 +18,10 @@
     moveStep: string;
     /** HTTP status of the response to that step; 0 to close the connection without a response. */
     moveStatus: number;
+    /** Carries out the final copy of a move, which stops the generation, and closes the connection without a response. */
+    isFinalCopyReplyLost: boolean;
+    /** Sends streams without a length and without chunks; they end with their connection. */
+    isUnframed: boolean;
     /** Reports the state `draining` instead of `ready`. */
     isLeaving: boolean;
     /** Announces its shutdown in a header of all responses. */
@@ -56,6 +60,8 @@
 
 /** Body of each complete response. */
 const RESPONSE_BODY = "the whole answer";
+/** First event of each stream. */
+const FIRST_EVENT = formatEvent(1);
 
 /** Size of one write of an endless response, in bytes. */
 const ENDLESS_WRITE_BYTES = 16 * 1024;
@@ -149,10 +155,18 @@
         target.writeHead(request, response, { "content-length": String(RESPONSE_BODY.length) });
         response.write(RESPONSE_BODY.slice(0, 4), () => response.destroy());
     },
-    "an unframed answer": (target, request, response) => target.sendUnframedResponse(request, response, undefined),
-    "half an unframed answer": (target, request, response) => target.sendUnframedResponse(request, response, 5),
+    "an unframed answer": (target, request, response) =>
+        target.sendUnframedResponse(request, response, { body: RESPONSE_BODY }),
+    "half an unframed answer": (target, request, response) =>
+        target.sendUnframedResponse(request, response, { body: RESPONSE_BODY.slice(0, 4), resetAfter: 5 }),
     "half an unframed answer and a reset at once": (target, request, response) =>
-        target.sendUnframedResponse(request, response, 0),
+        target.sendUnframedResponse(request, response, { body: RESPONSE_BODY.slice(0, 4), resetAfter: 0 }),
+    "an unframed stream that ends before its first event": (target, request, response) =>
+        target.sendUnframedResponse(request, response, { body: "" }),
+    "an unframed stream that ends inside an event": (target, request, response) =>
+        target.sendUnframedResponse(request, response, { body: FIRST_EVENT + "id: 2\ndata: pie" }),
+    "an unframed stream that is reset after an event": (target, request, response) =>
+        target.sendUnframedResponse(request, response, { body: FIRST_EVENT, resetAfter: 0 }),
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
@@ -165,6 +179,8 @@
         faultyAnswers: 0,
         moveStep: "",
         moveStatus: 0,
+        isFinalCopyReplyLost: false,
+        isUnframed: false,
         isLeaving: false,
         announcesLeaving: false,
         pauseSeconds: 0,
@@ -273,11 +289,15 @@
     }
 
     /**
-     * Sends a response without a length, which ends with the connection; if `resetAfter` is given, a partial one and a
-     * reset after that number of milliseconds.
+     * Sends a response without a length, which ends with the connection; if `resetAfter` is given, with a reset after
+     * that number of milliseconds.
      */
-    sendUnframedResponse(request: IncomingMessage, response: ServerResponse, resetAfter: number | undefined): void {
-        const body = resetAfter === undefined ? RESPONSE_BODY : RESPONSE_BODY.slice(0, 4);
+    sendUnframedResponse(
+        request: IncomingMessage,
+        response: ServerResponse,
+        options: { body: string; resetAfter?: number; },
+    ): void {
+        const { body, resetAfter } = options;
         const { socket } = response;
         socket?.write(formatUnframedHead(readRequestId(request)) + body, () => {
             if (resetAfter === undefined) {
@@ -339,6 +359,10 @@
         generation: StandInGeneration,
     ): Promise<void> {
         this.#generations.set(generation.requestId, generation);
+        if (this.faults.isUnframed) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
         this.writeHead(request, response, { "content-type": "text/event-stream" });
         response.on("close", () => {
             if (this.#generations.get(generation.requestId)?.response === response) {
@@ -352,7 +376,7 @@
             await waitMilliseconds(this.#options.eventMilliseconds ?? 15);
             if (this.#generations.get(generation.requestId) === generation) {
                 generation.sentEvents += 1;
-                response.write(`id: ${generation.sentEvents}\ndata: piece ${generation.sentEvents}\n\n`);
+                response.write(formatEvent(generation.sentEvents));
             }
         }
         if (this.#generations.get(generation.requestId) === generation) {
@@ -374,6 +398,10 @@
         const handle = `copy-${step.id}`;
         if (step.last) {
             this.#stopGeneration(generation, handle);
+            if (this.faults.isFinalCopyReplyLost) {
+                response.destroy();
+                return;
+            }
         }
         sendJson(response, { status: 200, value: { handle, created: generation.sentEvents } });
     }
@@ -406,6 +434,10 @@
     }
 }
 
+function formatEvent(number: number): string {
+    return `id: ${number}\ndata: piece ${number}\n\n`;
+}
+
 function readRequestId(request: IncomingMessage): string {
     return String(request.headers["attempt-id"]);
 }
