--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -18,6 +18,7 @@
 export * from "./shutdown_admission.ts";
 export * from "./stall_action.ts";
 export * from "./store_position.ts";
+export * from "./stream_end.ts";
 export * from "./stream_progress.ts";
 export * from "./target_backpressure.ts";
 export * from "./target_directory.ts";
--- /dev/null
+++ b/core/serving/stream_end.ts
@@ -0,0 +1,25 @@
+/**
+ * Decides whether the end of a target's response is the end of its stream.
+ *
+ * Load pattern: a target closes the connection of a response that has neither a length nor chunks. It does so at the
+ * end of the stream, but a target that fails before it has sent an event does so too.
+ *
+ * @module
+ */
+
+/** How a target's response with a stream ended. */
+export interface StreamEnd {
+    /** True if the response has a length or chunks, which show its end. */
+    isFramed: boolean;
+    /** True if the whole response arrived or, without a length and chunks, its connection was closed without a reset. */
+    isClosedInOrder: boolean;
+    /** Number of events that the response completed. */
+    events: number;
+    /** Number of bytes after the last complete event. */
+    unfinishedBytes: number;
+}
+
+/** Checks whether the stream of a response is complete, as far as its end shows. */
+export function isStreamComplete({ isFramed, isClosedInOrder, events, unfinishedBytes }: StreamEnd): boolean {
+    return isClosedInOrder && unfinishedBytes === 0 && (isFramed || events > 0);
+}
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -8,8 +8,10 @@
     estimateOutputTokens,
     EventSplitter,
     isRepeatable,
+    isStreamComplete,
     type RelayedEvent,
     type RequestLoad,
+    type StreamEnd,
     StreamProgress,
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
@@ -305,6 +307,7 @@
     ): Promise<AttemptResult> {
         const { response: incoming } = targetResponse;
         const splitter = new EventSplitter();
+        let eventCount = 0;
         let failure: string | undefined;
         try {
             for await (const chunk of incoming as AsyncIterable<Buffer>) {
@@ -315,6 +318,7 @@
                     attempt.stallDetector.restart();
                 }
                 if (events.length > 0) {
+                    eventCount += events.filter(event => !event.isComment).length;
                     await this.#sendEvents(events);
                     attempt.reservation.recordOutput(this.#outputTokens);
                 }
@@ -326,8 +330,14 @@
         finally {
             targetResponse.close();
         }
-        if (!targetResponse.head.isFramed) {
-            this.#recordUnframedEnd(targetResponse, { failure, unfinishedBytes: splitter.getPendingBytes().length });
+        const end: StreamEnd = {
+            isFramed: targetResponse.head.isFramed,
+            isClosedInOrder: failure === undefined && targetResponse.isComplete(),
+            events: eventCount,
+            unfinishedBytes: splitter.getPendingBytes().length,
+        };
+        if (!end.isFramed) {
+            this.#recordUnframedEnd(end, failure);
         }
         // The stream also ends if a move has stopped the generation; only the result of the move shows whether it has.
         const moved = await this.#waitForMove();
@@ -336,11 +346,7 @@
         }
         // If only the caller's response is framed, the end of the target's stream cannot be told from an interruption.
         const isEndCertain = targetResponse.head.isFramed || !this.#isCallerResponseFramed;
-        if (
-            isEndCertain && failure === undefined && targetResponse.isComplete()
-            && splitter.getPendingBytes().length === 0
-            && !this.#exchange.signal.aborted
-        ) {
+        if (isEndCertain && isStreamComplete(end) && !this.#exchange.signal.aborted) {
             return { kind: "complete" };
         }
         const reason = attempt.attemptAbort.signal.aborted ? "stream is silent" : failure ?? "stream broke off";
@@ -348,18 +354,16 @@
     }
 
     /** Logs how a stream without a length ended, which nothing in the response itself shows. */
-    #recordUnframedEnd(
-        targetResponse: TargetResponse,
-        end: { failure: string | undefined; unfinishedBytes: number; },
-    ): void {
+    #recordUnframedEnd(end: StreamEnd, reason: string | undefined): void {
+        const { events, unfinishedBytes, isClosedInOrder } = end;
         this.#context.log.record("trouble", "unframed stream ended", {
             request: this.#exchange.request.id,
             target: this.targetId,
-            events: this.#progress.eventCount,
-            unfinishedBytes: end.unfinishedBytes,
-            isClosedInOrder: targetResponse.isComplete(),
+            events,
+            unfinishedBytes,
+            isClosedInOrder,
             isMoving: this.isMoving,
-            reason: end.failure,
+            reason,
         });
     }
 
