--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -67,6 +67,8 @@
     startMove(notice: MoveNotice): void;
 }
 
+/** Timeout for fetching a report, in milliseconds; a running engine responds within this time. */
+const REPORT_TIMEOUT_MILLISECONDS = 200;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 
@@ -346,7 +348,9 @@
         }
         // If only the caller's response is framed, the end of the target's stream cannot be told from an interruption.
         const isEndCertain = targetResponse.head.isFramed || !this.#isCallerResponseFramed;
-        if (isEndCertain && isStreamComplete(end) && !this.#exchange.signal.aborted) {
+        const isComplete = isEndCertain && isStreamComplete(end) && !this.#exchange.signal.aborted
+            && (end.isFramed || await this.#isEngineRunning(attempt.reservation));
+        if (isComplete) {
             return { kind: "complete" };
         }
         const reason = attempt.attemptAbort.signal.aborted ? "stream is silent" : failure ?? "stream broke off";
@@ -367,6 +371,15 @@
         });
     }
 
+    /**
+     * Checks whether the engine still runs: the system closes the connections of a process that ends in an orderly way,
+     * as an engine does at the end of a stream. True for a target that is not an engine, which has no report.
+     */
+    async #isEngineRunning({ target }: Reservation): Promise<boolean> {
+        return this.#exchange.service.engine === undefined
+            || await this.#context.engines.fetchReport(target, REPORT_TIMEOUT_MILLISECONDS) !== undefined;
+    }
+
     async #waitForMove(): Promise<AttemptResult | undefined> {
         const to = await this.#move?.finishOrCancel();
         return to === undefined || this.#exchange.signal.aborted ? undefined : { kind: "moved", to };
