--- a/serving/move_operation.ts
+++ b/serving/move_operation.ts
@@ -77,6 +77,8 @@
     #isGenerationStopping = false;
     #reservation: Reservation | undefined;
     #handle: string | undefined;
+    /** True if a final copy was requested and its result is unknown. */
+    #isFinalCopyUnanswered = false;
     /** Reason why the last step received no usable response; `undefined` if it received one. */
     #unansweredReason: string | undefined;
 
@@ -89,6 +91,11 @@
         });
     }
 
+    /** True if the move may have stopped the generation, and it is not known whether it did. */
+    get mayHaveStoppedGeneration(): boolean {
+        return this.#isFinalCopyUnanswered;
+    }
+
     /**
      * Waits for the end of the move if it may have stopped the generation at the source; cancels it otherwise.
      *
@@ -196,6 +203,7 @@
             timeoutMilliseconds: STEP_TIMEOUT_MILLISECONDS,
         });
         this.#unansweredReason = response.kind === "unanswered" ? response.reason : undefined;
+        this.#isFinalCopyUnanswered ||= isFinal && response.kind === "unanswered";
         this.#context.log.record("trouble", "move step", {
             request: requestId,
             source: source.id,
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -349,7 +349,8 @@
         // If only the caller's response is framed, the end of the target's stream cannot be told from an interruption.
         const isEndCertain = targetResponse.head.isFramed || !this.#isCallerResponseFramed;
         const isComplete = isEndCertain && isStreamComplete(end) && !this.#exchange.signal.aborted
-            && (end.isFramed || await this.#isEngineRunning(attempt.reservation));
+            && (end.isFramed || this.#move?.mayHaveStoppedGeneration !== true
+                    && await this.#isEngineRunning(attempt.reservation));
         if (isComplete) {
             return { kind: "complete" };
         }
