--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -151,16 +151,17 @@
 /**
  * Writes the head of a target's response to the caller.
  *
- * A response that is delimited by the close of its connection is relayed in the same way. Only the target knows where
- * the response ends, so a content length added here would declare a truncated response complete.
+ * A buffered response that is delimited by the close of its connection is relayed in the same way: only the target knows
+ * where it ends, so a content length added here would declare a truncated response complete. The end of a stream is
+ * checked, and it always has chunks: without them, the end of this process would look like the end of the stream.
  */
 export function writeResponseHead(
     response: ServerResponse,
-    targetResponse: { head: TargetResponseHead; length?: number; },
+    targetResponse: { head: TargetResponseHead; length?: number; isStream?: boolean; },
 ): void {
-    const { head, length } = targetResponse;
+    const { head, length, isStream = false } = targetResponse;
     const headers = head.headers.flat();
-    if (!head.isFramed) {
+    if (!head.isFramed && !isStream) {
         response.useChunkedEncodingByDefault = false;
         response.shouldKeepAlive = false;
     }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -95,7 +95,6 @@
     readonly #progress: StreamProgress;
     #moves = 0;
     #isAwaitingEventAfterMove = false;
-    #isCallerResponseFramed = true;
     /** Reservation at the target that runs the generation; `undefined` between attempts. */
     #reservation: Reservation | undefined;
     #move: MoveOperation | undefined;
@@ -346,9 +345,7 @@
         if (moved !== undefined) {
             return moved;
         }
-        // If only the caller's response is framed, the end of the target's stream cannot be told from an interruption.
-        const isEndCertain = targetResponse.head.isFramed || !this.#isCallerResponseFramed;
-        const isComplete = isEndCertain && isStreamComplete(end) && !this.#exchange.signal.aborted
+        const isComplete = isStreamComplete(end) && !this.#exchange.signal.aborted
             && (end.isFramed || this.#move?.mayHaveStoppedGeneration !== true
                     && await this.#isEngineRunning(attempt.reservation));
         if (isComplete) {
@@ -391,9 +388,8 @@
         if (response.headersSent || response.destroyed) {
             return;
         }
-        writeResponseHead(response, { head });
+        writeResponseHead(response, { head, isStream: true });
         response.flushHeaders();
-        this.#isCallerResponseFramed = head.isFramed;
     }
 
     async #sendEvents(events: readonly RelayedEvent[]): Promise<void> {
