--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -114,6 +114,10 @@
         for (const service of ["ledger", "ledger", "ledger", "engines", "engines", "engines"]) {
             await this.#addTarget(service);
         }
+        const unframedEngine = this.#site.targets.find(({ service }) => service === "engines");
+        if (unframedEngine !== undefined) {
+            unframedEngine.standIn.faults.isUnframed = true;
+        }
         const { instances = 3 } = this.#options;
         for (let index = 0; index < instances; index += 1) {
             await this.#addInstance(index);
