--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -81,8 +81,15 @@
     load: number;
     /** Duration of the attempt, in milliseconds. */
     milliseconds: number;
+    /** Time from the start of the attempt to the head of the response, in milliseconds; absent if no head arrived. */
+    headMilliseconds?: number;
+    /** Number of events that the attempt has sent to the caller; absent unless the response is a stream. */
+    events?: number;
 }
 
+/** Maximum number of a prompt's parts in a log line; a prompt may have many more. */
+const MAX_LOGGED_PROMPT_PARTS = 12;
+
 /** Reserves a target for one attempt at a request. */
 export function reserveForAttempt(
     context: ServingContext,
@@ -105,14 +112,16 @@
 /** Describes a finished attempt for the log. */
 export function describeAttempt(
     reservation: Reservation,
-    attempt: { result: string; startedAt: number; now: number; },
+    attempt: { result: string; startedAt: number; now: number; headAt: number | undefined; events?: number; },
 ): AttemptRecord {
-    const { result, startedAt, now } = attempt;
+    const { result, startedAt, now, headAt, events } = attempt;
     return {
         target: reservation.target.id,
         result,
         load: Number(reservation.score.toFixed(2)),
         milliseconds: Math.round(now - startedAt),
+        ...headAt === undefined ? {} : { headMilliseconds: Math.round(headAt - startedAt) },
+        ...events === undefined ? {} : { events },
     };
 }
 
@@ -144,10 +153,18 @@
         targetsRevision: context.state.directory.revision,
         milliseconds: Math.round(context.clock.getMonotonic() - arrivedAt),
         attempts: outcome.attempts,
+        ...service.engine === undefined ? {} : describePrompt(request),
         ...outcome.detail,
     });
 }
 
+/** Describes the parts of a request's prompt for the log; of a long prompt, the first ones and their number. */
+function describePrompt({ promptParts }: Pick<CallerRequest, "promptParts">): Record<string, unknown> {
+    return promptParts.length <= MAX_LOGGED_PROMPT_PARTS
+        ? { promptParts }
+        : { promptParts: promptParts.slice(0, MAX_LOGGED_PROMPT_PARTS), promptPartCount: promptParts.length };
+}
+
 /**
  * Writes the head of a target's response to the caller.
  *
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -92,6 +92,8 @@
     #moves = 0;
     #isAwaitingEventAfterMove = false;
     #isCallerResponseFramed = true;
+    /** Time at which the head of the current attempt's response arrived; `undefined` before. */
+    #headAt: number | undefined;
     /** Reservation at the target that runs the generation; `undefined` between attempts. */
     #reservation: Reservation | undefined;
     #move: MoveOperation | undefined;
@@ -207,21 +209,27 @@
 
     async #runAttempt(reservation: Reservation, copy: KvCacheCopy | undefined): Promise<AttemptResult> {
         const startedAt = this.#now;
+        const previousEvents = this.#progress.eventCount;
         this.#reservation = reservation;
         this.#move = undefined;
+        this.#headAt = undefined;
         const result = await this.#sendAndRelay(reservation, copy).finally(() => {
             this.#reservation = undefined;
             reservation.release();
         });
-        this.#recordAttempt(reservation, { result, startedAt });
+        this.#recordAttempt(reservation, { result, startedAt, events: this.#progress.eventCount - previousEvents });
         return result;
     }
 
-    #recordAttempt(reservation: Reservation, attempt: { result: AttemptResult; startedAt: number; }): void {
+    #recordAttempt(
+        reservation: Reservation,
+        attempt: { result: AttemptResult; startedAt: number; events: number; },
+    ): void {
         const { state, metrics } = this.#context;
-        const { result, startedAt } = attempt;
+        const { result, startedAt, events } = attempt;
         const name = result.kind === "failed" ? result.reason : result.kind;
-        this.#attempts.push(describeAttempt(reservation, { result: name, startedAt, now: this.#now }));
+        const times = { startedAt, headAt: this.#headAt, now: this.#now };
+        this.#attempts.push(describeAttempt(reservation, { ...times, result: name, events }));
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
         if (result.kind === "moved" || this.#progress.eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
@@ -259,6 +267,7 @@
                 copy,
                 signal: AbortSignal.any([this.#exchange.signal, attemptAbort.signal]),
             }));
+            this.#headAt = this.#now;
             return await this.#handleResponse(targetResponse, { reservation, attemptAbort, stallDetector });
         }
         catch (error) {
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -57,6 +57,8 @@
     #retryAfterSeconds = 0.2;
     /** Last error response of a target, relayed to the caller if no later attempt succeeds. */
     #lastFailure: { head: TargetResponseHead; body: Buffer; } | undefined;
+    /** Time at which the head of the current attempt's response arrived; `undefined` before. */
+    #headAt: number | undefined;
 
     constructor(context: ServingContext, exchange: CallerExchange) {
         this.#context = context;
@@ -94,9 +96,11 @@
     async #runAttempt(reservation: Reservation): Promise<AttemptResult> {
         const { clock, state, metrics } = this.#context;
         const startedAt = clock.getMonotonic();
+        this.#headAt = undefined;
         const result = await this.#sendToTarget(reservation).finally(reservation.release);
         const name = result.kind === "answered" ? String(result.head.status) : result.reason;
-        this.#attempts.push(describeAttempt(reservation, { result: name, startedAt, now: clock.getMonotonic() }));
+        const times = { startedAt, headAt: this.#headAt, now: clock.getMonotonic() };
+        this.#attempts.push(describeAttempt(reservation, { ...times, result: name }));
         metrics.countAttempt(this.#exchange.service.name, result.kind === "answered" ? "answered" : result.verdict);
         if (!this.#exchange.isCallerDisconnected()) {
             const isUnreachable = result.kind === "failed" && result.isUnreachable === true;
@@ -118,6 +122,7 @@
                 remainingMilliseconds: this.#remainingMilliseconds,
                 signal: AbortSignal.any([this.#exchange.signal, timeout]),
             }));
+            this.#headAt = this.#context.clock.getMonotonic();
             this.#context.state.applyTargetNotice(reservation.target, targetResponse.head);
             const body = await this.#context.connections.readResponseBody(targetResponse);
             return this.#classifyResponse({ head: targetResponse.head, body, isComplete: targetResponse.isComplete() });
