--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -11,6 +11,7 @@
 export * from "./load_tracker.ts";
 export * from "./move_action.ts";
 export * from "./plan_moves.ts";
+export * from "./prompt_quarantine.ts";
 export * from "./queue_admission.ts";
 export * from "./route_table.ts";
 export * from "./serving_types.ts";
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -8,8 +8,12 @@
 import {
     ColdRateShare,
     DigestReason,
+    type EngineCrash,
     EvacuatedZones,
     LoadTracker,
+    type PromptEvidence,
+    PromptQuarantine,
+    type QuarantinedPart,
     RetryBudgetShare,
     RouteTable,
     type ServiceDefinition,
@@ -93,6 +97,8 @@
     readonly health = new TargetHealth();
     /** Targets that have asked this instance to send nothing for a time. */
     readonly backpressure = new TargetBackpressure();
+    /** Parts of prompts that crash engines. */
+    readonly promptQuarantine = new PromptQuarantine();
     /** This instance's share of the request rate of cold targets. */
     readonly coldRateShare: ColdRateShare;
     #settings: InstanceSettings;
@@ -265,6 +271,52 @@
         }
     }
 
+    /** Records that an engine has answered a request; `parts` are those of its prompt that it may share with others. */
+    recordPromptAnswered(parts: readonly string[]): void {
+        this.promptQuarantine.recordAnswered(parts, this.#now());
+        this.expireQuarantines();
+    }
+
+    /** Records that an engine crashed when it began to answer a request; peers are informed at once. */
+    recordEngineCrash(crash: EngineCrash): void {
+        const { parts, target } = crash;
+        this.#options.log.record("belief", "engine crash observed", { parts, target });
+        this.#logQuarantined(this.promptQuarantine.recordCrash(crash, this.#now()), "target");
+        this.expireQuarantines();
+        this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+    }
+
+    /** Finds a quarantined part among those parts of a prompt that it may share with others. */
+    findQuarantined(parts: readonly string[]): QuarantinedPart | undefined {
+        return this.promptQuarantine.findQuarantined(parts, this.#now());
+    }
+
+    /** Merges what a peer has told of crashes and of parts of prompts. */
+    applyPromptEvidence(instance: string, evidence: PromptEvidence): void {
+        const now = this.#now();
+        const previous = new Set(this.promptQuarantine.getEvidence(now).sound);
+        const quarantined = this.promptQuarantine.applyPeerEvidence(instance, evidence, now);
+        this.#logQuarantined(quarantined, `peer ${instance}`);
+        this.expireQuarantines();
+        // Many instances may have had answers on the part, so that none of them needs to send more digests than usual.
+        if (this.promptQuarantine.getEvidence(now).sound.some(part => !previous.has(part))) {
+            this.loadTracker.onEngineLoadChange(DigestReason.loadDecreased);
+        }
+    }
+
+    /** Adopts the quarantines that the store or a peer lists. */
+    applyQuarantined(quarantined: readonly QuarantinedPart[], source: StateSource): void {
+        this.#logQuarantined(this.promptQuarantine.applyQuarantined(quarantined, this.#now()), source);
+        this.expireQuarantines();
+    }
+
+    /** Logs the quarantines that have ended. */
+    expireQuarantines(): void {
+        for (const { part, reason } of this.promptQuarantine.takeReleased(this.#now())) {
+            this.#options.log.record("belief", "prompt part released", { part, reason });
+        }
+    }
+
     /** Records that a target wants no requests from a peer, which shows that it is overloaded. */
     recordPausedForPeer(id: string): void {
         const now = this.#now();
@@ -343,6 +395,17 @@
         }));
     }
 
+    #logQuarantined(quarantined: readonly QuarantinedPart[], source: StateSource): void {
+        for (const { part, crashes, remainingMilliseconds } of quarantined) {
+            this.#options.log.record("belief", "prompt part quarantined", {
+                part,
+                crashes,
+                milliseconds: remainingMilliseconds,
+                source,
+            });
+        }
+    }
+
     #publishZones(previous: string[], source: StateSource): void {
         const zones = this.#zones.listZones();
         const { snapshot } = this.#zones;
