--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -192,14 +192,23 @@
         return this.#classifyWatcher().rank === 0;
     }
 
-    #classifyWatcher(): WatcherElection {
+    /** True if this instance writes to the store on behalf of all: the first one whose watches of the store work. */
+    get isStoreWriter(): boolean {
+        return this.#options.isWatching() && this.#classifyWatcher(1).takeoverMilliseconds !== undefined;
+    }
+
+    #classifyWatcher(watchers?: number): WatcherElection {
         const now = this.#options.clock.getMonotonic();
         const peers = [...this.#peers].flatMap(([instance, { lastDigestAt, isWatching, isLost }]) =>
             lastDigestAt === undefined || isLost
                 ? []
                 : [{ instance, isWatching, silenceMilliseconds: now - lastDigestAt }]
         );
-        return classifyWatcher({ instance: this.#options.instance, peers });
+        return classifyWatcher({
+            instance: this.#options.instance,
+            peers,
+            ...watchers === undefined ? {} : { watchers },
+        });
     }
 
     /** Requests state, with the list of all instances, from a random peer. */
@@ -331,6 +340,7 @@
         for (const target of message.paused) {
             this.#options.state.recordPausedForPeer(target);
         }
+        this.#options.state.applyPromptEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
     }
 
@@ -341,6 +351,7 @@
         const reply: StateMessage = {
             kind: "belief",
             instance,
+            quarantined: state.promptQuarantine.listQuarantined(this.#options.clock.getMonotonic()),
             peers: {
                 [instance]: this.#ownAddress,
                 ...Object.fromEntries([...this.#peers].map(([name, peer]) => [name, peer.address])),
@@ -408,6 +419,7 @@
         if (message.zones !== undefined) {
             state.applyZones(message.zones, source);
         }
+        state.applyQuarantined(message.quarantined, source);
         for (const [name, address] of Object.entries(message.peers)) {
             this.#addPeer(name, address);
         }
@@ -470,6 +482,7 @@
             unreachable: this.#options.state.listUnreachable(),
             leaving: this.#options.state.directory.listAnnouncedLeaving(),
             paused: this.#options.state.backpressure.listPaused(now),
+            promptEvidence: this.#options.state.promptQuarantine.getEvidence(now),
             versions: this.#getVersions(),
             isWatching: this.#options.isWatching(),
         };
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -4,7 +4,15 @@
  * @module
  */
 import * as v from "valibot";
-import type { LoadDigest, ServingConfiguration, TargetSnapshot, ZoneSnapshot } from "../core/serving/mod.ts";
+import {
+    EMPTY_PROMPT_EVIDENCE,
+    type LoadDigest,
+    type PromptEvidence,
+    type QuarantinedPart,
+    type ServingConfiguration,
+    type TargetSnapshot,
+    type ZoneSnapshot,
+} from "../core/serving/mod.ts";
 import type { StoreUpdate } from "./serving_state.ts";
 
 /** Versions of the state that an instance has. */
@@ -45,6 +53,8 @@
     leaving: RefusingTarget[];
     /** Identifiers of targets that want no requests from the sender for now. */
     paused: string[];
+    /** Crashes that the sender has observed, and what it knows of parts of prompts under suspicion. */
+    promptEvidence: PromptEvidence;
     /** Versions of the sender's state. */
     versions: StateVersions;
     /** True if the sender watches the store and all its watches work. */
@@ -81,6 +91,8 @@
     targets?: TargetSnapshot;
     /** Evacuated zones, if the sender's list is newer. */
     zones?: ZoneSnapshot;
+    /** Parts of prompts that the sender holds in quarantine. */
+    quarantined: QuarantinedPart[];
     /** Addresses of all instances known to the sender, by name. */
     peers: Record<string, string>;
 }
@@ -95,6 +107,20 @@
     zones: v.number(),
     zonesEra: v.optional(v.number(), 0),
 });
+const QuarantinedSchema = v.array(
+    v.object({ part: v.string(), remainingMilliseconds: v.number(), crashes: v.number() }),
+);
+const PromptEvidenceSchema = v.object({
+    crashes: v.array(v.object({
+        part: v.string(),
+        position: v.number(),
+        target: v.string(),
+        startedAt: v.number(),
+        ageMilliseconds: v.number(),
+    })),
+    sound: v.array(v.string()),
+    quarantined: QuarantinedSchema,
+});
 const LoadDigestSchema = v.record(v.string(), v.tuple([v.number(), v.number(), v.number()]));
 
 const MessageSchema = v.variant("kind", [
@@ -106,6 +132,7 @@
         unreachable: v.array(v.string()),
         leaving: v.optional(v.array(v.object({ id: v.string(), startedAt: v.number() })), []),
         paused: v.optional(v.array(v.string()), []),
+        promptEvidence: v.optional(PromptEvidenceSchema, EMPTY_PROMPT_EVIDENCE),
         versions: VersionsSchema,
         isWatching: v.boolean(),
     }),
@@ -123,6 +150,7 @@
         configuration: v.optional(v.custom<ServingConfiguration>(value => typeof value === "object")),
         targets: v.optional(v.custom<TargetSnapshot>(value => typeof value === "object")),
         zones: v.optional(v.custom<ZoneSnapshot>(value => typeof value === "object")),
+        quarantined: v.optional(QuarantinedSchema, []),
         peers: v.record(v.string(), v.string()),
     }),
 ]);
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -14,6 +14,8 @@
     type PromptEvidence,
     PromptQuarantine,
     type QuarantinedPart,
+    type ReleasedPart,
+    ReleaseReason,
     RetryBudgetShare,
     RouteTable,
     type ServiceDefinition,
@@ -274,7 +276,9 @@
     /** Records that an engine has answered a request; `parts` are those of its prompt that it may share with others. */
     recordPromptAnswered(parts: readonly string[]): void {
         this.promptQuarantine.recordAnswered(parts, this.#now());
-        this.expireQuarantines();
+        if (this.expireQuarantines().some(({ reason }) => reason === ReleaseReason.answered)) {
+            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+        }
     }
 
     /** Records that an engine crashed when it began to answer a request; peers are informed at once. */
@@ -310,11 +314,13 @@
         this.expireQuarantines();
     }
 
-    /** Logs the quarantines that have ended. */
-    expireQuarantines(): void {
-        for (const { part, reason } of this.promptQuarantine.takeReleased(this.#now())) {
+    /** Logs and returns the quarantines that have ended since the last call. */
+    expireQuarantines(): ReleasedPart[] {
+        const released = this.promptQuarantine.takeReleased(this.#now());
+        for (const { part, reason } of released) {
             this.#options.log.record("belief", "prompt part released", { part, reason });
         }
+        return released;
     }
 
     /** Records that a target wants no requests from a peer, which shows that it is overloaded. */
