--- a/features/platform/prompt_crashes.feature
+++ b/features/platform/prompt_crashes.feature
@@ -2,7 +2,9 @@
 Feature: Prompts that crash engines
 
     A prompt consists of parts, which the header "prompt-prefix" lists by identifier. The last part is the request's
-    own; requests share the others.
+    own; requests share the others. An engine may crash whenever it begins to answer a prompt with a certain part: it
+    sends the head of its response and the start of an event, ends, and is back after two seconds. "contact" is the time
+    within which instances have told each other, 3 seconds.
 
     Scenario Outline: the log shows how far an attempt at an engine got that ended with <fault>
         Given a serving site
@@ -22,3 +24,17 @@
         Given a serving site
         When a caller sends a "verdict" whose prompt has 40 parts
         Then the log line of the request lists 12 prompt parts of 40
+
+    Scenario: requests with one prompt part that crashes engines stop reaching engines
+        Given a serving site with 3 instances and 6 engines
+        When sound requests are sent to all instances for 1500 ms
+        And requests with a part that crashes engines are sent beside them for 10000 ms
+        Then at most 5 engines have ended
+        And at most 3 requests with that part reached engines later than 3 seconds after the fifth crash
+        And from 6 seconds after the fifth or last crash on at least half as many sound requests as before were served at the first attempt
+        And the requests with that part were refused as not run in the last 4 seconds, and those refused reached no engine
+
+    Scenario: a request that has crashed an engine is not sent to another
+        Given a serving site
+        When a caller sends a "verdict" with a prompt part that crashes engines
+        Then 1 engine has ended
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -55,6 +55,9 @@
     signal?: AbortSignal;
 }
 
+/** Time from the crash of a target until it accepts connections again, in milliseconds. */
+const RESTART_MILLISECONDS = 2000;
+
 /** API key of the site's only account. */
 export const SITE_API_KEY = "key-of-the-night-shift";
 
@@ -130,6 +133,7 @@
     readonly kvCopies: KvCopies = new Map();
     #openedStore: OpenedStandIn | undefined;
     #storeAddress = "";
+    #isClosed = false;
 
     /** Address of the store, as `IP:port`. */
     get storeAddress(): string {
@@ -147,9 +151,10 @@
     async addTarget(service: string, options: { eventMilliseconds?: number; } = {}): Promise<SiteTarget> {
         const [address = ""] = await findAddresses(1);
         const id = `${service}-${this.targets.length + 1}`;
-        const standIn = new TargetStandIn({ id, kvCopies: this.kvCopies, ...options });
+        const closeServer = (): void => void this.#restartTarget(target);
+        const standIn = new TargetStandIn({ id, kvCopies: this.kvCopies, closeServer, ...options });
         const opened = await openStandIn(standIn, { address });
-        const target = { id, service, address, standIn, opened };
+        const target: SiteTarget = { id, service, address, standIn, opened };
         this.targets.push(target);
         this.writeTarget(target);
         return target;
@@ -252,6 +257,7 @@
 
     /** Stops all instances, targets and the store. */
     close(): void {
+        this.#isClosed = true;
         for (const target of this.targets) {
             target.opened.close();
         }
@@ -261,6 +267,16 @@
         }
     }
 
+    /** Closes the server of a target that has crashed, and opens it again with a new start time. */
+    async #restartTarget(target: SiteTarget): Promise<void> {
+        target.opened.close();
+        await waitMilliseconds(RESTART_MILLISECONDS);
+        if (!this.#isClosed) {
+            target.opened = await openStandIn(target.standIn, { address: target.address });
+            this.writeTarget(target, { born: 1000 + target.standIn.crashes.length });
+        }
+    }
+
     #getInstance(index: number): SiteInstance {
         const instance = this.instances[index];
         if (instance === undefined) {
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -24,6 +24,8 @@
     announcesLeaving: boolean;
     /** Seconds that a refusal asks the sender to wait; 0 to ask for no pause. */
     pauseSeconds: number;
+    /** Part of prompts on which the target crashes when it begins to answer; empty for none. */
+    crashingPart: string;
 }
 
 /** A running generation, or the copy of its KV cache. */
@@ -50,6 +52,8 @@
     streamEvents?: number;
     /** Interval between the events of a stream, in milliseconds. Defaults to 15. */
     eventMilliseconds?: number;
+    /** Closes the server of the target, whose process has crashed. Defaults to no action. */
+    closeServer?: () => void;
 }
 
 type SendResponse = (target: TargetStandIn, request: IncomingMessage, response: ServerResponse) => void;
@@ -62,6 +66,9 @@
 /** Interval between the bytes of a response that trickles, in milliseconds. */
 const TRICKLE_MILLISECONDS = 50;
 
+/** Time from the first bytes of an answer to the crash that it causes, in milliseconds. */
+const CRASH_DELAY_MILLISECONDS = 20;
+
 /** Builds a function that sends `start` and then `repeated`, as fast as the connection takes it, until it is closed. */
 function buildEndlessResponse(start: (requestId: string) => string, repeated: string): SendResponse {
     return (target, request) => {
@@ -168,7 +175,10 @@
         isLeaving: false,
         announcesLeaving: false,
         pauseSeconds: 0,
+        crashingPart: "",
     };
+    /** Times of the crashes of the target, on the monotonic clock in milliseconds. */
+    readonly crashes: number[] = [];
     readonly #options: TargetStandInOptions;
     /** Received requests, in order. */
     readonly arrivals: { requestId: string; headers: Record<string, unknown>; at: number; }[] = [];
@@ -309,6 +319,10 @@
             return;
         }
         this.started.push(readRequestId(request));
+        if (this.faults.crashingPart !== "" && listPromptParts(request).includes(this.faults.crashingPart)) {
+            await this.#crash(request, response);
+            return;
+        }
         if (request.headers["token-counts"] === undefined) {
             this.sendResponse(request, response, { status: 200 });
             return;
@@ -322,6 +336,19 @@
         });
     }
 
+    /** Sends the head and a part of the first event, and then crashes. */
+    async #crash(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.writeHead(request, response, { "content-type": "text/event-stream" });
+        response.write("id: 1\ndata: pie");
+        await waitMilliseconds(CRASH_DELAY_MILLISECONDS);
+        // Another request may have crashed the process in the meantime.
+        if (!response.destroyed) {
+            this.crashes.push(performance.now());
+            this.abortGenerations();
+            this.#options.closeServer?.();
+        }
+    }
+
     async #resumeGeneration(request: IncomingMessage, response: ServerResponse, handle: string): Promise<void> {
         const generation = this.#options.kvCopies.get(handle);
         if (generation === undefined) {
@@ -406,6 +433,10 @@
     }
 }
 
+function listPromptParts(request: IncomingMessage): string[] {
+    return String(request.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
+}
+
 function readRequestId(request: IncomingMessage): string {
     return String(request.headers["attempt-id"]);
 }
