--- a/core/serving/prompt_quarantine.ts
+++ b/core/serving/prompt_quarantine.ts
@@ -135,6 +135,8 @@
     /** Time of the release of parts that peers may still hold in quarantine. */
     readonly #releasedAt = new Map<string, number>();
     readonly #statements = new Map<string, PeerStatement>();
+    /** Answered parts in the latest evidence for peers. */
+    #toldSound: ReadonlySet<string> = new Set();
     /** Releases that have not been taken yet. */
     #released: ReleasedPart[] = [];
 
@@ -223,9 +225,17 @@
                 ageMilliseconds: Math.round(now - at),
             }));
         const sound = this.#listSuspects(now).filter(part => this.#isAnswered(part, now)).slice(0, MAX_TOLD_PARTS);
+        this.#toldSound = new Set(sound);
         return { crashes, sound, quarantined: this.listQuarantined(now).slice(0, MAX_TOLD_PARTS) };
     }
 
+    /** Checks whether a peer suspects a part of whose answers {@linkcode getEvidence} has not told yet. */
+    hasUntoldAnswer(evidence: PromptEvidence, now: number): boolean {
+        return [...evidence.crashes, ...evidence.quarantined].some(({ part }) =>
+            this.#isAnswered(part, now) && !this.#toldSound.has(part)
+        );
+    }
+
     /** Finds a quarantined part among the parts of a prompt; of several, the one whose quarantine ends last. */
     findQuarantined(parts: readonly string[], now: number): QuarantinedPart | undefined {
         if (this.#quarantines.size === 0) {
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -298,12 +298,11 @@
     /** Merges what a peer has told of crashes and of parts of prompts. */
     applyPromptEvidence(instance: string, evidence: PromptEvidence): void {
         const now = this.#now();
-        const previous = new Set(this.promptQuarantine.getEvidence(now).sound);
         const quarantined = this.promptQuarantine.applyPeerEvidence(instance, evidence, now);
         this.#logQuarantined(quarantined, `peer ${instance}`);
         this.expireQuarantines();
         // Many instances may have had answers on the part, so that none of them needs to send more digests than usual.
-        if (this.promptQuarantine.getEvidence(now).sound.some(part => !previous.has(part))) {
+        if (this.promptQuarantine.hasUntoldAnswer(evidence, now)) {
             this.loadTracker.onEngineLoadChange(DigestReason.loadDecreased);
         }
     }
