--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -14,6 +14,7 @@
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
 import { MoveCoordinator } from "./move_coordinator.ts";
 import { PeerExchange } from "./peer_exchange.ts";
+import { QuarantineStore } from "./quarantine_store.ts";
 import { RequestScheduler } from "./request_scheduler.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
 import { ServingState } from "./serving_state.ts";
@@ -68,6 +69,7 @@
     readonly #store: StoreClient;
     readonly #storeWatcher: StoreWatcher;
     readonly #peerExchange: PeerExchange;
+    readonly #quarantineStore: QuarantineStore;
     readonly #scheduler: RequestScheduler;
     readonly #connections = new TargetConnections();
     readonly #metrics: ServingMetrics;
@@ -113,6 +115,11 @@
             readConfiguration: () => this.#storeWatcher.readKind(StoreKind.configuration),
             readTargets: () => this.#storeWatcher.readKind(StoreKind.targets),
         });
+        this.#quarantineStore = new QuarantineStore({
+            ...shared,
+            store: this.#store,
+            isWriter: () => this.#peerExchange.isStoreWriter,
+        });
         const engines = new EngineClient({ state: this.#state, clock });
         this.#scheduler = new RequestScheduler({ ...shared, zone: settings.zone });
         this.#context = {
@@ -138,6 +145,7 @@
             listStreams: () => this.#callerServer.activeStreams,
         });
         this.#state.restoreListeners.push(() => this.#registerAgain(random() * REGISTRATION_SPREAD_MILLISECONDS));
+        this.#state.restoreListeners.push(() => this.#quarantineStore.handleRestore());
         this.#state.targetListeners.push(change => {
             moveCoordinator.handleChange(change);
             if (change.kind === "leaving" || change.kind === "removed") {
@@ -217,6 +225,7 @@
             configuration: this.#state.table?.configuration.version,
             zones: this.#state.zones,
             targets: this.#state.directory.getSnapshot(),
+            quarantined: this.#state.promptQuarantine.listQuarantined(this.#clock.getMonotonic()),
             work: this.#state.loadTracker.getDigest(),
             instances: this.#state.instances,
             peers: this.#peerExchange.dumpState(),
@@ -284,6 +293,8 @@
         this.#timer = setInterval(() => {
             this.#state.expireMissingTargets();
             this.#state.expireHeldZones();
+            this.#state.expireQuarantines();
+            void this.#quarantineStore.update();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
                 this.#wasReady = isReady;
