--- a/core/serving/prompt_quarantine.ts
+++ b/core/serving/prompt_quarantine.ts
@@ -89,6 +89,8 @@
 const MAX_STARTS_PER_QUARANTINE = 256;
 /** Number of a prompt's parts that a crash puts under suspicion; the later ones are shared less widely. */
 const MAX_PARTS_PER_CRASH = 64;
+/** Length up to which a part can be under suspicion: that of the longest usual hashes. */
+const MAX_PART_CHARACTERS = 128;
 /** Number of entries in each list of a message, which bounds its size. */
 const MAX_TOLD_CRASHES = 128;
 const MAX_TOLD_PARTS = 64;
@@ -106,6 +108,16 @@
     isOwn: boolean;
 }
 
+/** A part with enough crashes for a quarantine. */
+interface Suspect {
+    part: string;
+    /** Number of engine starts that are known to have ended on the part. */
+    crashes: number;
+    /** Latest index of the part in a prompt. */
+    position: number;
+    observations: readonly CrashObservation[];
+}
+
 /** A present or past quarantine of a part. */
 interface Quarantine {
     until: number;
@@ -162,7 +174,9 @@
      */
     recordCrash(crash: EngineCrash, now: number): QuarantinedPart[] {
         const { target, startedAt } = crash;
-        const suspects = crash.parts.map((part, position) => ({ part, position })).slice(-MAX_PARTS_PER_CRASH);
+        const suspects = crash.parts.map((part, position) => ({ part, position }))
+            .filter(({ part }) => part.length <= MAX_PART_CHARACTERS)
+            .slice(-MAX_PARTS_PER_CRASH);
         const observed = suspects.filter(suspect =>
             this.#addObservation({ ...suspect, target, startedAt, at: now, isOwn: true })
         );
@@ -187,7 +201,6 @@
                 quarantined: new Set(quarantined.map(({ part }) => part)),
             });
         }
-        this.#expireObservations(now);
         const observed = evidence.crashes.slice(0, MAX_TOLD_CRASHES).filter(({ ageMilliseconds, ...crash }) =>
             ageMilliseconds <= CRASH_WINDOW_MILLISECONDS
             && this.#addObservation({ ...crash, at: now - Math.max(0, ageMilliseconds), isOwn: false })
@@ -207,13 +220,15 @@
         const adopted = quarantined.slice(0, MAX_QUARANTINES)
             .sort((a, b) => b.crashes - a.crashes)
             .filter(entry => this.#adoptQuarantine(entry, now));
-        this.#releaseExplained(now);
+        if (adopted.length > 0) {
+            this.#releaseExplained(now);
+        }
         return adopted.filter(({ part }) => this.#isQuarantined(part, now));
     }
 
     /** Gets what the other instances need to know. */
     getEvidence(now: number): PromptEvidence {
-        this.#expireObservations(now);
+        this.#expireEvidence(now);
         const crashes = [...this.#observations.values()]
             .filter(({ part, isOwn }) => isOwn && !this.#isVouchedFor(part, now))
             .slice(-MAX_TOLD_CRASHES)
@@ -224,7 +239,7 @@
                 startedAt,
                 ageMilliseconds: Math.round(now - at),
             }));
-        const sound = this.#listSuspects(now).filter(part => this.#isAnswered(part, now)).slice(0, MAX_TOLD_PARTS);
+        const sound = this.#listSuspects().filter(part => this.#isAnswered(part, now)).slice(0, MAX_TOLD_PARTS);
         this.#toldSound = new Set(sound);
         return { crashes, sound, quarantined: this.listQuarantined(now).slice(0, MAX_TOLD_PARTS) };
     }
@@ -294,12 +309,17 @@
         return true;
     }
 
-    #expireObservations(now: number): void {
+    #expireEvidence(now: number): void {
         for (const [key, { at }] of this.#observations) {
             if (now - at > CRASH_WINDOW_MILLISECONDS) {
                 this.#observations.delete(key);
             }
         }
+        for (const [peer, { receivedAt }] of this.#statements) {
+            if (now - receivedAt > STATEMENT_RETENTION_MILLISECONDS) {
+                this.#statements.delete(peer);
+            }
+        }
     }
 
     /**
@@ -309,9 +329,15 @@
      */
     #quarantineSuspects(parts: readonly string[], now: number): QuarantinedPart[] {
         const quarantined: QuarantinedPart[] = [];
-        this.#expireObservations(now);
-        for (let remaining = [...new Set(parts)]; remaining.length > 0;) {
-            const suspects = remaining.flatMap(part => this.#findSuspect(part, now) ?? []);
+        if (parts.length === 0) {
+            return quarantined;
+        }
+        this.#expireEvidence(now);
+        const observations = this.#groupObservations(parts);
+        for (let remaining = [...observations.keys()]; remaining.length > 0;) {
+            const suspects = remaining.flatMap(part =>
+                this.#findSuspect(part, observations.get(part) ?? [], now) ?? []
+            );
             const [worst] = suspects.sort((a, b) => b.crashes - a.crashes || b.position - a.position);
             if (worst === undefined) {
                 break;
@@ -324,21 +350,32 @@
         return quarantined;
     }
 
+    /** Collects the observations of some parts, by part. */
+    #groupObservations(parts: readonly string[]): Map<string, CrashObservation[]> {
+        const groups = new Map(parts.map((part): [string, CrashObservation[]] => [part, []]));
+        for (const observation of this.#observations.values()) {
+            groups.get(observation.part)?.push(observation);
+        }
+        return groups;
+    }
+
     /** Finds the evidence against a part; `undefined` if it does not suffice for a quarantine. */
-    #findSuspect(part: string, now: number): { part: string; crashes: number; position: number; } | undefined {
+    #findSuspect(part: string, crashes: readonly CrashObservation[], now: number): Suspect | undefined {
         if (this.#isQuarantined(part, now) || this.#isVouchedFor(part, now)) {
             return undefined;
         }
         const previous = this.#quarantines.get(part);
-        const observations = [...this.#observations.values()].filter(observation =>
-            observation.part === part && (previous === undefined || observation.at > previous.until)
-        );
+        const newCrashes = crashes.filter(({ at }) => previous === undefined || at > previous.until);
         const minCrashes = previous === undefined ? MIN_CRASHES : 1;
-        if (observations.length < minCrashes || observations.every(crash => this.#isExplained(crash, now))) {
+        if (newCrashes.length < minCrashes || newCrashes.every(crash => this.#isExplained(crash, now))) {
             return undefined;
         }
-        const crashes = (previous?.crashes ?? 0) + observations.length;
-        return { part, crashes, position: Math.max(...observations.map(({ position }) => position)) };
+        return {
+            part,
+            crashes: (previous?.crashes ?? 0) + newCrashes.length,
+            position: Math.max(...newCrashes.map(({ position }) => position)),
+            observations: crashes,
+        };
     }
 
     /** Checks whether the engine start ended on a prompt with a quarantined part. */
@@ -347,9 +384,8 @@
         return [...this.#quarantines].some(([part, { starts }]) => this.#isQuarantined(part, now) && starts.has(start));
     }
 
-    #addQuarantine({ part, crashes }: { part: string; crashes: number; }, now: number): void {
+    #addQuarantine({ part, crashes, observations }: Suspect, now: number): void {
         const previous = this.#quarantines.get(part);
-        const observations = [...this.#observations.values()].filter(observation => observation.part === part);
         const durationMilliseconds = previous === undefined
             ? QUARANTINE_MILLISECONDS
             : Math.min(MAX_QUARANTINE_MILLISECONDS, previous.durationMilliseconds * 2);
@@ -366,20 +402,19 @@
     /** Adopts a quarantine that another instance holds; returns whether the part was not quarantined before. */
     #adoptQuarantine({ part, remainingMilliseconds, crashes }: QuarantinedPart, now: number): boolean {
         const known = this.#quarantines.get(part);
-        const observations = [...this.#observations.values()].filter(observation => observation.part === part);
+        // Each new quarantine has a higher count. An instance that still holds one that has ended must not renew it.
+        const isOutdated = known !== undefined && crashes <= known.crashes;
+        if (isOutdated || remainingMilliseconds <= 0 || this.#isVouchedFor(part, now)) {
+            return false;
+        }
+        const observations = this.#groupObservations([part]).get(part) ?? [];
         const lastCrashAt = Math.max(
             known?.lastCrashAt ?? Number.NEGATIVE_INFINITY,
             ...observations.map(({ at }) => at),
         );
-        const releasedAt = this.#releasedAt.get(part) ?? Number.NEGATIVE_INFINITY;
-        // Each new quarantine has a higher count. An instance that still holds one that has ended must not renew it.
-        const isOutdated = known !== undefined && crashes <= known.crashes
-            || releasedAt > Number.NEGATIVE_INFINITY && lastCrashAt <= releasedAt;
+        const releasedAt = this.#releasedAt.get(part);
         const starts = new Set([...known?.starts ?? [], ...observations.map(formatStart)]);
-        if (
-            isOutdated || remainingMilliseconds <= 0 || this.#isVouchedFor(part, now)
-            || this.#isExplainedByAnother(starts, now)
-        ) {
+        if (releasedAt !== undefined && lastCrashAt <= releasedAt || this.#isExplainedByAnother(starts, now)) {
             return false;
         }
         const wasQuarantined = this.#isQuarantined(part, now);
@@ -459,11 +494,9 @@
     }
 
     /** Lists the parts for which other instances need to know whether this one has had answers. */
-    #listSuspects(now: number): string[] {
+    #listSuspects(): string[] {
         const observed = [...this.#observations.values()].map(({ part }) => part);
-        const told = [...this.#statements.values()]
-            .filter(({ receivedAt }) => now - receivedAt <= STATEMENT_RETENTION_MILLISECONDS)
-            .flatMap(({ quarantined }) => [...quarantined]);
+        const told = [...this.#statements.values()].flatMap(({ quarantined }) => [...quarantined]);
         return [...new Set([...told, ...this.#quarantines.keys(), ...observed.reverse()])];
     }
 }
--- /dev/null
+++ b/features/steps/prompt_quarantine_steps.ts
@@ -0,0 +1,213 @@
+/**
+ * Steps that check the decisions on parts of prompts that crash engines.
+ *
+ * @module
+ */
+import { Before, type DataTable, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { EMPTY_PROMPT_EVIDENCE, PromptQuarantine } from "../../core/serving/mod.ts";
+import {
+    CRASHING_PART,
+    type PromptQuarantineOutcome,
+    simulatePromptQuarantine,
+} from "../../support/platform/prompt_quarantine_simulation.ts";
+
+/** Name of the peer that tells of evidence. */
+const PEER = "peer";
+
+let quarantine = new PromptQuarantine();
+
+Before({ tags: "@quarantine" }, () => {
+    quarantine = new PromptQuarantine();
+});
+
+function splitNames(names: string): string[] {
+    return names.split(" ").filter(name => name !== "");
+}
+
+When("engines crash on prompts", function(table: DataTable) {
+    for (const { at, parts = "", engine = "", start } of table.hashes()) {
+        const crash = { parts: splitNames(parts), target: engine, startedAt: Number(start) };
+        quarantine.recordCrash(crash, Number(at));
+    }
+});
+
+When("the parts {string} are answered at {int} ms", function(parts: string, at: number) {
+    quarantine.recordAnswered(splitNames(parts), at);
+});
+
+When("a peer tells at {int} ms of the crashes", function(at: number, table: DataTable) {
+    const crashes = table.hashes().map(({ age, part = "", engine = "", start }) => ({
+        part,
+        position: 0,
+        target: engine,
+        startedAt: Number(start),
+        ageMilliseconds: Number(age),
+    }));
+    quarantine.applyPeerEvidence(PEER, { ...EMPTY_PROMPT_EVIDENCE, crashes }, at);
+});
+
+When("a peer tells at {int} ms of answers on {string}", function(at: number, parts: string) {
+    quarantine.applyPeerEvidence(PEER, { ...EMPTY_PROMPT_EVIDENCE, sound: splitNames(parts) }, at);
+});
+
+When(
+    "a peer tells at {int} ms of a quarantine of {string} for {int} ms after {int} crashes",
+    function(at: number, part: string, remainingMilliseconds: number, crashes: number) {
+        const quarantined = [{ part, remainingMilliseconds, crashes }];
+        quarantine.applyPeerEvidence(PEER, { ...EMPTY_PROMPT_EVIDENCE, quarantined }, at);
+    },
+);
+
+Then("the quarantined parts at {int} ms are {string}", function(at: number, expected: string) {
+    const parts = quarantine.listQuarantined(at).map(({ part }) => part).sort();
+    assert.equal(parts.join(" "), expected);
+});
+
+Then(
+    "a prompt with the parts {string} is refused at {int} ms for {int} ms after {int} crashes",
+    function(parts: string, at: number, milliseconds: number, crashes: number) {
+        const found = quarantine.findQuarantined(splitNames(parts), at);
+        assert.equal(found?.remainingMilliseconds, milliseconds);
+        assert.equal(found.crashes, crashes);
+    },
+);
+
+Then("a prompt with the parts {string} is not refused at {int} ms", function(parts: string, at: number) {
+    assert.equal(quarantine.findQuarantined(splitNames(parts), at), undefined);
+});
+
+Then("the parts released by {int} ms are {string}", function(at: number, expected: string) {
+    assert.equal(quarantine.takeReleased(at).map(({ part, reason }) => `${part}: ${reason}`).join(", "), expected);
+});
+
+Then(
+    "at {int} ms it tells of crashes on {string}, of answers on {string} and of quarantines of {string}",
+    function(at: number, crashed: string, answered: string, quarantined: string) {
+        const evidence = quarantine.getEvidence(at);
+        assert.deepEqual(evidence.crashes.map(({ part }) => part).sort(), splitNames(crashed));
+        assert.deepEqual([...evidence.sound].sort(), splitNames(answered));
+        assert.deepEqual(evidence.quarantined.map(({ part }) => part).sort(), splitNames(quarantined));
+    },
+);
+
+/** Time at which the long incident of a scenario ends, in milliseconds. */
+const INCIDENT_MILLISECONDS = 50_000;
+/** Length of the parts of that incident, in characters: the longest that can be under suspicion. */
+const PART_CHARACTERS = 128;
+let answeredParts: string[] = [];
+
+function formatPart(index: number): string {
+    return `${index}`.padStart(PART_CHARACTERS, "0");
+}
+
+When(
+    "{int} engine starts end on prompts with {int} parts each, and {int} parts are answered",
+    function(crashes: number, parts: number, answered: number) {
+        for (let index = 0; index < crashes; index += 1) {
+            quarantine.recordCrash({
+                parts: Array.from({ length: parts }, (_, position) => formatPart((index % 10) * parts + position)),
+                target: `engine-${index % 90}`,
+                startedAt: index,
+            }, index * INCIDENT_MILLISECONDS / crashes);
+        }
+        answeredParts = Array.from({ length: answered }, (_, index) => `answered-${index}`);
+        answeredParts.forEach(part => quarantine.recordAnswered([part], INCIDENT_MILLISECONDS));
+    },
+);
+
+Then("the message to peers has at most {int} bytes", function(limit: number) {
+    const evidence = quarantine.getEvidence(INCIDENT_MILLISECONDS);
+    assert.ok(evidence.crashes.length > 0 && evidence.quarantined.length > 0);
+    const bytes = JSON.stringify(evidence).length;
+    assert.ok(bytes <= limit, `${bytes} bytes`);
+});
+
+Then("at most {int} answered parts vouch", function(limit: number) {
+    const vouching = answeredParts.filter(part => quarantine.areVouchedFor([part], INCIDENT_MILLISECONDS)).length;
+    assert.ok(vouching > 0 && vouching <= limit, `${vouching} parts`);
+});
+
+/** Seeds of the simulated loads; a large fleet takes longer to simulate and gets the first one only. */
+const SEEDS = [1, 2, 3];
+const MAX_INSTANCES_WITH_ALL_SEEDS = 100;
+/** Time with requests that crash engines: some seconds longer than until the time at which all is served again. */
+const SIMULATED_SECONDS = 18;
+let outcomes: PromptQuarantineOutcome[] = [];
+
+When(
+    /^(\d+) instances with (\d+) engines get requests with a crashing part, (after some sound ones|as soon as they have started)$/,
+    { timeout: 60_000 },
+    function(instances: string, engines: string, history: string) {
+        const seeds = Number(instances) > MAX_INSTANCES_WITH_ALL_SEEDS ? SEEDS.slice(0, 1) : SEEDS;
+        outcomes = seeds.map(seed =>
+            simulatePromptQuarantine({
+                instances: Number(instances),
+                engines: Number(engines),
+                seed,
+                seconds: SIMULATED_SECONDS,
+                soundSeconds: history === "as soon as they have started" ? 0 : 5,
+            })
+        );
+    },
+);
+
+When(
+    "{int} % of {int} engines crash at once, {int} times, while {int} instances serve sound requests",
+    { timeout: 60_000 },
+    function(percent: number, engines: number, times: number, instances: number) {
+        outcomes = SEEDS.map(seed =>
+            simulatePromptQuarantine({
+                instances,
+                engines,
+                seed,
+                soundSeconds: 2,
+                crashingRequestsPerSecond: 0,
+                simultaneousCrashes: { times, share: percent / 100 },
+            })
+        );
+        for (const { crashes } of outcomes) {
+            assert.equal(crashes.length, times * Math.round(engines * percent / 100));
+        }
+    },
+);
+
+/** Gets the time from which requests with the crashing part count as late, in milliseconds. */
+function getContactTime({ crashes }: PromptQuarantineOutcome, seconds: number): number {
+    const fifthCrashAt = crashes.slice(0, 5).at(-1);
+    assert.ok(fifthCrashAt !== undefined, "no engine has crashed");
+    return fifthCrashAt + seconds * 1000;
+}
+
+Then(
+    "at most {int} requests with the part reach engines later than {int} seconds after the fifth crash",
+    function(limit: number, seconds: number) {
+        for (const outcome of outcomes) {
+            const since = getContactTime(outcome, seconds);
+            const late = outcome.crashingArrivals.filter(at => at > since).length;
+            assert.ok(late <= limit, `${late} requests reached engines, after ${outcome.crashes.length} crashes`);
+        }
+    },
+);
+
+Then("only that part is quarantined at the end, by all instances", function() {
+    for (const { quarantinedParts } of outcomes) {
+        assert.deepEqual(quarantinedParts, quarantinedParts.map(() => [CRASHING_PART]));
+    }
+});
+
+Then(
+    "later than 2 times {int} seconds after the fifth crash {int} in {int} sound requests are served at the first attempt",
+    function(seconds: number, served: number, total: number) {
+        for (const outcome of outcomes) {
+            const since = getContactTime(outcome, 2 * seconds);
+            const requests = outcome.soundRequests.filter(({ sentAt }) => sentAt > since);
+            const share = requests.filter(({ isServedAtOnce }) => isServedAtOnce).length / requests.length;
+            assert.ok(share >= served / total, `${share} of ${requests.length} sound requests`);
+        }
+    },
+);
+
+Then("no instance has quarantined a part", function() {
+    assert.deepEqual(outcomes.flatMap(({ everQuarantined }) => everQuarantined), []);
+});
