--- /dev/null
+++ b/core/serving/attempt_end.ts
@@ -0,0 +1,57 @@
+/**
+ * Classifies the ends of attempts at engines, as evidence about the parts of their prompts.
+ *
+ * Load pattern: an engine that crashes ends all its requests at the same moment. The request on whose prompt it has
+ * crashed has just received the head of its response, and no event or few; the others have been running for longer, or
+ * are waiting and have no head.
+ *
+ * @module
+ */
+
+/** What the end of an attempt shows. */
+export const AttemptEvidence = {
+    /** The engine has answered, so that no part of the prompt crashes it. */
+    answered: "answered",
+    /** The engine may have crashed when it began to answer. */
+    suspicious: "suspicious",
+    /** Neither. */
+    none: "none",
+} as const;
+
+/** One of the values of {@linkcode AttemptEvidence}. */
+export type AttemptEvidence = (typeof AttemptEvidence)[keyof typeof AttemptEvidence];
+
+/** End of an attempt at an engine; the times are on the monotonic clock in milliseconds. */
+export interface AttemptEnd {
+    /**
+     * How the attempt ended; `aborted` by this instance or by the caller, and `other` if the engine gave no generation or
+     * the generation was moved.
+     */
+    kind: "complete" | "failed" | "aborted" | "other";
+    /** Time at which the head of the response arrived; `undefined` if none did. */
+    headAt: number | undefined;
+    /** Time at which the last complete event arrived; `undefined` if none did. */
+    lastEventAt: number | undefined;
+    /** Time at which the attempt ended. */
+    endedAt: number;
+}
+
+/** Time from the head after which an engine no longer begins to answer, in milliseconds. */
+const BEGINNING_MILLISECONDS = 300;
+
+/** Checks whether an engine that sent the head at one time and an event at another has answered. */
+export function isLongAnswer(answer: { headAt: number; lastEventAt: number; }): boolean {
+    return answer.lastEventAt - answer.headAt >= BEGINNING_MILLISECONDS;
+}
+
+/** Classifies the end of an attempt. */
+export function classifyAttemptEnd({ kind, headAt, lastEventAt, endedAt }: AttemptEnd): AttemptEvidence {
+    if (headAt === undefined) {
+        return AttemptEvidence.none;
+    }
+    if (lastEventAt !== undefined && (kind === "complete" || isLongAnswer({ headAt, lastEventAt }))) {
+        return AttemptEvidence.answered;
+    }
+    const hasJustBegun = lastEventAt === undefined || endedAt - headAt < BEGINNING_MILLISECONDS;
+    return kind === "failed" && hasJustBegun ? AttemptEvidence.suspicious : AttemptEvidence.none;
+}
--- a/features/platform/prompt_crashes.feature
+++ b/features/platform/prompt_crashes.feature
@@ -34,7 +34,51 @@
         And from 6 seconds after the fifth or last crash on at least half as many sound requests as before were served at the first attempt
         And the requests with that part were refused as not run in the last 4 seconds, and those refused reached no engine
 
-    Scenario: a request that has crashed an engine is not sent to another
+    # A "summary" is a safe request to engines with a response that is no stream.
+    Scenario Outline: a <kind> that has crashed an engine is not sent to another
         Given a serving site
-        When a caller sends a "verdict" with a prompt part that crashes engines
+        When a caller sends a "<kind>" with a prompt part that crashes engines
         Then 1 engine has ended
+        And the log line of the request says that its only attempt has crashed the engine
+
+        Examples:
+            | kind      |
+            | verdict   |
+            | narrative |
+            | summary   |
+
+    Scenario: requests that are waiting for room when a part of their prompts is quarantined are not sent
+        Given a serving site with 2 instances and 4 engines
+        When sound requests are sent to all instances for 1500 ms
+        And all targets of "engines" refuse their requests and ask for a pause of 0.3 seconds, once
+        And 3 requests with a part that crashes engines wait at instance 1 for the end of these pauses, while 3 crash engines at instance 2
+        Then 3 engines have ended
+        And the waiting requests were refused because of the quarantine and reached no engine
+
+    Scenario: a sound request is sent to another engine after its engine has crashed under a request with another part
+        Given a serving site with 2 instances and 4 engines
+        When sound requests are sent to all instances for 1500 ms
+        And a sound request runs on each engine when a request with a part that crashes engines reaches one
+        Then 1 engine has ended
+        And all sound requests were served
+
+    # Times in milliseconds from the head of the response; "-" if there was none.
+    Scenario Outline: an attempt with the end "<kind>" at <end>, the head at <head> and the last event at <event> is evidence: <evidence>
+        When an attempt has the end "<kind>" at <end>, the head at <head> and the last event at <event>
+        Then it is evidence "<evidence>" about the parts of its prompt
+
+        Examples:
+            | kind     | head | event | end  | evidence   |
+            | complete | 0    | 50    | 60   | answered   |
+            | complete | 0    | -     | 60   | none       |
+            | failed   | 0    | -     | 30   | suspicious |
+            | failed   | 0    | -     | 2000 | suspicious |
+            | failed   | 0    | 100   | 299  | suspicious |
+            | failed   | 0    | 100   | 300  | none       |
+            | failed   | 0    | 299   | 900  | none       |
+            | failed   | 0    | 300   | 310  | answered   |
+            | failed   | -    | -     | 30   | none       |
+            | aborted  | 0    | -     | 30   | none       |
+            | aborted  | 0    | 400   | 410  | answered   |
+            | other    | 0    | -     | 30   | none       |
+            | other    | 0    | 400   | 410  | answered   |
--- a/features/steps/platform_prompt_steps.ts
+++ b/features/steps/platform_prompt_steps.ts
@@ -5,8 +5,9 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { type AttemptEnd, type AttemptEvidence, classifyAttemptEnd } from "../../core/serving/mod.ts";
 import { waitMilliseconds } from "../../network/mod.ts";
-import { startServingSite } from "../../support/platform/mod.ts";
+import { type SiteTarget, startServingSite } from "../../support/platform/mod.ts";
 import type { HttpResult } from "../../support/processes/mod.ts";
 import { createRequestId, formatRequestId, getSite, siteContext } from "../support/site_context.ts";
 
@@ -14,22 +15,29 @@
 interface LoggedAttempt {
     headMilliseconds?: number;
     events: number;
+    hasCrashedEngine?: boolean;
 }
 
 /** Log line of a finished request. */
 interface RequestLine {
     attempts: LoggedAttempt[];
+    reason?: string;
     promptParts: string[];
     promptPartCount?: number;
 }
 
-function getLastRequestLine(): RequestLine {
-    const request = formatRequestId(siteContext.requestCount);
+function findRequestLine(request: string): RequestLine | undefined {
     const line = getSite().instances.flatMap(({ lines }) => lines).find(candidate =>
         candidate["event"] === "request ended" && candidate["request"] === request
     );
+    return line as unknown as RequestLine | undefined;
+}
+
+function getLastRequestLine(): RequestLine {
+    const request = formatRequestId(siteContext.requestCount);
+    const line = findRequestLine(request);
     assert.ok(line !== undefined, `no instance has logged the end of the request ${request}`);
-    return line as unknown as RequestLine;
+    return line;
 }
 
 function buildPromptPrefix(parts: readonly string[]): string {
@@ -59,6 +67,10 @@
     assert.equal(attempts.join("; "), expected);
 });
 
+Then("the log line of the request says that its only attempt has crashed the engine", function() {
+    assert.deepEqual(getLastRequestLine().attempts.map(({ hasCrashedEngine }) => hasCrashedEngine), [true]);
+});
+
 /** Part of prompts that crashes engines. */
 const CRASHING_PART = "bad";
 /** Part with which all prompts begin. */
@@ -92,24 +104,25 @@
 /** Sends requests to all instances in turn and waits for their responses; `parts` are the prompt's parts but the last. */
 async function sendRequests(
     requests: SentRequest[],
-    options: { milliseconds: number; interval: number; parts: (index: number) => string[]; },
+    options: { count: number; interval?: number; instances?: number[]; parts: (index: number) => string[]; },
 ): Promise<void> {
+    const { count, interval = 0, instances = getSite().instances.map((_, index) => index) } = options;
     const startedAt = performance.now();
     const calls: Promise<void>[] = [];
-    for (let index = 0; performance.now() < startedAt + options.milliseconds; index += 1) {
+    for (let index = 0; index < count; index += 1) {
         const id = createRequestId();
         const sent: SentRequest = { id, sentAt: performance.now(), result: undefined };
         requests.push(sent);
         const call = getSite().call({
             kind: "verdict",
             id,
-            instance: index % getSite().instances.length,
+            instance: instances[index % instances.length] ?? 0,
             headers: { "prompt-prefix": buildPromptPrefix([...options.parts(index), `e${id}`]) },
         });
         calls.push(call.then(result => {
             sent.result = result;
         }, () => undefined));
-        await waitMilliseconds(startedAt + (index + 1) * options.interval - performance.now());
+        await waitMilliseconds(startedAt + (index + 1) * interval - performance.now());
     }
     await Promise.all(calls);
 }
@@ -120,7 +133,7 @@
 
 function sendSoundRequests(milliseconds: number): Promise<void> {
     return sendRequests(soundRequests, {
-        milliseconds,
+        count: milliseconds / SOUND_INTERVAL_MILLISECONDS,
         interval: SOUND_INTERVAL_MILLISECONDS,
         parts: index => [FIRST_PART, chooseSecondPart(Math.floor(index / 4))],
     });
@@ -138,7 +151,7 @@
 When("requests with a part that crashes engines are sent beside them for {int} ms", async function(duration: number) {
     startCrashing();
     const crashing = sendRequests(crashingRequests, {
-        milliseconds: duration,
+        count: duration / CRASHING_INTERVAL_MILLISECONDS,
         interval: CRASHING_INTERVAL_MILLISECONDS,
         parts: index => [
             FIRST_PART,
@@ -156,6 +169,10 @@
     await getSite().call({ kind, id: createRequestId(), headers }).catch(() => undefined);
 });
 
+function listEngines(): SiteTarget[] {
+    return getSite().targets.filter(({ service }) => service === "engines");
+}
+
 /** Lists the times of the engines' crashes in order. */
 function listCrashes(): number[] {
     return getSite().targets.flatMap(({ standIn }) => standIn.crashes).sort((a, b) => a - b);
@@ -182,10 +199,7 @@
 
 /** Checks whether a request was served by the first target that it was sent to. */
 function isServedAtFirstAttempt({ id, result }: SentRequest): boolean {
-    const line = getSite().instances.flatMap(({ lines }) => lines).find(candidate =>
-        candidate["event"] === "request ended" && candidate["request"] === id
-    ) as unknown as RequestLine | undefined;
-    return result?.status === 200 && result.isComplete && line?.attempts.length === 1;
+    return result?.status === 200 && result.isComplete && findRequestLine(id)?.attempts.length === 1;
 }
 
 Then(
@@ -216,3 +230,76 @@
         }
     },
 );
+
+/** Requests of the current scenario that wait for room. */
+let waitingRequests: SentRequest[] = [];
+
+When(
+    "{int} requests with a part that crashes engines wait at instance 1 for the end of these pauses, while {int} crash engines at instance 2",
+    async function(waiting: number, crashing: number) {
+        const parts = (): string[] => [FIRST_PART, CRASHING_PART];
+        const refused = sendRequests(soundRequests, { count: 1, parts: () => [FIRST_PART] });
+        await waitUntil(() => listEngines().every(({ standIn }) => standIn.faults.faultyAnswers === 0));
+        startCrashing();
+        waitingRequests = [];
+        const waited = sendRequests(waitingRequests, { count: waiting, instances: [0], parts });
+        for (let index = 0; index < crashing; index += 1) {
+            await sendRequests(crashingRequests, { count: 1, instances: [1], parts });
+        }
+        await Promise.all([refused, waited]);
+    },
+);
+
+Then("the waiting requests were refused because of the quarantine and reached no engine", function() {
+    const arrived = new Set(listArrivals().map(({ requestId }) => requestId));
+    for (const { id, result } of waitingRequests) {
+        assert.match(result?.body.toString() ?? "", /"code":"prompt_quarantined"/);
+        assert.match(findRequestLine(id)?.reason ?? "", /quarantined part "bad"/, "the request did not wait");
+        assert.ok(!arrived.has(id), `the request ${id} reached an engine`);
+    }
+});
+
+When(
+    "a sound request runs on each engine when a request with a part that crashes engines reaches one",
+    async function() {
+        startCrashing();
+        const engines = listEngines();
+        // More than one for each engine, because requests are not spread evenly.
+        const sound = Promise.all(
+            SECOND_PARTS.flatMap(part =>
+                engines.map(() => sendRequests(soundRequests, { count: 1, parts: () => [FIRST_PART, part] }))
+            ),
+        );
+        await waitUntil(() => engines.every(({ standIn }) => standIn.activeGenerations > 0));
+        await sendRequests(crashingRequests, { count: 1, parts: () => [FIRST_PART, CRASHING_PART] });
+        await sound;
+    },
+);
+
+async function waitUntil(isReached: () => boolean): Promise<void> {
+    for (let attempt = 0; attempt < 100 && !isReached(); attempt += 1) {
+        await waitMilliseconds(2);
+    }
+    assert.ok(isReached(), "the state that the step needs was not reached");
+}
+
+Then("all sound requests were served", function() {
+    const failed = soundRequests.filter(({ result }) => result?.status !== 200 || !result.isComplete);
+    assert.deepEqual(failed.map(({ id }) => findRequestLine(id)), []);
+    const retried = soundRequests.filter(({ id }) => (findRequestLine(id)?.attempts.length ?? 0) > 1);
+    assert.ok(retried.length > 0, "no sound request was running on the engine that crashed");
+});
+
+let attemptEnd: AttemptEnd = { kind: "other", headAt: undefined, lastEventAt: undefined, endedAt: 0 };
+
+When(
+    /^an attempt has the end "(\w+)" at (\d+), the head at (\d+|-) and the last event at (\d+|-)$/,
+    function(kind: AttemptEnd["kind"], end: string, head: string, event: string) {
+        const [headAt, lastEventAt] = [head, event].map(text => text === "-" ? undefined : Number(text));
+        attemptEnd = { kind, headAt, lastEventAt, endedAt: Number(end) };
+    },
+);
+
+Then("it is evidence {string} about the parts of its prompt", function(evidence: AttemptEvidence) {
+    assert.equal(classifyAttemptEnd(attemptEnd), evidence);
+});
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -55,6 +55,10 @@
     route: Route;
     /** Service that handles the request. */
     service: ServiceDefinition;
+    /**
+     * Parts of the prompt that other requests may share: all but the last; empty unless engines handle the request.
+     */
+    sharedPromptParts: readonly string[];
     /** Account of the caller; `undefined` if the request needs no API key. */
     account: ClientAccount | undefined;
     /** Priority of the account or, if it has none, of the route; 0 is the highest. */
@@ -85,6 +89,8 @@
     headMilliseconds?: number;
     /** Number of events that the attempt has sent to the caller; absent unless the response is a stream. */
     events?: number;
+    /** True if the engine was found to have crashed when it began to answer; absent otherwise. */
+    hasCrashedEngine?: true;
 }
 
 /** Maximum number of a prompt's parts in a log line; a prompt may have many more. */
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -20,6 +20,7 @@
     sendError,
     type ServingContext,
 } from "./caller_exchange.ts";
+import { describeQuarantine } from "./prompt_evidence.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
 import { handleUnaryCall } from "./unary_call.ts";
 
@@ -220,6 +221,17 @@
             });
             return;
         }
+        const sharedPromptParts = service.engine === undefined ? [] : request.promptParts.slice(0, -1);
+        const quarantined = state.findQuarantined(sharedPromptParts);
+        if (quarantined !== undefined) {
+            const { part, crashes, remainingMilliseconds } = quarantined;
+            this.#refuse(call, {
+                code: "prompt_quarantined",
+                message: `Cannot serve the request: ${describeQuarantine(quarantined)}.`,
+                retryAfterSeconds: remainingMilliseconds / 1000,
+            }, { part, crashes });
+            return;
+        }
         const { version } = table.configuration;
         const deadline = computeDeadline(call, route);
         const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(deadline - this.#context.clock.getMonotonic())));
@@ -227,6 +239,7 @@
             ...call,
             route,
             service,
+            sharedPromptParts,
             account,
             priority,
             version,
@@ -239,10 +252,11 @@
             : handleUnaryCall(this.#context, exchange));
     }
 
-    /** Refuses a request that has not been sent to any target. */
+    /** Refuses a request that has not been sent to any target; `detail` is added to the log line. */
     #refuse(
         call: { request: CallerRequest; response: ServerResponse; },
         error: { code: Parameters<typeof sendError>[1]["code"]; message: string; retryAfterSeconds?: number; },
+        detail: Record<string, unknown> = {},
     ): void {
         const { state, metrics, log } = this.#context;
         metrics.countRequest("none", error.code);
@@ -253,6 +267,7 @@
             path: call.request.path,
             configuration: state.table?.configuration.version ?? -1,
             reason: error.message,
+            ...detail,
         });
         sendError(call, { ...error, verdict: "not-run" });
     }
--- a/serving/engine_client.ts
+++ b/serving/engine_client.ts
@@ -11,6 +11,8 @@
     fetchReport,
     type MoveStep,
     type MoveStepResponse,
+    pollEngine,
+    type PollResult,
     releaseCopy,
     sendMoveStep,
 } from "../platform/mod.ts";
@@ -39,6 +41,13 @@
             : fetchReport(engine.address, { timeoutMilliseconds, onNotice: this.#buildNoticeHandler(engine) });
     }
 
+    /** Finds out whether an engine has ended. */
+    async pollEngine(engine: ServingTarget): Promise<PollResult> {
+        return this.#isPaused(engine)
+            ? "unanswered"
+            : pollEngine(engine.address, { onNotice: this.#buildNoticeHandler(engine) });
+    }
+
     /** Requests one step of a move from the engine that runs the generation. */
     async sendMoveStep(engine: ServingTarget, step: Omit<MoveStep, "source" | "onNotice">): Promise<MoveStepResponse> {
         return this.#isPaused(engine)
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -23,6 +23,7 @@
     readonly registry = new Registry();
     readonly #requests: Counter<"route" | "end">;
     readonly #attempts: Counter<"service" | "result">;
+    readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
     readonly #storeCalls: Counter<"kind" | "result">;
     readonly #firstByteSeconds: Histogram<"route">;
@@ -42,6 +43,12 @@
             labelNames: ["service", "result"],
             registers,
         });
+        this.#crashes = new Counter({
+            name: "knapweed_serving_engine_crashes_total",
+            help: "Attempts whose engine crashed when it began to answer, by service.",
+            labelNames: ["service"],
+            registers,
+        });
         this.#moves = new Counter({
             name: "knapweed_serving_moves_total",
             help: "Moves of running generations by result.",
@@ -80,6 +87,11 @@
         this.#attempts.inc({ service, result });
     }
 
+    /** Counts an attempt whose engine crashed when it began to answer. */
+    countCrash(service: string): void {
+        this.#crashes.inc({ service });
+    }
+
     /** Counts a move of a running generation by its result. */
     countMove(result: string): void {
         this.#moves.inc({ result });
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -5,9 +5,12 @@
  * @module
  */
 import {
+    type AttemptEnd,
     estimateOutputTokens,
     EventSplitter,
+    isLongAnswer,
     isRepeatable,
+    type QuarantinedPart,
     type RelayedEvent,
     type RequestLoad,
     StreamProgress,
@@ -29,6 +32,7 @@
     writeResponseHead,
 } from "./caller_exchange.ts";
 import { type MovedGeneration, type MoveNotice, MoveOperation } from "./move_operation.ts";
+import { describeQuarantine, hasUnprovenParts, recordAttemptEvidence } from "./prompt_evidence.ts";
 import type { Reservation } from "./request_scheduler.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { isConnectFailure, TargetCallError, type TargetResponse } from "./target_connections.ts";
@@ -94,6 +98,16 @@
     #isCallerResponseFramed = true;
     /** Time at which the head of the current attempt's response arrived; `undefined` before. */
     #headAt: number | undefined;
+    /** Time of the last event of the current attempt; `undefined` before the first. */
+    #lastEventAt: number | undefined;
+    /** True once the current attempt has shown that no part of the prompt crashes its engine. */
+    #isLongAnswerRecorded = false;
+    /** True if this instance has aborted the current attempt. */
+    #isAttemptAborted = false;
+    /** True if the last attempt's engine was found to have crashed when it began to answer. */
+    #hasCrashedEngine = false;
+    /** Part of the prompt for whose quarantine the request is refused. */
+    #quarantined: QuarantinedPart | undefined;
     /** Reservation at the target that runs the generation; `undefined` between attempts. */
     #reservation: Reservation | undefined;
     #move: MoveOperation | undefined;
@@ -164,6 +178,16 @@
                 reason = "no target has room";
                 break;
             }
+            // Other requests may have crashed engines while this one was waiting. A moved generation is running already.
+            this.#quarantined = moved === undefined
+                ? this.#context.state.findQuarantined(this.#exchange.sharedPromptParts)
+                : undefined;
+            if (this.#quarantined !== undefined) {
+                reservation.release();
+                reason = describeQuarantine(this.#quarantined);
+                this.#retryAfterSeconds = this.#quarantined.remainingMilliseconds / 1000;
+                break;
+            }
             const result = await this.#runAttempt(reservation, moved?.copy);
             const previousMove: MovedGeneration | undefined = moved;
             moved = undefined;
@@ -213,23 +237,47 @@
         this.#reservation = reservation;
         this.#move = undefined;
         this.#headAt = undefined;
+        this.#lastEventAt = undefined;
+        this.#isLongAnswerRecorded = false;
+        this.#isAttemptAborted = false;
         const result = await this.#sendAndRelay(reservation, copy).finally(() => {
             this.#reservation = undefined;
             reservation.release();
         });
-        this.#recordAttempt(reservation, { result, startedAt, events: this.#progress.eventCount - previousEvents });
+        const endedAt = this.#now;
+        const events = this.#progress.eventCount - previousEvents;
+        const record = this.#recordAttempt(reservation, { result, startedAt, events });
+        this.#hasCrashedEngine = await recordAttemptEvidence(this.#context, this.#exchange, {
+            target: reservation.target,
+            end: { kind: this.#classifyEnd(result), headAt: this.#headAt, lastEventAt: this.#lastEventAt, endedAt },
+        });
+        if (this.#hasCrashedEngine) {
+            record.hasCrashedEngine = true;
+        }
         return result;
     }
 
+    #classifyEnd(result: AttemptResult): AttemptEnd["kind"] {
+        if (result.kind === "complete") {
+            return "complete";
+        }
+        // A refusal and an error response have a head too, but are no generation.
+        if (result.kind !== "failed" || result.verdict !== "may-have-run") {
+            return "other";
+        }
+        return this.#isAttemptAborted || this.#exchange.signal.aborted ? "aborted" : "failed";
+    }
+
     #recordAttempt(
         reservation: Reservation,
         attempt: { result: AttemptResult; startedAt: number; events: number; },
-    ): void {
+    ): AttemptRecord {
         const { state, metrics } = this.#context;
         const { result, startedAt, events } = attempt;
         const name = result.kind === "failed" ? result.reason : result.kind;
         const times = { startedAt, headAt: this.#headAt, now: this.#now };
-        this.#attempts.push(describeAttempt(reservation, { ...times, result: name, events }));
+        const record = describeAttempt(reservation, { ...times, result: name, events });
+        this.#attempts.push(record);
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
         if (result.kind === "moved" || this.#progress.eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
@@ -242,11 +290,12 @@
             });
         }
         if (!hasFailed) {
-            return;
+            return record;
         }
         this.#avoid.add(reservation.target.id);
         this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
         this.#possibleRuns += result.verdict === "not-run" ? 0 : 1;
+        return record;
     }
 
     async #sendAndRelay(reservation: Reservation, copy: KvCacheCopy | undefined): Promise<AttemptResult> {
@@ -282,6 +331,7 @@
         }
         finally {
             stallDetector.stop();
+            this.#isAttemptAborted = attemptAbort.signal.aborted;
         }
     }
 
@@ -379,6 +429,8 @@
                 continue;
             }
             const pause = this.#progress.recordEvent(event.id, this.#now);
+            this.#lastEventAt = this.#now;
+            this.#recordLongAnswer();
             if (pause === undefined) {
                 this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
             }
@@ -391,6 +443,19 @@
         }
     }
 
+    /** Records once for each attempt that the engine has answered for some time. */
+    #recordLongAnswer(): void {
+        const headAt = this.#headAt;
+        const lastEventAt = this.#lastEventAt;
+        if (
+            !this.#isLongAnswerRecorded && headAt !== undefined && lastEventAt !== undefined
+            && isLongAnswer({ headAt, lastEventAt })
+        ) {
+            this.#isLongAnswerRecorded = true;
+            this.#context.state.recordPromptAnswered(this.#exchange.sharedPromptParts);
+        }
+    }
+
     #recordMovePause(pause: number): void {
         this.#isAwaitingEventAfterMove = false;
         this.#context.metrics.observeMovePause(pause);
@@ -418,6 +483,10 @@
         if (signal.aborted || !isSafe || this.#possibleRuns >= Math.max(1, route.maxAttempts)) {
             return false;
         }
+        // The request would crash a second engine, unless other requests have shown that its parts are sound.
+        if (this.#hasCrashedEngine && hasUnprovenParts(this.#context, this.#exchange)) {
+            return false;
+        }
         // A target that accepted no connection received nothing, so the retry does not count against the budget.
         return isUnreachable === true
             || state.getRetryShare(service.name).takeRetry(clock.getMonotonic(), state.instances);
@@ -459,7 +528,7 @@
         }
         else if (!isDisconnected) {
             const code = verdict === "not-run"
-                ? "busy" as const
+                ? this.#quarantined === undefined ? "busy" as const : "prompt_quarantined" as const
                 : this.#remainingMilliseconds <= 0
                 ? "deadline" as const
                 : "target_failed" as const;
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { isRepeatable } from "../core/serving/mod.ts";
+import { type AttemptEnd, isRepeatable, type QuarantinedPart } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
 import {
@@ -21,6 +21,7 @@
     type ServingContext,
     writeResponseHead,
 } from "./caller_exchange.ts";
+import { describeQuarantine, hasUnprovenParts, recordAttemptEvidence } from "./prompt_evidence.ts";
 import type { Reservation } from "./request_scheduler.ts";
 import { isConnectFailure, TargetCallError } from "./target_connections.ts";
 
@@ -29,7 +30,7 @@
     /** The target sent a complete response, which is relayed to the caller. */
     | { kind: "answered"; head: TargetResponseHead; body: Buffer; }
     /** The attempt produced no response that may be relayed. */
-    | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; };
+    | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; isTimedOut?: boolean; };
 
 /** Load that a unary request adds to its target, in tokens; such a request states no size. */
 const EMPTY_REQUEST_LOAD = { promptTokens: 0, outputTokens: 0 };
@@ -59,6 +60,10 @@
     #lastFailure: { head: TargetResponseHead; body: Buffer; } | undefined;
     /** Time at which the head of the current attempt's response arrived; `undefined` before. */
     #headAt: number | undefined;
+    /** True if the last attempt's engine was found to have crashed when it began to answer. */
+    #hasCrashedEngine = false;
+    /** Part of the prompt for whose quarantine the request is refused. */
+    #quarantined: QuarantinedPart | undefined;
 
     constructor(context: ServingContext, exchange: CallerExchange) {
         this.#context = context;
@@ -80,6 +85,14 @@
                 this.#retryAfterSeconds = reserved.retryAfterSeconds;
                 break;
             }
+            // Other requests may have crashed engines while this one was waiting.
+            this.#quarantined = state.findQuarantined(this.#exchange.sharedPromptParts);
+            if (this.#quarantined !== undefined) {
+                reserved.reservation.release();
+                reason = describeQuarantine(this.#quarantined);
+                this.#retryAfterSeconds = this.#quarantined.remainingMilliseconds / 1000;
+                break;
+            }
             const result = await this.#runAttempt(reserved.reservation);
             if (result.kind === "answered") {
                 this.#sendResponse(result);
@@ -99,8 +112,9 @@
         this.#headAt = undefined;
         const result = await this.#sendToTarget(reservation).finally(reservation.release);
         const name = result.kind === "answered" ? String(result.head.status) : result.reason;
-        const times = { startedAt, headAt: this.#headAt, now: clock.getMonotonic() };
-        this.#attempts.push(describeAttempt(reservation, { ...times, result: name }));
+        const endedAt = clock.getMonotonic();
+        const record = describeAttempt(reservation, { startedAt, headAt: this.#headAt, now: endedAt, result: name });
+        this.#attempts.push(record);
         metrics.countAttempt(this.#exchange.service.name, result.kind === "answered" ? "answered" : result.verdict);
         if (!this.#exchange.isCallerDisconnected()) {
             const isUnreachable = result.kind === "failed" && result.isUnreachable === true;
@@ -111,6 +125,19 @@
             this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
             this.#possibleRuns += result.verdict === "not-run" ? 0 : 1;
         }
+        this.#hasCrashedEngine = await recordAttemptEvidence(this.#context, this.#exchange, {
+            target: reservation.target,
+            end: {
+                kind: this.#classifyEnd(result),
+                headAt: this.#headAt,
+                // The body counts as one event.
+                lastEventAt: result.kind === "answered" && result.body.length > 0 ? endedAt : undefined,
+                endedAt,
+            },
+        });
+        if (this.#hasCrashedEngine) {
+            record.hasCrashedEngine = true;
+        }
         return result;
     }
 
@@ -134,8 +161,19 @@
                 : error instanceof Error
                 ? error.message
                 : String(error);
-            return { kind: "failed", verdict, reason, isUnreachable: isConnectFailure(error) };
+            const isUnreachable = isConnectFailure(error);
+            return { kind: "failed", verdict, reason, isUnreachable, isTimedOut: timeout.aborted };
+        }
+    }
+
+    #classifyEnd(result: AttemptResult): AttemptEnd["kind"] {
+        if (result.kind === "answered") {
+            return result.head.status === 200 ? "complete" : "other";
+        }
+        if (result.verdict !== "may-have-run") {
+            return "other";
         }
+        return result.isTimedOut === true || this.#exchange.signal.aborted ? "aborted" : "failed";
     }
 
     #classifyResponse(targetResponse: { head: TargetResponseHead; body: Buffer; isComplete: boolean; }): AttemptResult {
@@ -169,7 +207,7 @@
                 remainingMilliseconds: this.#remainingMilliseconds,
             }, { maxAttempts: MAX_SEND_ATTEMPTS });
         // A target that accepted no connection received nothing, so the retry does not count against the budget.
-        return isAllowed
+        return isAllowed && !(this.#hasCrashedEngine && hasUnprovenParts(this.#context, this.#exchange))
             && (isUnreachable === true
                 || state.getRetryShare(service.name).takeRetry(clock.getMonotonic(), state.instances));
     }
@@ -204,7 +242,11 @@
         }
         const verdict = this.#verdict;
         const isLate = this.#remainingMilliseconds <= 0;
-        const code = verdict === "not-run" ? "busy" as const : isLate ? "deadline" as const : "target_failed" as const;
+        const code = verdict === "not-run"
+            ? this.#quarantined === undefined ? "busy" as const : "prompt_quarantined" as const
+            : isLate
+            ? "deadline" as const
+            : "target_failed" as const;
         if (!this.#exchange.isCallerDisconnected()) {
             sendError(this.#exchange, {
                 message: `Cannot serve the request: ${reason}.`,
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -39,7 +39,7 @@
 
 /** A caller's request. */
 export interface SiteCall {
-    /** Kind of request: `lookup`, `stamp`, `narrative` or `verdict`. */
+    /** Kind of request: `lookup`, `stamp`, `narrative`, `verdict` or `summary`. */
     kind: string;
     /** Identifier of the request, sent in the `attempt-id` header. */
     id: string;
@@ -66,6 +66,7 @@
     stamp: "/stamp/1",
     narrative: "/narrative/1",
     verdict: "/verdict/1",
+    summary: "/summary/1",
 };
 
 /** Builds a configuration in the format in which the platform's store holds it. */
@@ -91,6 +92,7 @@
     const routes = [
         { ...plainRoute, name: "lookup", path_prefix: "/lookup/", kind: "safe", max_attempts: 2 },
         { ...plainRoute, name: "stamp", path_prefix: "/stamp/", kind: "unsafe", max_attempts: 1 },
+        { ...plainRoute, name: "summary", path_prefix: "/summary/", kind: "safe", service: "engines", max_attempts: 2 },
         { ...engineRoute, name: "narrative", path_prefix: "/narrative/", max_attempts: 1, stream_resume: false },
         { ...engineRoute, name: "verdict", path_prefix: "/verdict/", max_attempts: 2, stream_resume: true },
     ];
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -340,9 +340,10 @@
     async #crash(request: IncomingMessage, response: ServerResponse): Promise<void> {
         this.writeHead(request, response, { "content-type": "text/event-stream" });
         response.write("id: 1\ndata: pie");
+        const crashes = this.crashes.length;
         await waitMilliseconds(CRASH_DELAY_MILLISECONDS);
         // Another request may have crashed the process in the meantime.
-        if (!response.destroyed) {
+        if (this.crashes.length === crashes) {
             this.crashes.push(performance.now());
             this.abortGenerations();
             this.#options.closeServer?.();
