--- a/serving/prompt_evidence.ts
+++ b/serving/prompt_evidence.ts
@@ -14,8 +14,8 @@
 import { waitMilliseconds } from "../network/mod.ts";
 import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
 
-/** Number of calls that are made to find out whether an engine has ended, if it answers none of them. */
-const MAX_POLLS = 2;
+/** Time within which the call is repeated that finds out whether an engine has ended, in milliseconds. */
+const REPEAT_POLL_MILLISECONDS = 100;
 /** Pause between these calls, in milliseconds; an engine that ends may close its connections before its port. */
 const POLL_PAUSE_MILLISECONDS = 50;
 
@@ -50,10 +50,11 @@
 }
 
 /** Checks whether an engine has ended: nothing listens at its address. */
-async function hasEnded({ engines }: ServingContext, target: ServingTarget): Promise<boolean> {
-    for (let polls = 1;; polls += 1) {
+async function hasEnded({ engines, clock }: ServingContext, target: ServingTarget): Promise<boolean> {
+    const startedAt = clock.getMonotonic();
+    for (;;) {
         const result = await engines.pollEngine(target);
-        if (result !== "unanswered" || polls === MAX_POLLS) {
+        if (result !== "unanswered" || clock.getMonotonic() - startedAt >= REPEAT_POLL_MILLISECONDS) {
             return result === "refused";
         }
         await waitMilliseconds(POLL_PAUSE_MILLISECONDS);
