--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./attempt_end.ts";
 export * from "./configuration_broadcast.ts";
 export * from "./digest_rate_limiter.ts";
 export * from "./evacuated_zones.ts";
@@ -11,6 +12,7 @@
 export * from "./load_tracker.ts";
 export * from "./move_action.ts";
 export * from "./plan_moves.ts";
+export * from "./prompt_quarantine.ts";
 export * from "./queue_admission.ts";
 export * from "./route_table.ts";
 export * from "./serving_types.ts";
