--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -351,7 +351,6 @@
         const reply: StateMessage = {
             kind: "belief",
             instance,
-            quarantined: state.promptQuarantine.listQuarantined(this.#options.clock.getMonotonic()),
             peers: {
                 [instance]: this.#ownAddress,
                 ...Object.fromEntries([...this.#peers].map(([name, peer]) => [name, peer.address])),
@@ -368,6 +367,9 @@
                     && comparePositions(getZonesPosition(ownVersions), getZonesPosition(versions)) > 0
                 ? { zones: state.zones }
                 : {},
+            ...state.isQuarantineListKnown
+                ? { quarantined: state.promptQuarantine.listQuarantined(this.#options.clock.getMonotonic()) }
+                : {},
         };
         this.#connections.send(message.address, reply);
     }
@@ -419,7 +421,9 @@
         if (message.zones !== undefined) {
             state.applyZones(message.zones, source);
         }
-        state.applyQuarantined(message.quarantined, source);
+        if (message.quarantined !== undefined) {
+            state.applyQuarantined(message.quarantined, source);
+        }
         for (const [name, address] of Object.entries(message.peers)) {
             this.#addPeer(name, address);
         }
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -91,8 +91,8 @@
     targets?: TargetSnapshot;
     /** Evacuated zones, if the sender's list is newer. */
     zones?: ZoneSnapshot;
-    /** Parts of prompts that the sender holds in quarantine. */
-    quarantined: QuarantinedPart[];
+    /** Parts of prompts that the sender holds in quarantine; absent while it has not learnt them from the store. */
+    quarantined?: QuarantinedPart[];
     /** Addresses of all instances known to the sender, by name. */
     peers: Record<string, string>;
 }
@@ -150,7 +150,7 @@
         configuration: v.optional(v.custom<ServingConfiguration>(value => typeof value === "object")),
         targets: v.optional(v.custom<TargetSnapshot>(value => typeof value === "object")),
         zones: v.optional(v.custom<ZoneSnapshot>(value => typeof value === "object")),
-        quarantined: v.optional(QuarantinedSchema, []),
+        quarantined: v.optional(QuarantinedSchema),
         peers: v.record(v.string(), v.string()),
     }),
 ]);
--- a/serving/quarantine_store.ts
+++ b/serving/quarantine_store.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps the quarantined parts of prompts in the platform's store, so that they last when all instances restart.
  *
- * One instance reads and writes the objects on behalf of all, and calls the store only when a quarantine begins or ends;
- * the other instances learn of quarantines from their peers.
+ * One instance reads and writes the objects on behalf of all; the others learn of quarantines from their peers. The
+ * store is called when the fleet starts, when a quarantine begins or ends, and after a restoration.
  *
  * @module
  */
@@ -50,6 +50,8 @@
     readonly #options: QuarantineStoreOptions;
     /** Ends of the quarantines that the store has, in Unix milliseconds by part; `undefined` until they were listed. */
     #stored: Map<string, number> | undefined;
+    /** True if the store was restored since the objects were last listed. */
+    #isRestored = false;
     #isCalling = false;
     #retryAt = Number.NEGATIVE_INFINITY;
 
@@ -58,12 +60,14 @@
     }
 
     /**
-     * Makes the objects agree with the state if this instance is the writer; adopts the quarantines that the store lists
-     * when it becomes the writer for the first time. Does nothing while a call is pending.
+     * Makes the objects agree with the state if this instance is the writer; first lists them, and adopts their
+     * quarantines, unless a peer knows that there are none. Does nothing while a call is pending.
      */
     async update(): Promise<void> {
-        const { clock, isWriter } = this.#options;
-        const hasWork = this.#stored === undefined || this.#listChanges(this.#stored).length > 0;
+        const { clock, state, isWriter } = this.#options;
+        const hasWork = this.#stored === undefined
+            ? this.#isRestored || !state.isQuarantineListKnown || state.promptQuarantine.hasHistory
+            : this.#listChanges(this.#stored).length > 0;
         if (this.#isCalling || !hasWork || clock.getMonotonic() < this.#retryAt || !isWriter()) {
             return;
         }
@@ -75,9 +79,8 @@
 
     /** Has the objects listed again, since the store was restored from a copy that may lack or still have some. */
     handleRestore(): void {
-        if (this.#options.state.promptQuarantine.hasHistory || this.#stored !== undefined && this.#stored.size > 0) {
-            this.#stored = undefined;
-        }
+        this.#stored = undefined;
+        this.#isRestored = true;
     }
 
     async #listObjects(): Promise<boolean> {
@@ -89,6 +92,7 @@
         if (!this.#checkReply(reply, "list") || reply.kind !== "ok") {
             return false;
         }
+        this.#isRestored = false;
         const listed = reply.value.objects.flatMap(object => this.#decode(object) ?? []);
         this.#stored = new Map(listed.map(({ part, endsAt }) => [part, endsAt]));
         const now = this.#options.clock.getWallTime();
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -119,6 +119,7 @@
     readonly #unreachable = new Map<string, number>();
     #table: RouteTable | undefined;
     readonly #zones = new EvacuatedZones();
+    #isQuarantineListKnown = false;
     #findPosition: () => SharePosition | undefined = () => undefined;
 
     constructor(options: ServingStateOptions) {
@@ -138,6 +139,11 @@
         return this.#zones.snapshot;
     }
 
+    /** True once the store, or a peer that knows them, has listed the quarantined parts of prompts. */
+    get isQuarantineListKnown(): boolean {
+        return this.#isQuarantineListKnown;
+    }
+
     /** Reason why requests cannot be served yet; empty if they can. */
     get unreadyReason(): string {
         if (this.#table === undefined) {
@@ -307,8 +313,9 @@
         }
     }
 
-    /** Adopts the quarantines that the store or a peer lists. */
+    /** Adopts the quarantines that the store lists, or a peer that knows them. */
     applyQuarantined(quarantined: readonly QuarantinedPart[], source: StateSource): void {
+        this.#isQuarantineListKnown = true;
         this.#logQuarantined(this.promptQuarantine.applyQuarantined(quarantined, this.#now()), source);
         this.expireQuarantines();
     }
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -99,6 +99,11 @@
         return this.#objects.get(kind)?.has(name) === true;
     }
 
+    /** Lists the names of the objects of a kind. */
+    listNames(kind: string): string[] {
+        return [...this.#objects.get(kind)?.keys() ?? []].sort();
+    }
+
     /** Writes an object, as an operator or a target does. */
     putObject(kind: string, name: string, spec: unknown): void {
         this.#revision += 1;
