--- a/core/serving/prompt_quarantine.ts
+++ b/core/serving/prompt_quarantine.ts
@@ -230,7 +230,7 @@
     getEvidence(now: number): PromptEvidence {
         this.#expireEvidence(now);
         const crashes = [...this.#observations.values()]
-            .filter(({ part, isOwn }) => isOwn && !this.#isVouchedFor(part, now))
+            .filter(({ part, isOwn }) => isOwn && !this.#isPartVouchedFor(part, now))
             .slice(-MAX_TOLD_CRASHES)
             .map(({ part, position, target, startedAt, at }) => ({
                 part,
@@ -262,8 +262,8 @@
     }
 
     /** Checks whether engines have recently answered requests with each of the parts. */
-    areVouchedFor(parts: readonly string[], now: number): boolean {
-        return parts.every(part => this.#isVouchedFor(part, now));
+    isVouchedFor(parts: readonly string[], now: number): boolean {
+        return parts.every(part => this.#isPartVouchedFor(part, now));
     }
 
     /** Lists the quarantined parts. */
@@ -361,7 +361,7 @@
 
     /** Finds the evidence against a part; `undefined` if it does not suffice for a quarantine. */
     #findSuspect(part: string, crashes: readonly CrashObservation[], now: number): Suspect | undefined {
-        if (this.#isQuarantined(part, now) || this.#isVouchedFor(part, now)) {
+        if (this.#isQuarantined(part, now) || this.#isPartVouchedFor(part, now)) {
             return undefined;
         }
         const previous = this.#quarantines.get(part);
@@ -404,7 +404,7 @@
         const known = this.#quarantines.get(part);
         // Each new quarantine has a higher count. An instance that still holds one that has ended must not renew it.
         const isOutdated = known !== undefined && crashes <= known.crashes;
-        if (isOutdated || remainingMilliseconds <= 0 || this.#isVouchedFor(part, now)) {
+        if (isOutdated || remainingMilliseconds <= 0 || this.#isPartVouchedFor(part, now)) {
             return false;
         }
         const observations = this.#groupObservations([part]).get(part) ?? [];
@@ -486,7 +486,7 @@
         return now - (this.#answered.get(part) ?? Number.NEGATIVE_INFINITY) <= ANSWER_RETENTION_MILLISECONDS;
     }
 
-    #isVouchedFor(part: string, now: number): boolean {
+    #isPartVouchedFor(part: string, now: number): boolean {
         return this.#isAnswered(part, now)
             || [...this.#statements.values()].some(({ receivedAt, sound }) =>
                 now - receivedAt <= STATEMENT_RETENTION_MILLISECONDS && sound.has(part)
--- a/features/steps/prompt_quarantine_steps.ts
+++ b/features/steps/prompt_quarantine_steps.ts
@@ -124,7 +124,7 @@
 });
 
 Then("at most {int} answered parts vouch", function(limit: number) {
-    const vouching = answeredParts.filter(part => quarantine.areVouchedFor([part], INCIDENT_MILLISECONDS)).length;
+    const vouching = answeredParts.filter(part => quarantine.isVouchedFor([part], INCIDENT_MILLISECONDS)).length;
     assert.ok(vouching > 0 && vouching <= limit, `${vouching} parts`);
 });
 
--- a/serving/prompt_evidence.ts
+++ b/serving/prompt_evidence.ts
@@ -68,5 +68,5 @@
 
 /** Checks whether a prompt has a part that no engine has recently answered, so that the part may crash engines. */
 export function hasUnprovenParts({ state, clock }: ServingContext, exchange: CallerExchange): boolean {
-    return !state.promptQuarantine.areVouchedFor(exchange.sharedPromptParts, clock.getMonotonic());
+    return !state.promptQuarantine.isVouchedFor(exchange.sharedPromptParts, clock.getMonotonic());
 }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -71,8 +71,6 @@
     startMove(notice: MoveNotice): void;
 }
 
-/** Timeout for fetching a report, in milliseconds; a running engine responds within this time. */
-const REPORT_TIMEOUT_MILLISECONDS = 200;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 
@@ -434,7 +432,7 @@
      */
     async #isEngineRunning({ target }: Reservation): Promise<boolean> {
         return this.#exchange.service.engine === undefined
-            || await this.#context.engines.fetchReport(target, REPORT_TIMEOUT_MILLISECONDS) !== undefined;
+            || await this.#context.engines.pollEngine(target) === "answered";
     }
 
     async #waitForMove(): Promise<AttemptResult | undefined> {
--- a/support/platform/prompt_quarantine_simulation.ts
+++ b/support/platform/prompt_quarantine_simulation.ts
@@ -343,7 +343,7 @@
                 if (hasHead) {
                     state.recordEngineCrash({ parts, target: engine.id, startedAt });
                 }
-                const mayRepeat = !hasHead || state.promptQuarantine.areVouchedFor(parts, this.#now);
+                const mayRepeat = !hasHead || state.promptQuarantine.isVouchedFor(parts, this.#now);
                 if (request.attempts < MAX_ATTEMPTS && mayRepeat) {
                     this.#startAttempt(request);
                 }
