--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -5,6 +5,7 @@
  */
 import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { Socket } from "node:net";
 import { waitMilliseconds } from "../../network/mod.ts";
 import { parseAddress } from "../../network/mod.ts";
 import { decodeConfiguration, StoreClient } from "../../platform/mod.ts";
@@ -269,12 +270,112 @@
     }
 });
 
+When("all targets send streams without a length", function() {
+    for (const { standIn } of getSite().targets) {
+        standIn.faults.isUnframed = true;
+    }
+});
+
+When("its target ends after {int} events", async function(events: number) {
+    await waitForEvents(events);
+    const target = getSite().targets.find(({ standIn }) => standIn.activeGenerations > 0);
+    assert.ok(target !== undefined, "no target sends the stream");
+    target.standIn.abortGenerations();
+    target.opened.close();
+});
+
+When("each engine ends right after its first stream", function() {
+    for (const { standIn, opened } of listEngines()) {
+        standIn.onStreamEnd = () => opened.close();
+    }
+});
+
 When("the engines send streams without a length", function() {
     for (const { standIn } of listEngines()) {
         standIn.faults.isUnframed = true;
     }
 });
 
+When(/^the engines answer their reports (late|with a reset)$/, function(fault: string) {
+    for (const { standIn } of listEngines()) {
+        standIn.faults.reportFault = fault === "late" ? "late" : "reset";
+    }
+});
+
+When("its engine refuses a verdict and asks for a pause of {int} s after {int} events", async function(
+    seconds: number,
+    events: number,
+) {
+    await waitForEvents(events);
+    const engine = listEngines().find(({ standIn }) => standIn.activeGenerations > 0);
+    assert.ok(engine !== undefined, "no engine runs the stream");
+    Object.assign(engine.standIn.faults, {
+        answer: "a refusal with a pause",
+        faultyAnswers: 100,
+        pauseSeconds: seconds,
+    });
+    for (let tries = 0; tries < 4; tries += 1) {
+        void getSite().call({ kind: "verdict", id: createRequestId() }).catch(() => undefined);
+    }
+    for (let tries = 0; tries < 20 && engine.standIn.faults.faultyAnswers === 100; tries += 1) {
+        await waitMilliseconds(5);
+    }
+    assert.ok(engine.standIn.faults.faultyAnswers < 100, "the engine refused nothing");
+    assert.ok(engine.standIn.activeGenerations > 0, "the stream has ended before the pause");
+});
+
+When("a caller starts a {string} with the method {string}", function(kind: string, method: string) {
+    stream = { result: getSite().call({ kind, method, id: createRequestId() }).catch(() => undefined), text: "" };
+});
+
+When("a caller resumes a {string} after event {int}", function(kind: string, event: number) {
+    const headers = { "last-event-id": String(event) };
+    stream = { result: getSite().call({ kind, headers, id: createRequestId() }).catch(() => undefined), text: "" };
+});
+
+Then("the response is complete within {int} ms", async function(milliseconds: number) {
+    const startedAt = performance.now();
+    const result = await stream?.result;
+    assert.equal(result?.status, 200);
+    assert.equal(result.isComplete, true, "the response is broken off");
+    assert.ok(performance.now() - startedAt < milliseconds, `${performance.now() - startedAt} ms`);
+});
+
+/** Closes the callers' connections as the system does when the process of an instance ends: unsent data are lost. */
+function closeCallerConnections(): void {
+    const port = getSite().instances[0]?.settings.callerAddress.port;
+    const { _getActiveHandles: listHandles } = process as unknown as { _getActiveHandles: () => unknown[]; };
+    for (const handle of listHandles.call(process)) {
+        if (handle instanceof Socket && handle.localPort === port) {
+            handle.destroy();
+        }
+    }
+}
+
+When("the instance ends after {int} events", async function(events: number) {
+    await waitForEvents(events);
+    closeCallerConnections();
+});
+
+When("a caller sends a {string} and the instance ends with the first bytes of the response", async function(
+    kind: string,
+) {
+    let hasEnded = false;
+    const onChunk = (): void => {
+        if (!hasEnded) {
+            hasEnded = true;
+            closeCallerConnections();
+        }
+    };
+    siteContext.responses.push(await getSite().call({ kind, id: createRequestId(), onChunk }));
+});
+
+Then("the response has fewer than {int} bytes and is not complete", function(bytes: number) {
+    const { body, isComplete } = getLastResponse();
+    assert.ok(body.length < bytes, `the response has ${body.length} bytes`);
+    assert.equal(isComplete, false, `${body.length} bytes look complete`);
+});
+
 When("the replies to final copies are lost", function() {
     for (const { standIn } of listEngines()) {
         standIn.faults.isFinalCopyReplyLost = true;
@@ -307,6 +408,14 @@
     },
     "is removed from the store": engine => getSite().store.removeObject("servers", engine.id),
     crashes: engine => engine.standIn.abortGenerations(),
+    "is replaced at its address": engine => {
+        engine.standIn.abortGenerations();
+        engine.standIn.faults.born = 2000;
+    },
+    "ends behind a gateway that answers in its place": engine => {
+        engine.standIn.abortGenerations();
+        engine.standIn.faults.reportFault = "gateway";
+    },
     // The system closes the connections of a process that ends in an orderly way.
     ends: engine => {
         engine.standIn.abortGenerations();
@@ -315,7 +424,7 @@
 };
 
 When(
-    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes|ends) after (\d+) events$/,
+    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes|is replaced at its address|ends behind a gateway that answers in its place|ends) after (\d+) events$/,
     async function(event: string, events: string) {
         await waitForEvents(Number(events));
         const engine = listEngines().find(({ standIn }) => standIn.activeGenerations > 0);
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -41,6 +41,8 @@
 export interface SiteCall {
     /** Kind of request: `lookup`, `stamp`, `narrative`, `verdict` or `summary`. */
     kind: string;
+    /** HTTP method. Defaults to `GET` for a `lookup` and `POST` otherwise. */
+    method?: string;
     /** Identifier of the request, sent in the `attempt-id` header. */
     id: string;
     /** Deadline that the caller sets, in milliseconds from the start of the request. Defaults to 3000. */
@@ -67,6 +69,7 @@
     narrative: "/narrative/1",
     verdict: "/verdict/1",
     summary: "/summary/1",
+    bulletin: "/bulletin/1",
 };
 
 /** Builds a configuration in the format in which the platform's store holds it. */
@@ -94,6 +97,14 @@
         { ...plainRoute, name: "stamp", path_prefix: "/stamp/", kind: "unsafe", max_attempts: 1 },
         { ...plainRoute, name: "summary", path_prefix: "/summary/", kind: "safe", service: "engines", max_attempts: 2 },
         { ...engineRoute, name: "narrative", path_prefix: "/narrative/", max_attempts: 1, stream_resume: false },
+        {
+            ...engineRoute,
+            name: "bulletin",
+            path_prefix: "/bulletin/",
+            service: "ledger",
+            max_attempts: 1,
+            stream_resume: false,
+        },
         { ...engineRoute, name: "verdict", path_prefix: "/verdict/", max_attempts: 2, stream_resume: true },
     ];
     const engine = { slots: 8, kv_capacity: 30_000, kv_token_bytes: 1, link_mbps: 24_000, moves: true, stride: 4 };
@@ -238,10 +249,10 @@
     /** Sends a request to an instance, as a caller does. */
     async call(call: SiteCall): Promise<HttpResult> {
         const { callerAddress } = this.#getInstance(call.instance ?? 0).settings;
-        const isStream = call.kind === "narrative" || call.kind === "verdict";
+        const isStream = ["narrative", "verdict", "bulletin"].includes(call.kind);
         return callHttp({
             address: `${callerAddress.host}:${callerAddress.port}`,
-            method: call.kind === "lookup" ? "GET" : "POST",
+            method: call.method ?? (call.kind === "lookup" ? "GET" : "POST"),
             path: REQUEST_PATHS[call.kind] ?? "/nowhere/",
             headers: {
                 host: "site.example",
@@ -251,7 +262,7 @@
                 ...isStream ? { model: "m", "token-counts": "100,48", "prompt-prefix": "aa:50,bb:50" } : {},
                 ...call.headers,
             },
-            ...call.kind === "lookup" ? {} : { body: "the body" },
+            ...call.kind === "lookup" || call.method === "HEAD" ? {} : { body: "the body" },
             ...call.onChunk === undefined ? {} : { onChunk: call.onChunk },
             ...call.signal === undefined ? {} : { signal: call.signal },
         });
@@ -294,7 +305,7 @@
     const site = new ServingSite();
     await site.openStore(options.accountPriority);
     for (let index = 0; index < plainTargets; index += 1) {
-        await site.addTarget("ledger");
+        await site.addTarget("ledger", { eventMilliseconds });
     }
     for (let index = 0; index < engines; index += 1) {
         await site.addTarget("engines", { eventMilliseconds });
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -22,6 +22,13 @@
     isFinalCopyReplyLost: boolean;
     /** Sends streams without a length and without chunks; they end with their connection. */
     isUnframed: boolean;
+    /**
+     * How reports are answered: "" at once, "late" after 300 ms, "reset" by a reset of the connection, or "gateway" by
+     * a 502 of what lies between.
+     */
+    reportFault: string;
+    /** Start of the process at this address, in Unix milliseconds, as reports state it; 0 to state none. */
+    born: number;
     /** Reports the state `draining` instead of `ready`. */
     isLeaving: boolean;
     /** Announces its shutdown in a header of all responses. */
@@ -64,6 +71,8 @@
 
 /** Body of each complete response. */
 const RESPONSE_BODY = "the whole answer";
+/** Body of a response that the connections take in several parts. */
+const LONG_RESPONSE_BODY = "x".repeat(7_500_000);
 /** First event of each stream. */
 const FIRST_EVENT = formatEvent(1);
 
@@ -164,6 +173,8 @@
     },
     "an unframed answer": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: RESPONSE_BODY }),
+    "a long unframed answer": (target, request, response) =>
+        target.sendUnframedResponse(request, response, { body: LONG_RESPONSE_BODY }),
     "half an unframed answer": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: RESPONSE_BODY.slice(0, 4), resetAfter: 5 }),
     "half an unframed answer and a reset at once": (target, request, response) =>
@@ -174,6 +185,24 @@
         target.sendUnframedResponse(request, response, { body: FIRST_EVENT + "id: 2\ndata: pie" }),
     "an unframed stream that is reset after an event": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: FIRST_EVENT, resetAfter: 0 }),
+    "a whole stream without its last chunk": (target, request) =>
+        void request.socket.write(formatChunkedHead(readRequestId(request)) + formatChunk(formatEvents(12)), () => {
+            target.started.push(readRequestId(request));
+            request.socket.resetAndDestroy();
+        }),
+    "a whole stream without a length and a reset": (target, request, response) => {
+        target.started.push(readRequestId(request));
+        target.sendUnframedResponse(request, response, { body: formatEvents(12), resetAfter: 0 });
+    },
+    "a whole stream in chunks and a reset at once": (_, request) =>
+        void request.socket.write(
+            `${formatChunkedHead(readRequestId(request))}${formatChunk(formatEvents(12))}0\r\n\r\n`,
+            () => request.socket.resetAndDestroy(),
+        ),
+    "a stream without chunks that names the encoding identity and ends before its first event": (_, request) =>
+        void request.socket.end(
+            formatSignedHead(readRequestId(request), "transfer-encoding: identity\r\nconnection: close"),
+        ),
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
@@ -188,6 +217,8 @@
         moveStatus: 0,
         isFinalCopyReplyLost: false,
         isUnframed: false,
+        reportFault: "",
+        born: 0,
         isLeaving: false,
         announcesLeaving: false,
         pauseSeconds: 0,
@@ -207,6 +238,8 @@
     /** Number of endless responses whose connection the receiver has closed. */
     endedEndlessResponses = 0;
     readonly #generations = new Map<string, StandInGeneration>();
+    /** Called right after the end of a whole stream was sent. */
+    onStreamEnd: () => void = () => undefined;
 
     constructor(options: TargetStandInOptions) {
         this.#options = options;
@@ -222,12 +255,26 @@
             response.setHeader("server-leaving", "1");
         }
         if (request.url === "/report") {
+            if (this.faults.reportFault === "reset") {
+                request.socket.resetAndDestroy();
+                return;
+            }
+            if (this.faults.reportFault === "gateway") {
+                sendJson(response, { status: 502, value: { error: "no upstream" } });
+                return;
+            }
+            await waitMilliseconds(this.faults.reportFault === "late" ? 300 : 0);
             const runs = [...this.#generations.values()].map(
                 generation => [generation.requestId, 100, generation.sentEvents, 5],
             );
             sendJson(response, {
                 status: 200,
-                value: { stage: "both", runs, state: this.faults.isLeaving ? "draining" : "ready" },
+                value: {
+                    stage: "both",
+                    runs,
+                    state: this.faults.isLeaving ? "draining" : "ready",
+                    ...this.faults.born === 0 ? {} : { born: this.faults.born },
+                },
             });
             return;
         }
@@ -410,6 +457,7 @@
         if (this.#generations.get(generation.requestId) === generation) {
             this.#generations.delete(generation.requestId);
             response.end();
+            this.onStreamEnd();
         }
     }
 
@@ -470,6 +518,14 @@
     return String(request.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
 }
 
+function formatEvents(count: number): string {
+    return Array.from({ length: count }, (_, index) => formatEvent(index + 1)).join("");
+}
+
+function formatChunk(text: string): string {
+    return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
 function readRequestId(request: IncomingMessage): string {
     return String(request.headers["attempt-id"]);
 }
