--- a/serving/engine_client.ts
+++ b/serving/engine_client.ts
@@ -6,13 +6,13 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import type { ServingTarget } from "../core/serving/mod.ts";
+import { waitMilliseconds } from "../network/mod.ts";
 import {
     type EngineReport,
     fetchReport,
     type MoveStep,
     type MoveStepResponse,
     pollEngine,
-    type PollResult,
     releaseCopy,
     sendMoveStep,
 } from "../platform/mod.ts";
@@ -26,6 +26,11 @@
     clock: Clock;
 }
 
+/** Time within which the call is repeated that finds out whether an engine has ended, in milliseconds. */
+const REPEAT_POLL_MILLISECONDS = 100;
+/** Pause between these calls, in milliseconds; an engine that ends may close its connections before its port. */
+const POLL_PAUSE_MILLISECONDS = 50;
+
 /** Calls the control endpoints of engines. */
 export class EngineClient {
     readonly #options: EngineClientOptions;
@@ -41,11 +46,22 @@
             : fetchReport(engine.address, { timeoutMilliseconds, onNotice: this.#buildNoticeHandler(engine) });
     }
 
-    /** Finds out whether an engine has ended. */
-    async pollEngine(engine: ServingTarget): Promise<PollResult> {
-        return this.#isPaused(engine)
-            ? "unanswered"
-            : pollEngine(engine.address, { onNotice: this.#buildNoticeHandler(engine) });
+    /**
+     * Checks whether an engine has ended: nothing listens at its address. An engine that does not answer, or that wants no
+     * requests, is not known to have ended.
+     */
+    async hasEnded(engine: ServingTarget): Promise<boolean> {
+        const { clock } = this.#options;
+        const startedAt = clock.getMonotonic();
+        for (;;) {
+            const result = this.#isPaused(engine)
+                ? "unanswered"
+                : await pollEngine(engine.address, { onNotice: this.#buildNoticeHandler(engine) });
+            if (result !== "unanswered" || clock.getMonotonic() - startedAt >= REPEAT_POLL_MILLISECONDS) {
+                return result === "refused";
+            }
+            await waitMilliseconds(POLL_PAUSE_MILLISECONDS);
+        }
     }
 
     /** Requests one step of a move from the engine that runs the generation. */
--- a/serving/prompt_evidence.ts
+++ b/serving/prompt_evidence.ts
@@ -11,14 +11,8 @@
     type QuarantinedPart,
     type ServingTarget,
 } from "../core/serving/mod.ts";
-import { waitMilliseconds } from "../network/mod.ts";
 import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
 
-/** Time within which the call is repeated that finds out whether an engine has ended, in milliseconds. */
-const REPEAT_POLL_MILLISECONDS = 100;
-/** Pause between these calls, in milliseconds; an engine that ends may close its connections before its port. */
-const POLL_PAUSE_MILLISECONDS = 50;
-
 /**
  * Records what the end of an attempt shows about the parts of its prompt.
  *
@@ -40,7 +34,7 @@
         state.recordPromptAnswered(parts);
         return false;
     }
-    if (!await hasEnded(context, target)) {
+    if (!await context.engines.hasEnded(target)) {
         return false;
     }
     metrics.countCrash(exchange.service.name);
@@ -49,18 +43,6 @@
     return true;
 }
 
-/** Checks whether an engine has ended: nothing listens at its address. */
-async function hasEnded({ engines, clock }: ServingContext, target: ServingTarget): Promise<boolean> {
-    const startedAt = clock.getMonotonic();
-    for (;;) {
-        const result = await engines.pollEngine(target);
-        if (result !== "unanswered" || clock.getMonotonic() - startedAt >= REPEAT_POLL_MILLISECONDS) {
-            return result === "refused";
-        }
-        await waitMilliseconds(POLL_PAUSE_MILLISECONDS);
-    }
-}
-
 /** Describes why a request is refused whose prompt has a quarantined part. */
 export function describeQuarantine({ part, crashes }: QuarantinedPart): string {
     return `its prompt has the quarantined part "${part}", on which ${crashes} engines have crashed`;
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -402,9 +402,9 @@
         if (moved !== undefined) {
             return moved;
         }
-        const isComplete = isStreamComplete(end) && !this.#exchange.signal.aborted
-            && (end.isFramed || this.#move?.mayHaveStoppedGeneration !== true
-                    && await this.#isEngineRunning(attempt.reservation));
+        const isComplete = isStreamComplete(end)
+            && (end.isFramed || !await this.#hasBrokenOff(attempt.reservation))
+            && !this.#exchange.signal.aborted;
         if (isComplete) {
             return { kind: "complete" };
         }
@@ -427,12 +427,14 @@
     }
 
     /**
-     * Checks whether the engine still runs: the system closes the connections of a process that ends in an orderly way,
-     * as an engine does at the end of a stream. True for a target that is not an engine, which has no report.
+     * Checks whether a stream that ended with its connection was broken off. The system closes the connections of a process
+     * that ends as an engine does at the end of a stream.
      */
-    async #isEngineRunning({ target }: Reservation): Promise<boolean> {
-        return this.#exchange.service.engine === undefined
-            || await this.#context.engines.pollEngine(target) === "answered";
+    async #hasBrokenOff({ target }: Reservation): Promise<boolean> {
+        if (this.#move?.mayHaveStoppedGeneration === true) {
+            return true;
+        }
+        return this.#exchange.service.engine !== undefined && await this.#context.engines.hasEnded(target);
     }
 
     async #waitForMove(): Promise<AttemptResult | undefined> {
