--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -365,6 +365,7 @@
     ): Promise<AttemptResult> {
         const { response: incoming } = targetResponse;
         const splitter = new EventSplitter();
+        const isResumed = this.#progress.lastEventId !== undefined;
         let eventCount = 0;
         let failure: string | undefined;
         try {
@@ -392,6 +393,7 @@
             isFramed: targetResponse.head.isFramed,
             isClosedInOrder: failure === undefined && targetResponse.isComplete(),
             events: eventCount,
+            isResumed,
             unfinishedBytes: splitter.getPendingBytes().length,
         };
         if (!end.isFramed) {
