--- a/serving/move_operation.ts
+++ b/serving/move_operation.ts
@@ -77,8 +77,7 @@
     #isGenerationStopping = false;
     #reservation: Reservation | undefined;
     #handle: string | undefined;
-    /** True if a final copy was requested and its result is unknown. */
-    #isFinalCopyUnanswered = false;
+    #finalCopyLostAt: number | undefined;
     /** Reason why the last step received no usable response; `undefined` if it received one. */
     #unansweredReason: string | undefined;
 
@@ -91,9 +90,12 @@
         });
     }
 
-    /** True if the move may have stopped the generation, and it is not known whether it did. */
-    get mayHaveStoppedGeneration(): boolean {
-        return this.#isFinalCopyUnanswered;
+    /**
+     * Time at which the result of a final copy was lost, on the monotonic clock in milliseconds; `undefined` if none was.
+     * The copy may have stopped the generation.
+     */
+    get finalCopyLostAt(): number | undefined {
+        return this.#finalCopyLostAt;
     }
 
     /**
@@ -203,7 +205,9 @@
             timeoutMilliseconds: STEP_TIMEOUT_MILLISECONDS,
         });
         this.#unansweredReason = response.kind === "unanswered" ? response.reason : undefined;
-        this.#isFinalCopyUnanswered ||= isFinal && response.kind === "unanswered";
+        if (isFinal && response.kind === "unanswered") {
+            this.#finalCopyLostAt = this.#now;
+        }
         this.#context.log.record("trouble", "move step", {
             request: requestId,
             source: source.id,
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -71,6 +71,8 @@
     startMove(notice: MoveNotice): void;
 }
 
+/** Time after a final copy within which events of a stopped generation may still arrive, in milliseconds. */
+const STOP_MILLISECONDS = 250;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 
@@ -433,12 +435,19 @@
      * that ends as an engine does at the end of a stream.
      */
     async #hasBrokenOff({ target }: Reservation): Promise<boolean> {
-        if (this.#move?.mayHaveStoppedGeneration === true) {
+        if (this.#mayBeStopped) {
             return true;
         }
         return this.#exchange.service.engine !== undefined && await this.#context.engines.hasEnded(target);
     }
 
+    /** True if a move may have stopped the generation; later events show that it has not. */
+    get #mayBeStopped(): boolean {
+        const lostAt = this.#move?.finalCopyLostAt;
+        return lostAt !== undefined
+            && (this.#lastEventAt ?? Number.NEGATIVE_INFINITY) < lostAt + STOP_MILLISECONDS;
+    }
+
     async #waitForMove(): Promise<AttemptResult | undefined> {
         const to = await this.#move?.finishOrCancel();
         return to === undefined || this.#exchange.signal.aborted ? undefined : { kind: "moved", to };
