--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -107,6 +107,8 @@
     #isLongAnswerRecorded = false;
     /** True if this instance has aborted the current attempt. */
     #isAttemptAborted = false;
+    /** True once the response of the current attempt has ended. */
+    #hasResponseEnded = false;
     /** True if the last attempt's engine was found to have crashed when it began to answer. */
     #hasCrashedEngine = false;
     /** Part of the prompt for whose quarantine the request is refused. */
@@ -142,7 +144,7 @@
     startMove(notice: MoveNotice): void {
         const { service, request } = this.#exchange;
         const reservation = this.#reservation;
-        if (reservation === undefined || !this.isMovable || this.#move !== undefined) {
+        if (reservation === undefined || !this.isMovable || this.#move !== undefined || this.#hasResponseEnded) {
             return;
         }
         this.#move = new MoveOperation(this.#context, {
@@ -243,6 +245,7 @@
         this.#lastEventAt = undefined;
         this.#isLongAnswerRecorded = false;
         this.#isAttemptAborted = false;
+        this.#hasResponseEnded = false;
         const result = await this.#sendAndRelay(reservation, copy).finally(() => {
             this.#reservation = undefined;
             reservation.release();
@@ -389,6 +392,7 @@
             failure = error instanceof Error ? error.message : String(error);
         }
         finally {
+            this.#hasResponseEnded = true;
             targetResponse.close();
         }
         const end: StreamEnd = {
