--- a/features/platform/prompt_quarantine_decisions.feature
+++ b/features/platform/prompt_quarantine_decisions.feature
@@ -220,6 +220,22 @@
         When a peer tells at 40000 ms of a quarantine of "p" for 560000 ms after 3 crashes
         Then the quarantined parts at 40000 ms are ""
 
+    # "soon": as soon as the rate limit allows; "later": once the time between two digests has passed.
+    Scenario Outline: after <event>, a digest is due <due>
+        Given an instance for which the part "a" was answered
+        When <event>
+        Then a digest is due "<due>"
+
+        Examples:
+            | event                                               | due   |
+            | the instance observes a crash on the part "p"       | soon  |
+            | a quarantined part is answered for the instance     | soon  |
+            | the part "b" is answered for the instance           | never |
+            | a peer observes a crash on the part "a"             | later |
+            | a peer observes a crash on the part "b"             | never |
+            | a peer quarantines the part "a"                     | later |
+            | a peer observes a crash on the part "a" once more   | never |
+
     Scenario: a long incident with many parts is told in messages of bounded size, and answered parts are forgotten
         When 1000 engine starts end on prompts with 200 parts each, and 100000 parts are answered
         Then the message to peers has at most 65536 bytes
--- a/features/platform/prompt_quarantine_fleet.feature
+++ b/features/platform/prompt_quarantine_fleet.feature
@@ -41,18 +41,23 @@
         Then all instances hold "p" in quarantine within 1500 ms
         And the remaining time of the quarantine is between 590 and 600 seconds
 
-    Scenario: a quarantine that is missing from a restored store is written again
-        Given a serving site with 2 instances
+    Scenario Outline: a quarantine that is missing from a restored store is written again by one of <instances> instances
+        Given a serving site with <instances> instances
         When the store is copied
         And 3 engines have crashed on the part "p"
         Then the store has the quarantined part "p" within 1000 ms
         When the store is restored from the copy 1 times without an outage
         Then the store has the quarantined part "p" within 1500 ms
         And all instances hold "p" in quarantine within 0 ms
-        And the quarantined parts were listed at most 4 times, and written or removed at most 4 times
+        And the quarantined parts were listed at most <listed> times, and written or removed at most <written> times
 
-    Scenario: a quarantine that has ended before the store is restored stays ended
-        Given a serving site with 2 instances
+        Examples:
+            | instances | listed | written |
+            | 1         | 2      | 2       |
+            | 2         | 4      | 4       |
+
+    Scenario Outline: a quarantine that <instances> instances have ended before the store is restored stays ended
+        Given a serving site with <instances> instances
         When 3 engines have crashed on the part "p"
         Then all instances hold "p" in quarantine within 1000 ms
         And the store has the quarantined part "p" within 1000 ms
@@ -63,6 +68,11 @@
         Then the store has no quarantined part within 1500 ms
         And no instance holds a part in quarantine after 300 ms
 
+        Examples:
+            | instances |
+            | 1         |
+            | 2         |
+
     Scenario: the object of a quarantine is removed after its end
         Given a store with the quarantined parts
             | part | remaining ms | crashes |
@@ -71,7 +81,7 @@
         When 2 instances start
         Then all instances hold "p" in quarantine within 1000 ms
         And the store has no quarantined part within 2500 ms
-        And no instance holds a part in quarantine after 0 ms
+        And no instance holds a part in quarantine after 100 ms
         And the quarantined parts were listed at most 2 times, and written or removed at most 4 times
         And instance 1 has logged that "p" is released, because it was "expired"
 
@@ -84,15 +94,20 @@
         Then all instances hold "p" in quarantine within 1000 ms
         And instance 1 has logged "store object unusable" for "a"
 
-    Scenario: a quarantine is written although the reply to the first write was lost
+    Scenario Outline: a quarantine is written again after the store <fault> the first write
         Given a serving site
-        When the store loses the reply to its next write
+        When the store <fault> its next write
         And 3 engines have crashed on the part "p"
         And 3000 ms have passed
         Then the store has the quarantined part "p" within 0 ms
         And an instance has logged "quarantine not stored"
         And the quarantined parts were listed at most 1 times, and written or removed at most 3 times
 
+        Examples:
+            | fault              |
+            | refuses            |
+            | loses the reply to |
+
     Scenario: while nothing is quarantined, the first instance calls the store once for quarantined parts
         Given a serving site
         When 500 ms have passed
--- a/features/steps/platform_quarantine_steps.ts
+++ b/features/steps/platform_quarantine_steps.ts
@@ -108,30 +108,42 @@
     assert.deepEqual(getSite().instances.flatMap(listQuarantined), []);
 });
 
-function hasLogged(instance: SiteInstance, expected: Record<string, unknown>): boolean {
-    return instance.lines.some(line => Object.entries(expected).every(([name, value]) => line[name] === value));
+/** Time within which a change is logged, in milliseconds: a few intervals at which an instance looks for ends. */
+const LOG_MILLISECONDS = 500;
+
+/** Waits until one of the instances has logged a line with certain fields. */
+async function waitForLine(instances: readonly SiteInstance[], expected: Record<string, unknown>): Promise<void> {
+    const hasLogged = (): boolean =>
+        instances.some(({ lines }) =>
+            lines.some(line => Object.entries(expected).every(([name, value]) => line[name] === value))
+        );
+    const deadline = performance.now() + LOG_MILLISECONDS;
+    while (!hasLogged() && performance.now() < deadline) {
+        await waitMilliseconds(POLL_MILLISECONDS);
+    }
+    assert.ok(hasLogged(), `no line has ${JSON.stringify(expected)}`);
 }
 
 Then(
     "instance {int} has logged that {string} is quarantined after {int} crashes, because of {string}",
-    function(number: number, part: string, crashes: number, source: string) {
-        assert.ok(hasLogged(getInstance(number), { event: "prompt part quarantined", part, crashes, source }));
+    async function(number: number, part: string, crashes: number, source: string) {
+        await waitForLine([getInstance(number)], { event: "prompt part quarantined", part, crashes, source });
     },
 );
 
 Then(
     "instance {int} has logged that {string} is released, because it was {string}",
-    function(number: number, part: string, reason: string) {
-        assert.ok(hasLogged(getInstance(number), { event: "prompt part released", part, reason }));
+    async function(number: number, part: string, reason: string) {
+        await waitForLine([getInstance(number)], { event: "prompt part released", part, reason });
     },
 );
 
-Then("instance {int} has logged {string} for {string}", function(number: number, event: string, name: string) {
-    assert.ok(hasLogged(getInstance(number), { event, name }));
+Then("instance {int} has logged {string} for {string}", async function(number: number, event: string, name: string) {
+    await waitForLine([getInstance(number)], { event, name });
 });
 
-Then("an instance has logged {string}", function(event: string) {
-    assert.ok(getSite().instances.some(instance => hasLogged(instance, { event })));
+Then("an instance has logged {string}", async function(event: string) {
+    await waitForLine(getSite().instances, { event });
 });
 
 Then("the store has the quarantined part {string} within {int} ms", async function(part: string, milliseconds: number) {
@@ -184,8 +196,8 @@
     }
 });
 
-When("the store loses the reply to its next write", function() {
-    getSite().store.faults.lostResponses = 1;
+When(/^the store (loses the reply to|refuses) its next write$/, function(fault: string) {
+    getSite().store.faults[fault === "refuses" ? "refusedWrites" : "lostResponses"] = 1;
 });
 
 let messages: (PeerMessage | undefined)[] = [];
--- a/features/steps/prompt_quarantine_steps.ts
+++ b/features/steps/prompt_quarantine_steps.ts
@@ -3,14 +3,18 @@
  *
  * @module
  */
-import { Before, type DataTable, Then, When } from "@cucumber/cucumber";
+import { Before, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { EMPTY_PROMPT_EVIDENCE, PromptQuarantine } from "../../core/serving/mod.ts";
+import { VirtualClock } from "../../core/clock/mod.ts";
+import { DigestReason, EMPTY_PROMPT_EVIDENCE, type PromptEvidence, PromptQuarantine } from "../../core/serving/mod.ts";
+import { ServingState } from "../../serving/mod.ts";
 import {
+    buildSimulatedSettings,
     CRASHING_PART,
     type PromptQuarantineOutcome,
     simulatePromptQuarantine,
 } from "../../support/platform/prompt_quarantine_simulation.ts";
+import { DecisionLog } from "../../telemetry/mod.ts";
 
 /** Name of the peer that tells of evidence. */
 const PEER = "peer";
@@ -91,6 +95,70 @@
     },
 );
 
+/** State of the instance whose digests a scenario checks, and the reasons for digests since the scenario's event. */
+let state: ServingState | undefined;
+let digestReasons: DigestReason[] = [];
+
+function getState(): ServingState {
+    assert.ok(state !== undefined, "the scenario has no instance");
+    return state;
+}
+
+function buildCrashes(part: string): PromptEvidence {
+    const crash = { part, position: 0, target: "e1", startedAt: 1, ageMilliseconds: 0 };
+    return { ...EMPTY_PROMPT_EVIDENCE, crashes: [crash] };
+}
+
+Given("an instance for which the part {string} was answered", function(part: string) {
+    const clock = new VirtualClock();
+    const log = new DecisionLog({ name: "test", clock, writeLine: () => true });
+    state = new ServingState({ settings: buildSimulatedSettings("one"), clock, log });
+    state.recordPromptAnswered([part]);
+    digestReasons = [];
+    state.loadTracker.onEngineLoadChange = reason => digestReasons.push(reason);
+});
+
+When("the instance observes a crash on the part {string}", function(part: string) {
+    getState().recordEngineCrash({ parts: [part], target: "e1", startedAt: 1 });
+});
+
+When("a quarantined part is answered for the instance", function() {
+    const quarantined = [{ part: "p", remainingMilliseconds: 1000, crashes: 3 }];
+    getState().applyPromptEvidence(PEER, { ...EMPTY_PROMPT_EVIDENCE, quarantined });
+    getState().recordPromptAnswered(["p"]);
+});
+
+When("the part {string} is answered for the instance", function(part: string) {
+    getState().recordPromptAnswered([part]);
+});
+
+When("a peer observes a crash on the part {string}", function(part: string) {
+    getState().applyPromptEvidence(PEER, buildCrashes(part));
+});
+
+When("a peer observes a crash on the part {string} once more", function(part: string) {
+    getState().applyPromptEvidence(PEER, buildCrashes(part));
+    // The digest that this asked for is sent.
+    getState().promptQuarantine.getEvidence(0);
+    digestReasons = [];
+    getState().applyPromptEvidence(PEER, buildCrashes(part));
+});
+
+When("a peer quarantines the part {string}", function(part: string) {
+    const quarantined = [{ part, remainingMilliseconds: 1000, crashes: 3 }];
+    getState().applyPromptEvidence(PEER, { ...EMPTY_PROMPT_EVIDENCE, quarantined });
+});
+
+const DUE_BY_REASON: Record<DigestReason, string> = {
+    [DigestReason.loadIncreased]: "soon",
+    [DigestReason.storeChanged]: "soon",
+    [DigestReason.loadDecreased]: "later",
+};
+
+Then("a digest is due {string}", function(expected: string) {
+    assert.equal(digestReasons.map(reason => DUE_BY_REASON[reason]).join(" ") || "never", expected);
+});
+
 /** Time at which the long incident of a scenario ends, in milliseconds. */
 const INCIDENT_MILLISECONDS = 50_000;
 /** Length of the parts of that incident, in characters: the longest that can be under suspicion. */
--- a/support/platform/prompt_quarantine_simulation.ts
+++ b/support/platform/prompt_quarantine_simulation.ts
@@ -202,7 +202,7 @@
                 return true;
             },
         });
-        const state = new ServingState({ settings: buildSettings(name), clock: this.#clock, log });
+        const state = new ServingState({ settings: buildSimulatedSettings(name), clock: this.#clock, log });
         const instance = { name, state, rateLimiter: new DigestRateLimiter(), digestDueAt: Infinity };
         state.loadTracker.onEngineLoadChange = reason => this.#scheduleDigest(instance, reason);
         return instance;
@@ -353,7 +353,7 @@
 }
 
 /** Builds settings whose addresses are not used. */
-function buildSettings(instance: string): InstanceSettings {
+export function buildSimulatedSettings(instance: string): InstanceSettings {
     const address = { host: "127.0.0.1", port: 1 };
     return {
         instance,
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -18,6 +18,8 @@
     refuseWith: number;
     /** Number of next writes that are applied but whose response is never sent. */
     lostResponses: number;
+    /** Number of next writes that are refused with status 503. */
+    refusedWrites: number;
     /** Sends truncated JSON as every response. */
     isNonsense: boolean;
     /** Largest number of objects in a page of a list. */
@@ -55,6 +57,7 @@
         isUnresponsive: false,
         refuseWith: 0,
         lostResponses: 0,
+        refusedWrites: 0,
         isNonsense: false,
         pageSize: 500,
         historyFrom: 0,
@@ -220,6 +223,11 @@
         response: ServerResponse,
         change: { method: string; kind: string; name: string | undefined; body: Buffer; },
     ): void {
+        if (this.faults.refusedWrites > 0) {
+            this.faults.refusedWrites -= 1;
+            sendJson(response, { status: 503, value: {} });
+            return;
+        }
         const { metadata, spec } = JSON.parse(change.body.toString()) as SubmittedObject;
         const current = this.#objects.get(change.kind)?.get(metadata.name);
         const isOutdated = metadata.revision !== undefined && metadata.revision !== current?.metadata.revision;
