--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -37,7 +37,8 @@
 
     Scenario Outline: a configuration with <routes> additional routes reaches 6 instances, four of them from a <source>
         Given a serving site with 6 instances
-        And the first watch of each instance has ended
+        And the instances have taken their places in the order of watchers
+        And 2 instances watch the store
         When the operator writes configuration version 9 with <routes> additional routes
         Then each instance has adopted configuration version 9 within 1500 ms
         And the two that watch the store got it from there, and the others from a "<source>"
@@ -47,6 +48,23 @@
             | 10     | peer               |
             | 300    | peer               |
 
+    Scenario: an instance that loses its place in the order of watchers ends its waiting watches
+        Given a serving site with 2 instances
+        And 2 instances watch the store
+        When another instance starts
+        Then 3 instances watch the store within 3000 ms
+        And 2 instances watch the store within 3000 ms
+
+    Scenario Outline: a watcher that loses its place in the order for <milliseconds> ms <result>
+        Given a watcher of the store whose watches are waiting
+        When the watcher loses its place in the order for <milliseconds> ms
+        Then the watcher <result>
+
+        Examples:
+            | milliseconds | result                    |
+            | 600          | makes no further call     |
+            | 3000         | lists and watches again   |
+
     # "all": an update with the configuration is sent; "nothing": one without it; "nobody": no update is sent.
     Scenario Outline: an instance that adopts a configuration from the <source> sends its peers <update>
         When an instance adopts a configuration from the "<source>"
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -496,11 +496,11 @@
     await waitMilliseconds(100);
 });
 
-/** Time by which the first watch call of an instance has ended: its longest duration and some time for the call. */
-const FIRST_WATCH_MILLISECONDS = 3500;
+/** Time by which the instances that are not elected have ended their watches, in milliseconds. */
+const ELECTION_MILLISECONDS = 3500;
 
-Given("the first watch of each instance has ended", async function() {
-    await waitMilliseconds(FIRST_WATCH_MILLISECONDS);
+Given("the instances have taken their places in the order of watchers", async function() {
+    await waitMilliseconds(ELECTION_MILLISECONDS);
 });
 
 When(
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -4,5 +4,7 @@
  * @module
  */
 export { parsePeerMessage, type PeerMessage } from "./peer_messages.ts";
+export * from "./serving_metrics.ts";
 export * from "./serving_process.ts";
 export * from "./serving_state.ts";
+export * from "./store_watcher.ts";
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -15,6 +15,7 @@
     StoreKind,
     type StoreList,
     type StoreObject,
+    type StoreReply,
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
@@ -34,7 +35,10 @@
     clock: Clock;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
-    /** Decides whether this instance watches the store on behalf of all; called before each call to the store. */
+    /**
+     * Decides whether this instance watches the store on behalf of all; called before each call to the store and
+     * repeatedly while a watch waits.
+     */
     decideWatching: () => boolean;
     /** Waits until the state has arrived from a peer, or none can be expected. */
     waitForPeerState: () => Promise<void>;
@@ -58,8 +62,14 @@
 const FIRST_WATCH_MILLISECONDS = 3000;
 /** Maximum wait of a watch of another watcher, in milliseconds; the first one detects connections that have failed. */
 const OTHER_WATCH_MILLISECONDS = 12_000;
-/** Interval at which an instance that does not watch the store checks whether it has to, in milliseconds. */
-const STANDBY_INTERVAL_MILLISECONDS = 100;
+/** Interval at which an instance checks whether it has to watch the store, in milliseconds. */
+const ELECTION_INTERVAL_MILLISECONDS = 100;
+/**
+ * Time for which an instance must have lost its place before it ends its waiting watches, in milliseconds. To watch
+ * again costs the store a list and a watch of each kind, so this is longer than the time for which one digest of a failed
+ * peer counts, plus the time until the next instance takes over.
+ */
+const MAX_SURPLUS_WATCH_MILLISECONDS = 1500;
 /** Delay after the first failed call, in milliseconds; it doubles with each further failure. */
 const MIN_BACKOFF_MILLISECONDS = 40;
 /** Maximum delay after failed calls, in milliseconds: a store that has recovered must be used within seconds. */
@@ -131,10 +141,10 @@
     async #runWatchLoop(kind: string): Promise<void> {
         await this.#options.waitForPeerState();
         while (!this.#isStopped) {
-            if (this.#options.state.unreadyReason === "" && !this.#options.decideWatching()) {
+            if (!this.#decideWatching()) {
                 this.#positions.delete(kind);
                 this.#outages.delete(kind);
-                await waitMilliseconds(STANDBY_INTERVAL_MILLISECONDS);
+                await waitMilliseconds(ELECTION_INTERVAL_MILLISECONDS);
                 continue;
             }
             const failure = await this.#listOrWatch(kind);
@@ -168,10 +178,7 @@
             this.#positions.set(kind, { era: reply.value.era, revision: reply.value.revision });
             return undefined;
         }
-        const reply = await store.watchObjects(kind, {
-            ...position,
-            waitMilliseconds: this.#options.isFirstWatcher() ? FIRST_WATCH_MILLISECONDS : OTHER_WATCH_MILLISECONDS,
-        });
+        const reply = await this.#watchKind(kind, position);
         if (reply.kind !== "ok") {
             return reply;
         }
@@ -184,6 +191,32 @@
         return undefined;
     }
 
+    /** Waits for changes of a kind; the wait ends early once this instance has lost its place for some time. */
+    async #watchKind(kind: string, position: StorePosition): Promise<StoreReply<StoreEvents>> {
+        const { store, clock, isFirstWatcher } = this.#options;
+        const abortController = new AbortController();
+        let placeLostAt: number | undefined;
+        const timer = setInterval(() => {
+            const now = clock.getMonotonic();
+            placeLostAt = this.#decideWatching() ? undefined : placeLostAt ?? now;
+            if (placeLostAt !== undefined && now - placeLostAt >= MAX_SURPLUS_WATCH_MILLISECONDS) {
+                abortController.abort();
+            }
+        }, ELECTION_INTERVAL_MILLISECONDS);
+        const reply = await store.watchObjects(kind, {
+            ...position,
+            waitMilliseconds: isFirstWatcher() ? FIRST_WATCH_MILLISECONDS : OTHER_WATCH_MILLISECONDS,
+            signal: abortController.signal,
+        });
+        clearInterval(timer);
+        return reply;
+    }
+
+    /** Decides whether to call the store: an instance that is not ready does so regardless of the order. */
+    #decideWatching(): boolean {
+        return this.#options.state.unreadyReason !== "" || this.#options.decideWatching();
+    }
+
     #recordRecovery(kind: string): void {
         const outage = this.#outages.get(kind);
         if (outage === undefined) {
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -66,7 +66,8 @@
     readonly #objects = new Map<string, Map<string, StoredObject>>();
     readonly #changes: StoredChange[] = [];
     readonly #pendingWakeups = new Set<() => void>();
-    readonly #pendingWatches = new Set<ServerResponse>();
+    /** Kind of each pending watch, by the watch's response. */
+    readonly #pendingWatches = new Map<ServerResponse, string>();
     #revision = 10;
     #era = 1;
     #copy: { revision: number; objects: [kind: string, objects: Map<string, StoredObject>][]; } | undefined;
@@ -109,9 +110,14 @@
         this.#publish({ kind, object, deleted: false, revision: this.#revision });
     }
 
+    /** Counts the pending watches of a kind. */
+    countWatches(kind: string): number {
+        return [...this.#pendingWatches.values()].filter(watchedKind => watchedKind === kind).length;
+    }
+
     /** Breaks the connections of all pending watches. */
     breakWatches(): void {
-        for (const response of this.#pendingWatches) {
+        for (const response of this.#pendingWatches.keys()) {
             response.destroy();
         }
     }
@@ -200,7 +206,7 @@
         const listChanges = (): StoredChange[] =>
             this.#changes.filter(change => change.kind === watch.kind && change.revision > from);
         if (listChanges().length === 0) {
-            this.#pendingWatches.add(response);
+            this.#pendingWatches.set(response, watch.kind);
             response.on("close", () => this.#pendingWatches.delete(response));
             await this.#waitForChange(Number(watch.url.searchParams.get("wait_ms")));
         }
