--- a/features/platform/backpressure.feature
+++ b/features/platform/backpressure.feature
@@ -69,6 +69,12 @@
         Then all responses have the status 200
         And target 1 of "ledger" has received none of them
 
+    Scenario: an instance that is heard of for the first time is told at once which targets leave
+        Given a serving site
+        When target 1 of "ledger" announces its shutdown in its answers
+        And 4 peers send their first digests one after the other
+        Then each of them has been told within 80 ms that target 1 of "ledger" leaves
+
     Scenario: the streams of an engine that announces its shutdown in an answer are moved
         Given a serving site whose engines send an event every 60 ms
         When a caller starts a "narrative"
--- a/features/steps/platform_backpressure_steps.ts
+++ b/features/steps/platform_backpressure_steps.ts
@@ -7,16 +7,19 @@
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
 import { TargetBackpressure, TargetDirectory } from "../../core/serving/mod.ts";
-import { waitMilliseconds } from "../../network/mod.ts";
+import { FrameServer, parseAddress, PeerConnectionPool, waitMilliseconds } from "../../network/mod.ts";
 import { decodeTargetNotice } from "../../platform/mod.ts";
-import type { SiteTarget } from "../../support/platform/mod.ts";
-import type { HttpResult } from "../../support/processes/mod.ts";
+import { parsePeerMessage } from "../../serving/mod.ts";
+import type { SiteInstance, SiteTarget } from "../../support/platform/mod.ts";
+import { findAddresses, type HttpResult } from "../../support/processes/mod.ts";
 import { createRequestId, getSite, siteContext } from "../support/site_context.ts";
 
 /** Time after a refusal from which requests count that were sent after it, in milliseconds. */
 const TRANSIT_MILLISECONDS = 500;
 /** Time within which instances have told each other of a notice, in milliseconds. */
 const SPREAD_MILLISECONDS = 250;
+/** Time for which a new peer waits for a digest, in milliseconds: longer than the interval of the digests. */
+const PEER_WAIT_MILLISECONDS = 1500;
 
 let noticeText = "";
 
@@ -220,3 +223,61 @@
     directory.markLeaving(buildTarget(1), 40);
     assert.equal(directory.listAvailable("ledger").length, 1);
 });
+
+/** What peers of the site's instance have been told, in the order in which the peers sent their first digests. */
+let toldPeers: { leaving: string[] | undefined; milliseconds: number; }[] = [];
+
+/** Sends the first digest of a peer that is not part of the site, and waits for the digest that it gets in return. */
+async function callAsNewPeer(instance: string): Promise<void> {
+    const [address = ""] = await findAddresses(1);
+    const connections = new PeerConnectionPool({ self: instance });
+    let leaving: string[] | undefined;
+    const server = new FrameServer({
+        onMessage: (_, raw) => {
+            const message = parsePeerMessage(raw);
+            leaving ??= message?.kind === "digest" ? message.leaving.map(({ id }) => id) : undefined;
+        },
+    });
+    await server.open(parseAddress(address));
+    const { peerAddress } = getFirstInstance().settings;
+    const sentAt = performance.now();
+    connections.send(`${peerAddress.host}:${peerAddress.port}`, {
+        kind: "digest",
+        instance,
+        address,
+        work: {},
+        unreachable: [],
+        versions: { configuration: -1, targets: 0, zones: -1 },
+        isWatching: false,
+    } as { kind: string; });
+    while (leaving === undefined && performance.now() - sentAt < PEER_WAIT_MILLISECONDS) {
+        await waitMilliseconds(2);
+    }
+    toldPeers.push({ leaving, milliseconds: performance.now() - sentAt });
+    connections.close();
+    server.close();
+}
+
+function getFirstInstance(): SiteInstance {
+    const instance = getSite().instances[0];
+    assert.ok(instance !== undefined, "the site has no instance");
+    return instance;
+}
+
+When("{int} peers send their first digests one after the other", async function(count: number) {
+    toldPeers = [];
+    for (let index = 0; index < count; index += 1) {
+        await callAsNewPeer(`peer-${index}`);
+    }
+});
+
+Then(
+    "each of them has been told within {int} ms that target {int} of {string} leaves",
+    function(milliseconds: number, number: number, _service: string) {
+        const id = getSite().targets[number - 1]?.id;
+        for (const told of toldPeers) {
+            assert.deepEqual(told.leaving, [id]);
+            assert.ok(told.milliseconds <= milliseconds, `told after ${told.milliseconds} ms`);
+        }
+    },
+);
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -82,6 +82,8 @@
 const WATCHER_KEEP_ALIVE_MILLISECONDS = 300;
 /** Digests that may be missed before a peer is considered lost. */
 const MAX_MISSED_DIGESTS = 3;
+/** Time after a digest to a peer within which the first digest of that peer is not answered, in milliseconds. */
+const MIN_REPLY_INTERVAL_MILLISECONDS = 50;
 /** Interval of digests to a peer that sends none, in milliseconds. */
 const LOST_PEER_RETRY_MILLISECONDS = 2000;
 /** Time since its last digest, or since it was last listed if it never sent one, after which a peer is removed. */
@@ -324,7 +326,8 @@
         if (peer === undefined) {
             return;
         }
-        if (peer.lastDigestAt === undefined || peer.isLost) {
+        const isNewlyReached = peer.lastDigestAt === undefined || peer.isLost;
+        if (isNewlyReached) {
             this.#options.log.record("process", "peer reached", { peer: message.instance, address: peer.address });
         }
         peer.lastDigestAt = now;
@@ -342,6 +345,9 @@
         }
         this.#options.state.applyPromptEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
+        if (isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
+            this.#sendDigest(peer, { digest: this.#buildDigest(now), now });
+        }
     }
 
     #sendRequestedState(message: StateRequestMessage): void {
@@ -475,29 +481,38 @@
         }
     }
 
-    /** Sends a digest to each peer, at a lower rate to peers that send none. */
-    #sendDigests(): void {
-        const now = this.#options.clock.getMonotonic();
-        const digest: DigestMessage = {
+    #buildDigest(now: number): DigestMessage {
+        const { state, instance, isWatching } = this.#options;
+        return {
             kind: "digest",
-            instance: this.#options.instance,
+            instance,
             address: this.#ownAddress,
-            work: this.#options.state.loadTracker.getDigest(),
-            unreachable: this.#options.state.listUnreachable(),
-            leaving: this.#options.state.directory.listAnnouncedLeaving(),
-            paused: this.#options.state.backpressure.listPaused(now),
-            promptEvidence: this.#options.state.promptQuarantine.getEvidence(now),
+            work: state.loadTracker.getDigest(),
+            unreachable: state.listUnreachable(),
+            leaving: state.directory.listAnnouncedLeaving(),
+            paused: state.backpressure.listPaused(now),
+            promptEvidence: state.promptQuarantine.getEvidence(now),
             versions: this.#getVersions(),
-            isWatching: this.#options.isWatching(),
+            isWatching: isWatching(),
         };
+    }
+
+    #sendDigest(peer: Peer, { digest, now }: { digest: DigestMessage; now: number; }): void {
+        peer.lastSentAt = now;
+        this.#connections.send(peer.address, digest);
+    }
+
+    /** Sends a digest to each peer, at a lower rate to peers that send none. */
+    #sendDigests(): void {
+        const now = this.#options.clock.getMonotonic();
+        const digest = this.#buildDigest(now);
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         this.#digestRateLimiter.recordSend({ now, peers: this.#peers.size });
         for (const peer of this.#peers.values()) {
             const isUnresponsive = peer.lastDigestAt === undefined || peer.isLost;
             if (!isUnresponsive || now - peer.lastSentAt >= LOST_PEER_RETRY_MILLISECONDS) {
-                peer.lastSentAt = now;
-                this.#connections.send(peer.address, digest);
+                this.#sendDigest(peer, { digest, now });
             }
         }
     }
