--- a/core/inventory/inventory_schema.ts
+++ b/core/inventory/inventory_schema.ts
@@ -57,7 +57,10 @@
     coldConcurrent: v.optional(PositiveCount, 2),
     /** True if the target refuses orders with a lower fencing token than it has seen. */
     checksFencing: v.optional(v.boolean(), false),
-    /** Path at which a service reports the outcome of the request with an idempotency key. */
+    /**
+     * Path at which a service reports the outcome of the request with an idempotency key: status 404 if it has none, and
+     * otherwise the headers and the body of its response, with the response's status in the header `x-outcome-status`.
+     */
     outcomePath: v.optional(v.pipe(v.string(), v.regex(/^\/.*\{key\}/, "a path that contains {key}"))),
 });
 
--- a/features/guarantees/processes.feature
+++ b/features/guarantees/processes.feature
@@ -12,6 +12,18 @@
         Then the services ran 1 stamp
         When a caller posts a stamp with the key "s-1" through instance 2
         Then the services ran 1 stamp
+        And both stamps have the same number
+
+    @at-most-once
+    Scenario: a stamp that is repeated before its response has arrived gets the same response
+        Given a fleet of 2 instances, 2 engines and 2 services
+        When the services take 1500 ms to respond
+        And a caller starts to post a stamp with the key "s-8" through instance 1
+        And the services have started 1 stamp
+        And a caller posts a stamp with the key "s-8" through instance 2
+        And the stamp that was started has ended
+        Then the services ran 1 stamp
+        And both stamps have the same number
 
     @at-most-once @not-run
     Scenario: without an outcome lookup the verdict is "may-have-run", and a repeat of the stamp runs nothing
@@ -221,7 +233,7 @@
         And instance 2 gets SIGTERM
         And all calls have ended
         Then the services ran no key twice
-        And every stamp got the status 200, 201 or 409
+        And every stamp got the status 201 or 409
         And both streams hold 500 tokens
         And the processes of instance 1 have exited with code 0
         And the processes of instance 2 have exited with code 0
--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -156,6 +156,10 @@
     },
 );
 
+When("the stamp that was started has ended", async function(this: ScenarioWorld) {
+    this.results.push(await this.pendingStamp ?? createEmptyResult());
+});
+
 When("{int} stamps are posted through all instances, each key twice", function(this: ScenarioWorld, count: number) {
     const { length } = this.fleet.instances;
     for (let number = 0; number < count; number += 1) {
@@ -394,10 +398,10 @@
 /** Number of streams that the scenario starts before its stamps, and whose results therefore come first. */
 const STREAM_COUNT = 2;
 
-// A repeat of a key whose stamp still runs gets the outcome that the service recorded (200) or a conflict (409).
-Then("every stamp got the status 200, 201 or 409", function(this: ScenarioWorld) {
+// A repeat of a key whose stamp still runs gets the outcome that the service recorded (201) or a conflict (409).
+Then("every stamp got the status 201 or 409", function(this: ScenarioWorld) {
     const statuses = this.results.slice(STREAM_COUNT).map(result => result.status);
-    assert.deepEqual(statuses.filter(status => ![200, 201, 409].includes(status)), []);
+    assert.deepEqual(statuses.filter(status => ![201, 409].includes(status)), []);
 });
 
 Then("both streams hold {int} tokens", function(this: ScenarioWorld, tokens: number) {
--- a/gateway/service_handler.ts
+++ b/gateway/service_handler.ts
@@ -53,6 +53,8 @@
 const MAX_KEY_CHARACTERS = 255;
 /** Time within which a target must return a stored outcome, in milliseconds. */
 const OUTCOME_TIMEOUT_MILLISECONDS = 1000;
+/** Header with the status of a stored outcome; the status of the call that fetches it tells only whether there is one. */
+const OUTCOME_STATUS_HEADER = "x-outcome-status";
 
 /** Serves requests to services. */
 export class ServiceHandler {
@@ -192,7 +194,9 @@
             timeoutMilliseconds: OUTCOME_TIMEOUT_MILLISECONDS,
             maxResponseBytes: MAX_RESPONSE_BYTES,
         });
-        return attempt.kind === "answered" && attempt.response.status !== 404 ? attempt.response : undefined;
+        return attempt.kind === "answered" && attempt.response.status !== 404
+            ? decodeFetchedOutcome(attempt.response)
+            : undefined;
     }
 
     /**
@@ -369,6 +373,18 @@
     return hash.update(job.body).digest("base64");
 }
 
+/** Decodes an outcome that a target has returned: its headers and body, with its own status if the target tells it. */
+function decodeFetchedOutcome(response: ServiceResponse): ServiceResponse {
+    const { [OUTCOME_STATUS_HEADER]: header, ...headers } = response.headers;
+    const status = Number(header);
+    return { status: isFinalStatus(status) ? status : response.status, headers, body: response.body };
+}
+
+/** Checks whether a number is an HTTP status with which a response can end. */
+function isFinalStatus(status: number): boolean {
+    return Number.isInteger(status) && status >= 200 && status <= 599;
+}
+
 function encodeOutcome(response: ServiceResponse): ClaimOutcome {
     const headers = Object.fromEntries(Object.entries(response.headers).map(([name, value]) => [name, String(value)]));
     const isBodyStored = response.body.length <= MAX_STORED_BODY_BYTES;
--- a/support/stand_ins/service_stand_in.ts
+++ b/support/stand_ins/service_stand_in.ts
@@ -38,6 +38,10 @@
     bodyBytes: number;
 }
 
+const CONTENT_TYPE = "application/octet-stream";
+/** Status of the response to a run of a request that is not a GET request. */
+const RUN_STATUS = 201;
+
 /**
  * A stand-in for a plain service.
  *
@@ -54,7 +58,8 @@
         isSilent: false,
     };
     readonly runs: ServiceRun[] = [];
-    readonly #outcomes = new Map<string, number>();
+    /** Number and response body of each run, by idempotency key. */
+    readonly #outcomes = new Map<string, { number: number; body: Buffer; }>();
     #running = 0;
     #peakRunning = 0;
 
@@ -65,8 +70,7 @@
             return;
         }
         if (path.startsWith("/outcomes/")) {
-            const number = this.#outcomes.get(decodeURIComponent(path.slice("/outcomes/".length)));
-            sendJson(response, number === undefined ? { status: 404, value: {} } : { status: 200, value: { number } });
+            this.#sendOutcome(response, decodeURIComponent(path.slice("/outcomes/".length)));
             return;
         }
         this.#running += 1;
@@ -100,7 +104,7 @@
         this.runs.push({ method: request.method ?? "", path: request.url ?? "", key, bodyBytes: body.length });
         const number = this.runs.length;
         if (key !== "") {
-            this.#outcomes.set(key, number);
+            this.#outcomes.set(key, { number, body });
         }
         if (this.#takeFault("cutAfterRun")) {
             request.socket.destroy();
@@ -109,15 +113,30 @@
         await waitMilliseconds(this.faults.delayMilliseconds);
         const hasWrongId = this.#takeFault("crossedAnswers");
         const requestId = hasWrongId ? "another-request" : String(request.headers["x-request-id"] ?? "");
-        const headers = { "x-request-id": requestId, "content-type": "application/octet-stream" };
+        const headers = { "x-request-id": requestId, "content-type": CONTENT_TYPE };
         if (request.method === "GET") {
             sendJson(response, { status: 200, value: { number, path: request.url }, headers });
             return;
         }
-        response.writeHead(201, { ...headers, "x-number": String(number) });
+        response.writeHead(RUN_STATUS, { ...headers, "x-number": String(number) });
         response.end(body);
     }
 
+    /** Sends the response to the run with `key`, or status 404 if there was none. */
+    #sendOutcome(response: ServerResponse, key: string): void {
+        const outcome = this.#outcomes.get(key);
+        if (outcome === undefined) {
+            sendJson(response, { status: 404, value: {} });
+            return;
+        }
+        response.writeHead(200, {
+            "content-type": CONTENT_TYPE,
+            "x-number": String(outcome.number),
+            "x-outcome-status": String(RUN_STATUS),
+        });
+        response.end(outcome.body);
+    }
+
     /** Tells whether a fault applies to the current request, and if so decrements its count. */
     #takeFault(name: "cutAfterRun" | "cutBeforeRun" | "crossedAnswers" | "refusals"): boolean {
         if (this.faults[name] <= 0) {
