--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -5,12 +5,18 @@
  */
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { Agent, request as startRequest } from "node:http";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { type Address, parseAddress, waitMilliseconds } from "../../../network/mod.ts";
+import { parseAddress, waitMilliseconds } from "../../../network/mod.ts";
 import { createRandom, pickExponential, type Random } from "../../fixtures/random.ts";
-import { callHttp, collectResponse, type HttpResult, type RunningChild, startChild } from "../../processes/mod.ts";
+import {
+    callHttp,
+    collectResponse,
+    findAddresses,
+    type HttpResult,
+    type RunningChild,
+    startChild,
+} from "../../processes/mod.ts";
 import { buildSiteConfiguration, formatSettingsText, ServingSite, SITE_API_KEY, type SiteTarget } from "../mod.ts";
 import { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { SoakRecorder } from "./soak_recorder.ts";
@@ -66,11 +72,6 @@
 const PROGRAM_PATH = "dist/bin/knapweed_serve.js";
 /** Number of concurrent callers. */
 const CALLER_COUNT = 6;
-/** Range of the ports that the test assigns. */
-const FIRST_PORT = 10_000;
-const PORT_COUNT = 20_000;
-/** Ports that this process has assigned; each appears to be free until the process that uses it is listening. */
-const assignedPorts = new Set<number>();
 /** Time from the last fault until the site must serve all requests again. */
 const RECOVERY_MILLISECONDS = 4000;
 /** Range of the random duration of a fault, which is added to its minimum duration of 150 ms. */
@@ -162,7 +163,7 @@
     /** Adds a target that instances reach through a fault proxy. */
     async #addTarget(service: string): Promise<void> {
         const target = await this.#site.addTarget(service, { eventMilliseconds: 40 });
-        const [address = ""] = await this.#findPorts(1);
+        const [address = ""] = await findAddresses(1);
         const proxy = new FaultProxy(parseAddress(target.address));
         await proxy.open(parseAddress(address));
         this.#proxies.push(proxy);
@@ -172,7 +173,7 @@
 
     /** Starts an instance that reaches the store through a fault proxy. */
     async #addInstance(index: number): Promise<void> {
-        const [caller = "", ready = "", peer = "", internal = "", store = ""] = await this.#findPorts(5);
+        const [caller = "", ready = "", peer = "", internal = "", store = ""] = await findAddresses(5);
         const storeProxy = new FaultProxy(parseAddress(this.#site.storeAddress));
         await storeProxy.open(parseAddress(store));
         this.#proxies.push(storeProxy);
@@ -197,25 +198,6 @@
         this.#watchExit(instance);
     }
 
-    /**
-     * Finds free ports below the range that the kernel assigns to outgoing connections.
-     *
-     * A restarted process needs the same ports again, and an outgoing connection could have taken one of them from that
-     * range in the meantime.
-     */
-    async #findPorts(count: number): Promise<string[]> {
-        const addresses: string[] = [];
-        while (addresses.length < count) {
-            const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-            const address = { host: "127.0.0.1", port };
-            if (!assignedPorts.has(port) && await isPortFree(address) && !assignedPorts.has(port)) {
-                assignedPorts.add(port);
-                addresses.push(`${address.host}:${port}`);
-            }
-        }
-        return addresses;
-    }
-
     #watchExit(instance: SoakInstance): void {
         const { child } = instance;
         void child.waitForExit().then(code => {
@@ -416,14 +398,6 @@
     }
 }
 
-function isPortFree(address: Address): Promise<boolean> {
-    return new Promise(resolve => {
-        const server = createServer();
-        server.once("error", () => resolve(false));
-        server.listen(address.port, address.host, () => server.close(() => resolve(true)));
-    });
-}
-
 /** Sends one request through a caller's HTTP agent, which keeps at most one connection to each instance. */
 function callWithAgent(
     call: { instance: SoakInstance; agent: Agent; id: string; kind: string; },
--- a/support/processes/fleet.ts
+++ b/support/processes/fleet.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { createServer } from "node:net";
 import { fileURLToPath } from "node:url";
 import { applyInventory, fetchConfiguration } from "../../control/mod.ts";
 import type { Inventory } from "../../core/inventory/mod.ts";
@@ -12,6 +11,7 @@
 import { createInventory, type DeploymentPlan } from "../fixtures/inventories.ts";
 import type { EngineSpec } from "../stand_ins/mod.ts";
 import { type RunningChild, startChild } from "./child_process.ts";
+import { findAddresses } from "./find_addresses.ts";
 import { callHttp } from "./http_call.ts";
 import { waitUntil } from "./wait_until.ts";
 
@@ -79,28 +79,11 @@
     close: () => Promise<void>;
 }
 
-const HOST = "127.0.0.1";
-
 /** Resolves a path below the build directory. */
 function resolveProgram(path: string): string {
     return fileURLToPath(new URL(`../../${path}`, import.meta.url));
 }
 
-/** Finds loopback addresses with ports that are currently free. */
-export async function findAddresses(count: number): Promise<string[]> {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-        const server = createServer();
-        await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-        return server;
-    }));
-    const addresses = servers.map(server => {
-        const address = server.address();
-        return `${HOST}:${typeof address === "object" && address ? address.port : 0}`;
-    });
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return addresses;
-}
-
 /**
  * Starts a stand-in as a child process.
  *
