--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -94,6 +94,17 @@
     await setServiceFaults(this, { crossedAnswers: 1 });
 });
 
+When(
+    "the services reset the next response, without a length, with its first bytes",
+    async function(this: ScenarioWorld) {
+        await setServiceFaults(this, { unframedResets: 1 });
+    },
+);
+
+When("the services send the next response without a length", async function(this: ScenarioWorld) {
+    await setServiceFaults(this, { unframedResponses: 1 });
+});
+
 When("the services take {int} ms to respond", async function(this: ScenarioWorld, delayMilliseconds: number) {
     await setServiceFaults(this, { delayMilliseconds });
 });
@@ -156,6 +167,10 @@
     },
 );
 
+When("the stamp has ended", async function(this: ScenarioWorld) {
+    await this.pendingStamp;
+});
+
 When("{int} stamps are posted through all instances, each key twice", function(this: ScenarioWorld, count: number) {
     const { length } = this.fleet.instances;
     for (let number = 0; number < count; number += 1) {
@@ -249,6 +264,14 @@
     assert.equal(this.lastResult.status, status, this.lastResult.body.toString());
 });
 
+Then("the response holds {string} and is unframed", function(this: ScenarioWorld, text: string) {
+    const { body, headers, isComplete } = this.lastResult;
+    assert.equal(body.toString(), text);
+    assert.equal(isComplete, true);
+    assert.equal(headers["content-length"], undefined);
+    assert.equal(headers["transfer-encoding"], undefined);
+});
+
 Then("the response came within {int} ms", function(this: ScenarioWorld, milliseconds: number) {
     assert.ok(this.elapsedMilliseconds <= milliseconds, `the response took ${this.elapsedMilliseconds} ms`);
 });
--- a/features/steps/service_steps.ts
+++ b/features/steps/service_steps.ts
@@ -38,6 +38,28 @@
             socket.write(`${STATUS_LINE}content-length: 100\r\n\r\nhalf`, () => socket.destroy());
         }
     },
+    "resets an unframed response with its first bytes": (socket, received) =>
+        sendAfterBody(socket, received, { response: `${STATUS_LINE}\r\nhalf`, resetMilliseconds: 0 }),
+    "resets an unframed response with its head": (socket, received) =>
+        sendAfterBody(socket, received, { response: `${STATUS_LINE}\r\n`, resetMilliseconds: 0 }),
+    "resets an unframed response with its first bytes after a transfer encoding": (socket, received) => {
+        const response = `${STATUS_LINE}transfer-encoding: identity\r\n\r\nhalf`;
+        sendAfterBody(socket, received, { response, resetMilliseconds: 0 });
+    },
+    "resets an unframed response 20 ms after its first bytes": (socket, received) =>
+        sendAfterBody(socket, received, { response: `${STATUS_LINE}\r\nhalf`, resetMilliseconds: 20 }),
+    "is unframed and ends with an orderly close": (socket, received) =>
+        sendAfterBody(socket, received, { response: `${STATUS_LINE}\r\nwhole` }),
+    "has a length and is reset with its last byte": (socket, received) => {
+        const response = `${STATUS_LINE}content-length: 5\r\n\r\nwhole`;
+        sendAfterBody(socket, received, { response, resetMilliseconds: 0 });
+    },
+    "has chunks and is reset with its last chunk": (socket, received) => {
+        const response = `${STATUS_LINE}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`;
+        sendAfterBody(socket, received, { response, resetMilliseconds: 0 });
+    },
+    "has no content and is reset with its head": (socket, received) =>
+        sendAfterBody(socket, received, { response: "HTTP/1.1 204 No Content\r\n\r\n", resetMilliseconds: 0 }),
     "never responds": () => undefined,
     "refuses the request as not run": (socket, received) => {
         if (countBodyBytes(received) >= BODY_BYTES) {
@@ -67,6 +89,29 @@
     return end < 0 ? 0 : received.length - end - HEADERS_END.length;
 }
 
+/**
+ * Sends `response` once the whole request body has been received. The connection is reset `resetMilliseconds` later, or
+ * closed in order if that is `undefined`.
+ */
+function sendAfterBody(
+    socket: Socket,
+    received: Buffer,
+    { response, resetMilliseconds }: { response: string; resetMilliseconds?: number; },
+): void {
+    if (countBodyBytes(received) < BODY_BYTES) {
+        return;
+    }
+    if (resetMilliseconds === undefined) {
+        socket.end(response);
+    }
+    else if (resetMilliseconds === 0) {
+        socket.write(response, () => socket.resetAndDestroy());
+    }
+    else {
+        socket.write(response, () => setTimeout(() => socket.resetAndDestroy(), resetMilliseconds));
+    }
+}
+
 /** Starts a service that calls `respond` when a connection opens and whenever bytes have arrived. */
 async function openService(respond: (socket: Socket, received: Buffer) => void): Promise<RoutedTarget> {
     const [address = ""] = await findAddresses(1);
@@ -106,7 +151,7 @@
     });
 }
 
-When(/^a call is made to a service that (.+)$/, async function(fault: string) {
+When(/^a call is made to a service (?:that|whose response) (.+)$/, async function(fault: string) {
     const respond = SERVICE_RESPONSES[fault];
     const [unusedAddress = ""] = await findAddresses(1);
     attempt = await callTarget(respond === undefined ? createServiceTarget(unusedAddress) : await openService(respond));
@@ -117,6 +162,11 @@
     assert.equal(decideVerdict(attempt.progress), verdict);
 });
 
+Then("the attempt returns the body {string}", function(body: string) {
+    assert.equal(attempt?.kind, "answered");
+    assert.equal(attempt.response.body.toString(), body);
+});
+
 const ALL_BYTES = Buffer.from(Array.from({ length: 256 }, (_unused, index) => index));
 
 When("a service responds with all bytes from 0 to 255", async function() {
--- a/support/stand_ins/service_stand_in.ts
+++ b/support/stand_ins/service_stand_in.ts
@@ -14,6 +14,10 @@
     cutAfterRun: number;
     /** Number of requests whose connections are closed before they run. */
     cutBeforeRun: number;
+    /** Number of responses without a length or chunks whose connections are reset with the first bytes of the body. */
+    unframedResets: number;
+    /** Number of whole responses without a length or chunks. */
+    unframedResponses: number;
     /** Number of responses that carry the identifier of another request. */
     crossedAnswers: number;
     /** Number of requests that are refused before they run. */
@@ -26,6 +30,18 @@
     isSilent: boolean;
 }
 
+/** Names of the faults that are counts. */
+type CountedFault =
+    | "cutAfterRun"
+    | "cutBeforeRun"
+    | "unframedResets"
+    | "unframedResponses"
+    | "crossedAnswers"
+    | "refusals";
+
+/** Number of the body's bytes that are sent before a response is reset. */
+const FIRST_BYTES = 4;
+
 /** A record of one run of a request. */
 export interface ServiceRun {
     /** HTTP method. */
@@ -47,6 +63,8 @@
     readonly faults: ServiceFaults = {
         cutAfterRun: 0,
         cutBeforeRun: 0,
+        unframedResets: 0,
+        unframedResponses: 0,
         crossedAnswers: 0,
         refusals: 0,
         delayMilliseconds: 0,
@@ -114,12 +132,21 @@
             sendJson(response, { status: 200, value: { number, path: request.url }, headers });
             return;
         }
+        const isReset = this.#takeFault("unframedResets");
+        if (isReset || this.#takeFault("unframedResponses")) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
         response.writeHead(201, { ...headers, "x-number": String(number) });
+        if (isReset) {
+            response.write(body.subarray(0, FIRST_BYTES), () => request.socket.resetAndDestroy());
+            return;
+        }
         response.end(body);
     }
 
     /** Tells whether a fault applies to the current request, and if so decrements its count. */
-    #takeFault(name: "cutAfterRun" | "cutBeforeRun" | "crossedAnswers" | "refusals"): boolean {
+    #takeFault(name: CountedFault): boolean {
         if (this.faults[name] <= 0) {
             return false;
         }
