--- a/core/claims/claim_types.ts
+++ b/core/claims/claim_types.ts
@@ -11,6 +11,8 @@
     headers: v.record(v.string(), v.string()),
     /** Body in Base64; `undefined` if it was too large to store. */
     body: v.optional(v.string()),
+    /** False if the body had neither a length nor chunks; absent otherwise. */
+    isFramed: v.optional(v.literal(false)),
 });
 
 /** The response to a claimed request. */
--- a/features/platform/targets.feature
+++ b/features/platform/targets.feature
@@ -80,6 +80,12 @@
         And a caller sends a "stamp"
         Then the response has neither a length nor chunked encoding
 
+    Scenario: an unframed response that names a transfer encoding is relayed unframed
+        Given a serving site
+        When the targets respond with "an unframed answer with a transfer encoding" 1 times
+        And a caller sends a "stamp"
+        Then the response has neither a length nor chunked encoding
+
     Scenario: the target gets the account and the remaining time, but not the API key or the caller's values of internal headers
         Given a serving site
         When a caller sends a "stamp" with the headers
--- a/features/steps/service_steps.ts
+++ b/features/steps/service_steps.ts
@@ -66,6 +66,10 @@
             socket.end("HTTP/1.1 503 Busy\r\nx-verdict: not-run\r\ncontent-length: 0\r\n\r\n");
         }
     },
+    "refuses it as not run, and resets with the head": (socket, received) => {
+        const response = "HTTP/1.1 503 Busy\r\nx-verdict: not-run\r\n\r\n";
+        sendAfterBody(socket, received, { response, resetMilliseconds: 0 });
+    },
     "responds with another request's identifier": (socket, received) => {
         if (countBodyBytes(received) >= BODY_BYTES) {
             socket.end(`${STATUS_LINE}x-request-id: another\r\ncontent-length: 0\r\n\r\n`);
--- a/gateway/service_client.ts
+++ b/gateway/service_client.ts
@@ -6,7 +6,7 @@
 import { type IncomingHttpHeaders, type IncomingMessage, request as startRequest } from "node:http";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import { AttemptProgress } from "../core/verdict/mod.ts";
-import { parseAddress, readBody } from "../network/mod.ts";
+import { hasFailed, isFramed, openObservedConnection, parseAddress, readBody } from "../network/mod.ts";
 
 /** A request to a service. */
 export interface ServiceRequest {
@@ -36,6 +36,8 @@
     headers: Record<string, string | string[]>;
     /** Entire response body. */
     body: Buffer;
+    /** True if the service's response itself shows where it ends; otherwise it ends with its connection. */
+    isFramed: boolean;
 }
 
 /** Result of one attempt to call a service. */
@@ -59,6 +61,8 @@
 ]);
 /** Request headers that are meant for the gateway, and are not forwarded. */
 const GATEWAY_HEADERS = new Set(["authorization", "x-deadline-milliseconds", "x-kind"]);
+/** Statuses of responses that end with their head. */
+const STATUSES_WITHOUT_CONTENT = new Set([204, 304]);
 /** Response header with which a service states that it refused a request before running it. */
 const VERDICT_HEADER = "x-verdict";
 /** Header that a service may echo, which shows that the response belongs to the request. */
@@ -93,9 +97,10 @@
 export function callService(request: ServiceRequest): Promise<ServiceAttempt> {
     return new Promise(resolve => {
         let progress: AttemptProgress = AttemptProgress.notConnected;
+        const address = parseAddress(request.target.address);
         const httpRequest = startRequest({
-            ...parseAddress(request.target.address),
-            agent: false,
+            ...address,
+            createConnection: () => openObservedConnection(address),
             method: request.method,
             path: request.path,
             headers: { ...request.headers, "content-length": request.body.length },
@@ -127,6 +132,7 @@
 }
 
 async function readResponse(response: IncomingMessage, request: ServiceRequest): Promise<ServiceAttempt> {
+    const { socket } = response;
     const body = await readBody(response, { maxBytes: request.maxResponseBytes });
     const status = response.statusCode ?? 0;
     const echoedRequestId = response.headers[REQUEST_ID_HEADER];
@@ -137,5 +143,13 @@
     if (status === 503 && response.headers[VERDICT_HEADER] === "not-run") {
         return { kind: "failed", progress: AttemptProgress.refused, message: "the service refused the request" };
     }
-    return { kind: "answered", response: { status, headers: pickForwardedHeaders(response.headers), body } };
+    const hasContent = request.method !== "HEAD" && !STATUSES_WITHOUT_CONTENT.has(status);
+    const hasOwnEnd = !hasContent || isFramed(response.headers);
+    // Node.js reports a response that ends with its connection as complete even if the connection was reset.
+    if (!hasOwnEnd && hasFailed(socket)) {
+        const message = "the connection was reset before the end of the response";
+        return { kind: "failed", progress: AttemptProgress.answering, message };
+    }
+    const headers = pickForwardedHeaders(response.headers);
+    return { kind: "answered", response: { status, headers, body, isFramed: hasOwnEnd } };
 }
--- a/gateway/service_handler.ts
+++ b/gateway/service_handler.ts
@@ -10,6 +10,7 @@
 import type { ClaimOutcome, ClaimRequest, ClaimResult } from "../core/claims/mod.ts";
 import { classifyRequest, type Kind, type RoutedTarget } from "../core/inventory/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
+import { setUnframed } from "../network/mod.ts";
 import {
     chooseRetryAfterSeconds,
     createRetryableError,
@@ -338,13 +339,22 @@
     }
 }
 
-function sendServiceResponse(context: RequestContext, serviceResponse: ServiceResponse): void {
-    const { response } = context;
-    response.writeHead(serviceResponse.status, {
-        ...serviceResponse.headers,
-        "content-length": serviceResponse.body.length,
-    });
-    response.end(serviceResponse.body);
+/**
+ * Sends a service's response to the caller.
+ *
+ * An unframed response stays unframed: only the service knows where it ends, so a content length added here would
+ * declare a truncated response complete.
+ */
+function sendServiceResponse({ response }: RequestContext, serviceResponse: ServiceResponse): void {
+    const { status, headers, body } = serviceResponse;
+    if (serviceResponse.isFramed) {
+        response.writeHead(status, { ...headers, "content-length": body.length });
+    }
+    else {
+        setUnframed(response);
+        response.writeHead(status, headers);
+    }
+    response.end(body);
 }
 
 function parseIdempotencyKey(header: string | string[] | undefined): string | undefined {
@@ -372,7 +382,12 @@
 function encodeOutcome(response: ServiceResponse): ClaimOutcome {
     const headers = Object.fromEntries(Object.entries(response.headers).map(([name, value]) => [name, String(value)]));
     const isBodyStored = response.body.length <= MAX_STORED_BODY_BYTES;
-    return { status: response.status, headers, ...isBodyStored ? { body: response.body.toString("base64") } : {} };
+    return {
+        status: response.status,
+        headers,
+        ...isBodyStored ? { body: response.body.toString("base64") } : {},
+        ...response.isFramed ? {} : { isFramed: false },
+    };
 }
 
 function decodeOutcome(outcome: ClaimOutcome): ServiceResponse {
@@ -383,5 +398,6 @@
         });
     }
     const headers = { ...outcome.headers, "idempotent-replayed": "true" };
-    return { status: outcome.status, headers, body: Buffer.from(outcome.body, "base64") };
+    const body = Buffer.from(outcome.body, "base64");
+    return { status: outcome.status, headers, body, isFramed: outcome.isFramed ?? true };
 }
--- a/network/mod.ts
+++ b/network/mod.ts
@@ -9,5 +9,6 @@
 export * from "./http_server.ts";
 export * from "./peer_connection_pool.ts";
 export * from "./reset_detection.ts";
+export * from "./response_framing.ts";
 export * from "./response_limits.ts";
 export * from "./wait_milliseconds.ts";
--- a/network/reset_detection.ts
+++ b/network/reset_detection.ts
@@ -6,12 +6,13 @@
  *
  * @module
  */
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
+import type { Address } from "./address.ts";
 
 const resetSockets = new WeakSet<Socket>();
 
 /** Observes the end of a connection, before any other listener. Must be called when the socket is created. */
-export function observeReset(socket: Socket): void {
+function observeReset(socket: Socket): void {
     socket.prependOnceListener("end", () => {
         // A connection that was reset has no remote end any more; one that the remote end has closed still does.
         if (socket.remoteAddress === undefined) {
@@ -20,6 +21,13 @@
     });
 }
 
+/** Opens a connection whose end is observed, and on which small writes are not delayed. */
+export function openObservedConnection({ host, port }: Address): Socket {
+    const socket = connect({ host, port, noDelay: true });
+    observeReset(socket);
+    return socket;
+}
+
 /** Checks whether an observed connection has ended with a reset or another error. */
 export function hasFailed(socket: Socket): boolean {
     return Boolean(socket.errored) || resetSockets.has(socket);
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -7,7 +7,7 @@
 import type { Clock } from "../core/clock/mod.ts";
 import type { ClientAccount, RequestLoad, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
-import { sendJson } from "../network/mod.ts";
+import { sendJson, setUnframed } from "../network/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
 import {
     type CallerRequest,
@@ -185,8 +185,7 @@
     const { head, length, isStream = false } = targetResponse;
     const headers = head.headers.flat();
     if (!head.isFramed && !isStream) {
-        response.useChunkedEncodingByDefault = false;
-        response.shouldKeepAlive = false;
+        setUnframed(response);
     }
     else if (length !== undefined) {
         headers.push("Content-Length", String(length));
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -4,13 +4,13 @@
  * @module
  */
 import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { AttemptProgress } from "../core/verdict/mod.ts";
 import {
     applyInterimResponseLimit,
     ByteBudget,
     hasFailed,
-    observeReset,
+    openObservedConnection,
     parseAddress,
     readBody,
 } from "../network/mod.ts";
@@ -130,8 +130,7 @@
     }
 
     override createConnection(options: { host: string; port: number; }): Socket {
-        const socket = connect({ host: options.host, port: options.port, noDelay: true });
-        observeReset(socket);
+        const socket = openObservedConnection(options);
         const timer = setTimeout(
             () => socket.destroy(new Error("connection was not accepted in time")),
             CONNECT_TIMEOUT_MILLISECONDS,
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -164,6 +164,11 @@
     },
     "an unframed answer": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: RESPONSE_BODY }),
+    "an unframed answer with a transfer encoding": (_, request) =>
+        void request.socket.end(
+            formatSignedHead(readRequestId(request), "transfer-encoding: identity\r\nconnection: close")
+                + RESPONSE_BODY,
+        ),
     "half an unframed answer": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: RESPONSE_BODY.slice(0, 4), resetAfter: 5 }),
     "half an unframed answer and a reset at once": (target, request, response) =>
--- a/support/processes/http_call.ts
+++ b/support/processes/http_call.ts
@@ -4,8 +4,7 @@
  * @module
  */
 import { type IncomingMessage, request as startRequest } from "node:http";
-import { connect } from "node:net";
-import { hasFailed, observeReset, parseAddress } from "../../network/mod.ts";
+import { hasFailed, openObservedConnection, parseAddress } from "../../network/mod.ts";
 
 /** An HTTP request. */
 export interface HttpCall {
@@ -47,11 +46,7 @@
 export function callHttp(call: HttpCall): Promise<HttpResult> {
     return new Promise((resolve, reject) => {
         const request = startRequest({
-            createConnection: () => {
-                const socket = connect(parseAddress(call.address));
-                observeReset(socket);
-                return socket;
-            },
+            createConnection: () => openObservedConnection(parseAddress(call.address)),
             method: call.method ?? "GET",
             path: call.path,
             headers: {
