--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -89,6 +89,14 @@
         And the operator writes configuration version 9 without the route "lookup"
         Then a "lookup" gets the status 404 from both instances within 1500 ms
 
+    # An instance counts as connected again three seconds after its connections have failed, and applies what was written
+    # more than two seconds ago.
+    Scenario: a configuration is applied within three seconds after the connections of all watches have gone silent
+        Given a serving site
+        When the connections of all watches go silent right after one of the configuration has begun
+        And the operator writes configuration version 9 without the route "lookup"
+        Then each instance has adopted configuration version 9 within 2900 ms
+
     Scenario: an instance that starts while the store is down gets its state from its peers
         Given a serving site
         When the store resets connections
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -586,18 +586,20 @@
 );
 
 When("the watches of instance {int} stall", async function(instance: number) {
-    // The store cannot tell which instance a watch belongs to. Every second watch call therefore stalls its connection,
-    // on which the store no longer responds; changes arrive by another watch or from the other instance.
+    // The store cannot tell which instance a watch belongs to. Every second watch call of each kind therefore stalls its
+    // connection, on which the store no longer responds; changes arrive by another watch or from the other instance.
     const { store } = getSite();
     const handleRequest = store.handleRequest.bind(store);
     const instanceProcess = getSite().instances[instance - 1]?.process;
     assert.ok(instanceProcess !== undefined);
     const stalledSockets = new Set<unknown>();
-    let watchCallCount = 0;
+    const watchCallCounts = new Map<string, number>();
     store.handleRequest = async (request, response, body) => {
-        if (request.url?.includes("watch=") === true) {
-            watchCallCount += 1;
-            if (watchCallCount % 2 === 0) {
+        const [kind = "", query = ""] = request.url?.split("?") ?? [];
+        if (query.includes("watch=")) {
+            const count = (watchCallCounts.get(kind) ?? 0) + 1;
+            watchCallCounts.set(kind, count);
+            if (count % 2 === 0) {
                 stalledSockets.add(request.socket);
             }
         }
@@ -607,6 +609,28 @@
     };
 });
 
+When(
+    "the connections of all watches go silent right after one of the configuration has begun",
+    async function() {
+        const { store } = getSite();
+        const handleRequest = store.handleRequest.bind(store);
+        const openSockets = new Set<unknown>();
+        const silentSockets = new Set<unknown>();
+        await new Promise<void>(resolve => {
+            store.handleRequest = async (request, response, body) => {
+                openSockets.add(request.socket);
+                if (silentSockets.size === 0 && request.url?.includes("/config?watch=") === true) {
+                    openSockets.forEach(socket => silentSockets.add(socket));
+                    resolve();
+                }
+                if (!silentSockets.has(request.socket)) {
+                    await handleRequest(request, response, body);
+                }
+            };
+        });
+    },
+);
+
 When("another instance starts", async function() {
     await getSite().addInstance();
 });
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -55,11 +55,11 @@
 }
 
 /**
- * Maximum wait of a watch of the first watcher, in milliseconds. A watch whose connection has failed without an error is detected after
- * this time plus the timeout of the call. This sum must stay below the time after which an instance counts as connected
- * to the store again, plus the time within which it has to apply a configuration.
+ * Maximum wait of a watch of the first watcher, in milliseconds. A watch whose connection has failed without an error is
+ * detected after this time plus the timeout of the call. The change that it has missed must have been applied everywhere
+ * when the instance counts as connected again, three seconds after the failure.
  */
-const FIRST_WATCH_MILLISECONDS = 3000;
+const FIRST_WATCH_MILLISECONDS = 1600;
 /** Maximum wait of a watch of another watcher, in milliseconds; the first one detects connections that have failed. */
 const OTHER_WATCH_MILLISECONDS = 12_000;
 /** Interval at which an instance checks whether it has to watch the store, in milliseconds. */
