--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -89,6 +89,9 @@
 /** Share of a target's connections that is used; the rest covers connections that are being closed. */
 const USABLE_CONNECTION_SHARE = 0.8;
 
+/** Number of a prompt's parts in a log line: the last ones, which fewest requests share. */
+const MAX_LOGGED_PARTS = 12;
+
 /** Keeps the state of a serving process and notifies listeners of changes to it. */
 export class ServingState {
     /** List of targets. */
@@ -290,7 +293,11 @@
     /** Records that an engine crashed when it began to answer a request; peers are informed at once. */
     recordEngineCrash(crash: EngineCrash): void {
         const { parts, target } = crash;
-        this.#options.log.record("belief", "engine crash observed", { parts, target });
+        this.#options.log.record("belief", "engine crash observed", {
+            target,
+            parts: parts.slice(-MAX_LOGGED_PARTS),
+            partCount: parts.length,
+        });
         this.#logQuarantined(this.promptQuarantine.recordCrash(crash, this.#now()), "target");
         this.expireQuarantines();
         this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
