--- a/core/serving/target_rate_limits.ts
+++ b/core/serving/target_rate_limits.ts
@@ -137,24 +137,9 @@
         if (limit === undefined) {
             return 0;
         }
-        const { now, wallTime, instances, rank } = input;
-        const requestsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, limit);
-        const recent = this.#sends.listSince(id, now - WINDOW_MILLISECONDS);
-        const allowed = Math.max(1, Math.ceil(requestsPerSecond * WINDOW_MILLISECONDS / 1000 / instances));
-        const lastCounted = recent.at(-allowed);
-        const windowDelay = lastCounted === undefined ? 0 : lastCounted + WINDOW_MILLISECONDS - now;
-
-        const millisecondsPerRequest = instances * 1000 / requestsPerSecond;
-        const requestsPerTurn = Math.max(1, Math.floor(MIN_TURN_INTERVAL_MILLISECONDS / millisecondsPerRequest));
-        const cycleMilliseconds = requestsPerTurn * millisecondsPerRequest;
-        const sinceTurn = computeTimeSinceTurn({ target: id, wallTime, cycleMilliseconds, instances, rank });
-        const sentInTurn = recent.filter(time => time > now - sinceTurn).length;
-        const turnMilliseconds = Math.min(
-            WINDOW_MILLISECONDS,
-            WINDOW_MILLISECONDS * EXCESS_SHARE + EXCESS_REQUESTS * 1000 / requestsPerSecond,
-        );
-        const hasTurn = sinceTurn <= turnMilliseconds && sentInTurn < requestsPerTurn;
-        return Math.max(windowDelay, hasTurn ? 0 : cycleMilliseconds - sinceTurn);
+        const share = { ...input, target: id, requestsPerSecond: Math.max(MIN_REQUESTS_PER_SECOND, limit) };
+        const recent = this.#sends.listSince(id, input.now - WINDOW_MILLISECONDS);
+        return Math.max(computeWindowDelay(recent, share), computeTurnDelay(recent, share));
     }
 
     /** Removes the statement of a target that has restarted or no longer exists. */
@@ -176,3 +161,32 @@
         return previous?.requestsPerSecond !== requestsPerSecond;
     }
 }
+
+/** An instance's share of a target's limit, at one time. */
+interface RateShare extends RateShareInput {
+    target: string;
+    requestsPerSecond: number;
+}
+
+/** Computes the time until the instance has sent less in the window than its share of the limit. */
+function computeWindowDelay(recent: readonly number[], { now, instances, requestsPerSecond }: RateShare): number {
+    const allowed = Math.max(1, Math.ceil(requestsPerSecond * WINDOW_MILLISECONDS / 1000 / instances));
+    const lastCounted = recent.at(-allowed);
+    return lastCounted === undefined ? 0 : lastCounted + WINDOW_MILLISECONDS - now;
+}
+
+/** Computes the time until the instance has a turn that it has not used up. */
+function computeTurnDelay(recent: readonly number[], share: RateShare): number {
+    const { now, instances, requestsPerSecond } = share;
+    const millisecondsPerRequest = instances * 1000 / requestsPerSecond;
+    const requestsPerTurn = Math.max(1, Math.floor(MIN_TURN_INTERVAL_MILLISECONDS / millisecondsPerRequest));
+    const cycleMilliseconds = requestsPerTurn * millisecondsPerRequest;
+    const sinceTurn = computeTimeSinceTurn({ ...share, cycleMilliseconds });
+    const turnMilliseconds = Math.min(
+        WINDOW_MILLISECONDS,
+        WINDOW_MILLISECONDS * EXCESS_SHARE + EXCESS_REQUESTS * 1000 / requestsPerSecond,
+    );
+    const sentInTurn = recent.filter(time => time > now - sinceTurn).length;
+    const hasTurn = sinceTurn <= turnMilliseconds && sentInTurn < requestsPerTurn;
+    return hasTurn ? 0 : cycleMilliseconds - sinceTurn;
+}
--- a/serving/crash_guard.ts
+++ b/serving/crash_guard.ts
@@ -8,7 +8,7 @@
 import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
 import { describeQuarantine, findQuarantine } from "./quarantine_refusal.ts";
 
-/** Watches for the begin of a quarantine that concerns a request. */
+/** Watch for the start of a quarantine that concerns a request. */
 export interface QuarantineWatch {
     /** Aborted, with a description as its reason, when such a quarantine begins. */
     signal: AbortSignal;
@@ -74,7 +74,7 @@
         return true;
     }
 
-    /** Watches for a quarantine while the request is at a target that has not begun to answer it. */
+    /** Starts watching for a quarantine, while the request is at a target that has not begun to answer it. */
     watchQuarantine(): QuarantineWatch {
         const { state } = this.#context;
         const controller = new AbortController();
--- a/serving/engine_client.ts
+++ b/serving/engine_client.ts
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Checks whether an engine has ended: nothing listens at its address or behind a gateway there. An engine that does not answer, or that wants no
-     * requests, is not known to have ended.
+     * Checks whether an engine has ended: nothing listens at its address or behind a gateway there. An engine that does not
+     * answer, or that wants no requests, is not known to have ended.
      */
     async hasEnded(engine: ServingTarget): Promise<boolean> {
         const { clock } = this.#options;
