Log the software versions of targets and what a resumption names

Cause: no line told at which software version a stream began or went on, nor which attempt a resumption names, so that the hypotheses of the incident could not be told apart in the log. No decision uses them.

--- a/core/serving/serving_types.ts
+++ b/core/serving/serving_types.ts
@@ -140,6 +140,11 @@
     coldMilliseconds: number;
     /** Time at which the target last started, in Unix milliseconds; 0 if unknown. */
     startedAt: number;
+    /**
+     * Version of the target's software; `undefined` if it is not known. Targets of several versions may serve side by side,
+     * and the parts of a stream that two of them generate do not fit together.
+     */
+    softwareVersion?: string | undefined;
     /** Revision of the store at which the target's object was last changed; `undefined` if it is not known. */
     revision?: number;
 }
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -355,5 +355,6 @@
 function isSameEntry(first: ServingTarget, second: ServingTarget | undefined): boolean {
     return second !== undefined && first.service === second.service && first.address === second.address
         && first.zone === second.zone && first.slots === second.slots && first.startedAt === second.startedAt
+        && first.softwareVersion === second.softwareVersion
         && first.coldMilliseconds === second.coldMilliseconds;
 }
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -84,6 +84,8 @@
 export interface AttemptRecord {
     /** Identifier of the target. */
     target: string;
+    /** Version of the target's software; absent if it is not known. */
+    softwareVersion?: string;
     /** Status of the response, result of the attempt, or reason for its failure. */
     result: string;
     /** Score of the target when it was selected: its load, where 1 is full, plus penalties. */
@@ -126,8 +128,10 @@
     attempt: { result: string; startedAt: number; now: number; headAt: number | undefined; events?: number; },
 ): AttemptRecord {
     const { result, startedAt, now, headAt, events } = attempt;
+    const { id, softwareVersion } = reservation.target;
     return {
-        target: reservation.target.id,
+        target: id,
+        ...softwareVersion === undefined ? {} : { softwareVersion },
         result,
         load: Number(reservation.score.toFixed(2)),
         milliseconds: Math.round(now - startedAt),
@@ -173,6 +177,8 @@
     context.metrics.countRequest(route.name, outcome.name);
     context.log.record(outcome.isAbnormal ? "trouble" : "request", "request ended", {
         request: request.id,
+        resumedRequest: request.resumedRequestId,
+        resumeAfter: request.resumeAfter,
         fingerprint: exchange.fingerprint,
         end: outcome.name,
         route: route.name,
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -515,13 +515,14 @@
 
     #publishChanges(changes: TargetChange[], source: StateSource): void {
         for (const change of changes) {
-            const { id, service, zone, address } = change.target;
+            const { id, service, zone, address, softwareVersion } = change.target;
             const { revision } = this.directory;
             this.#options.log.record("belief", `target ${change.kind}`, {
                 target: id,
                 service,
                 zone,
                 address,
+                softwareVersion,
                 revision,
                 source,
             });
