--- /dev/null
+++ b/features/platform/software_versions.feature
@@ -0,0 +1,78 @@
+@platform @software-version
+Feature: A stream goes on only at the software version that began it
+
+    Targets of several software versions may serve side by side, and what two of them generate does not fit together. A
+    "verdict" may be resumed by its caller at any instance, and by an instance within one response; a "narrative" is only
+    moved. A caller that resumes a stream names the attempt that brought its first event.
+
+    # The streams of inc1 of issue 29 went on at engines of another version after a crash.
+    Scenario: verdicts that break off go on only at engines of the software version that began them
+        Given a serving site with 1 instance and engines at the software versions "v1, v1, v2, v2, v2, v2"
+        When callers start 12 streams of the kind "verdict"
+        And the first engine of each software version breaks off its streams after 4 events
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+    Scenario: verdicts are broken off if no engine of their software version is left
+        Given a serving site with 1 instance and engines at the software versions "v1, v2, v2"
+        When callers start 12 streams of the kind "verdict"
+        And the first engine of each software version breaks off its streams after 4 events
+        Then no stream holds events of two software versions
+
+    Scenario: narratives are moved only to engines of the software version that began them
+        Given a serving site with 1 instance and engines at the software versions "v1, v1, v2, v2, v2, v2"
+        When callers start 12 streams of the kind "narrative"
+        And the first engine of each software version announces its shutdown after 4 events
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+    Scenario: verdicts that callers resume at other instances go on only at the software version that began them
+        Given a serving site with 3 instances and engines at the software versions "v1, v1, v2, v2, v2, v2"
+        When callers start 12 streams of the kind "verdict"
+        And callers lose their connections after 4 events and resume their streams at other instances
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+    # The last report of issue 29: all instances are killed during a release or after it.
+    Scenario Outline: verdicts that callers resume after all instances were killed after <events> events do not change their software version
+        Given a serving site with 3 instances and engines at the software versions "v1, v1, v2, v2, v2, v2"
+        When callers start 12 streams of the kind "verdict"
+        And all instances are killed after <events> events and callers resume their streams
+        And all instances are killed after <later> events and callers resume their streams
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+        Examples:
+            | events | later |
+            | 1      | 3     |
+            | 4      | 8     |
+
+    Scenario: verdicts of a software version whose engines have just left are refused if all instances were killed
+        Given a serving site with 3 instances and engines at the software versions "v1, v1"
+        When callers start 12 streams of the kind "verdict"
+        And 2 engines at the software version "v2" start and those at "v1" leave after 4 events
+        And all instances are killed after 4 events and callers resume their streams
+        Then no stream holds events of two software versions
+        And all resumptions are refused as not run
+
+    Scenario: verdicts that began before a release go on at their software version if all instances are killed during it
+        Given a serving site with 3 instances and engines at the software versions "v1, v1"
+        When callers start 12 streams of the kind "verdict"
+        And 4 engines at the software version "v2" start after 4 events
+        And all instances are killed after 4 events and callers resume their streams
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+    Scenario: verdicts of a service with a single software version go on after all instances were killed
+        Given a serving site with 3 instances and engines at the software versions "v1, v1"
+        When callers start 12 streams of the kind "verdict"
+        And all instances are killed after 4 events and callers resume their streams
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+    Scenario: a resumption that names no attempt is refused while two software versions serve
+        Given a serving site with 3 instances and engines at the software versions "v1, v1, v2, v2, v2, v2"
+        When callers start 12 streams of the kind "verdict"
+        And callers lose their connections after 4 events and resume their streams without naming an attempt
+        Then no stream holds events of two software versions
+        And all resumptions are refused as not run
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -5,7 +5,6 @@
  */
 import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { Socket } from "node:net";
 import { waitMilliseconds } from "../../network/mod.ts";
 import { parseAddress } from "../../network/mod.ts";
 import { decodeConfiguration, StoreClient } from "../../platform/mod.ts";
@@ -20,10 +19,12 @@
 import { findAddresses, type HttpResult } from "../../support/processes/mod.ts";
 import { openStandIn } from "../../support/stand_ins/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
+import { closeCallerConnections } from "../support/caller_connections.ts";
 import {
     closeSite,
     createRequestId,
     formatRequestId,
+    getInstance,
     getLastResponse,
     getSite,
     siteContext,
@@ -342,20 +343,9 @@
     assert.ok(performance.now() - startedAt < milliseconds, `${performance.now() - startedAt} ms`);
 });
 
-/** Closes the callers' connections as the system does when the process of an instance ends: unsent data are lost. */
-function closeCallerConnections(): void {
-    const port = getSite().instances[0]?.settings.callerAddress.port;
-    const { _getActiveHandles: listHandles } = process as unknown as { _getActiveHandles: () => unknown[]; };
-    for (const handle of listHandles.call(process)) {
-        if (handle instanceof Socket && handle.localPort === port) {
-            handle.destroy();
-        }
-    }
-}
-
 When("the instance ends after {int} events", async function(events: number) {
     await waitForEvents(events);
-    closeCallerConnections();
+    closeCallerConnections([getInstance(1)]);
 });
 
 When("a caller sends a {string} and the instance ends with the first bytes of the response", async function(
@@ -365,7 +355,7 @@
     const onChunk = (): void => {
         if (!hasEnded) {
             hasEnded = true;
-            closeCallerConnections();
+            closeCallerConnections([getInstance(1)]);
         }
     };
     siteContext.responses.push(await getSite().call({ kind, id: createRequestId(), onChunk }));
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -136,6 +136,8 @@
     plainTargets?: number;
     /** Number of targets of the service `engines`. Defaults to 2. */
     engines?: number;
+    /** Versions of the software of further targets of the service `engines`. Defaults to none. */
+    softwareVersions?: readonly string[];
     /** Priority of the site's only account. Defaults to none. */
     accountPriority?: number | undefined;
     /** Interval between the events of a stream, in milliseconds. Defaults to 15. */
@@ -165,7 +167,10 @@
     }
 
     /** Starts a target and writes its entry to the store. */
-    async addTarget(service: string, options: { eventMilliseconds?: number; } = {}): Promise<SiteTarget> {
+    async addTarget(
+        service: string,
+        options: { eventMilliseconds?: number; softwareVersion?: string; } = {},
+    ): Promise<SiteTarget> {
         const [address = ""] = await findAddresses(1);
         const id = `${service}-${this.targets.length + 1}`;
         const closeServer = (): void => void this.#restartTarget(target);
@@ -183,7 +188,7 @@
             service: target.service,
             address: target.address,
             zone: "zone-a",
-            version: "v1",
+            version: target.standIn.softwareVersion ?? "v1",
             slots: 8,
             state: "ready",
             cold_remaining_ms: 0,
@@ -219,6 +224,21 @@
                 coldSlack: 5,
             },
         };
+        const instance = { settings, ...await this.#startProcess(settings) };
+        this.instances.push(instance);
+        return instance;
+    }
+
+    /** Ends all instances at once, without a graceful stop, and starts them again with the same settings. */
+    async restartInstances(options: { downMilliseconds?: number; } = {}): Promise<void> {
+        this.instances.forEach(({ process }) => process.close());
+        await waitMilliseconds(options.downMilliseconds ?? 0);
+        await Promise.all(this.instances.map(async instance => {
+            Object.assign(instance, await this.#startProcess(instance.settings));
+        }));
+    }
+
+    async #startProcess(settings: InstanceSettings): Promise<Pick<SiteInstance, "process" | "lines">> {
         const lines: Record<string, unknown>[] = [];
         const log = new DecisionLog({
             name: "knapweed-serve",
@@ -227,9 +247,7 @@
         });
         const process = new ServingProcess({ settings, log });
         await process.start();
-        const instance = { settings, process, lines };
-        this.instances.push(instance);
-        return instance;
+        return { process, lines };
     }
 
     /** Polls an instance's readiness endpoint until it responds with 200. @throws {Error} After 400 attempts. */
@@ -305,7 +323,7 @@
 
 /** Starts a test site and waits until all its instances are ready. */
 export async function startServingSite(options: ServingSiteOptions = {}): Promise<ServingSite> {
-    const { instances = 1, plainTargets = 2, engines = 2, eventMilliseconds = 15 } = options;
+    const { instances = 1, plainTargets = 2, engines = 2, softwareVersions = [], eventMilliseconds = 15 } = options;
     const site = new ServingSite();
     await site.openStore(options.accountPriority);
     for (let index = 0; index < plainTargets; index += 1) {
@@ -314,6 +332,9 @@
     for (let index = 0; index < engines; index += 1) {
         await site.addTarget("engines", { eventMilliseconds });
     }
+    for (const softwareVersion of softwareVersions) {
+        await site.addTarget("engines", { eventMilliseconds, softwareVersion });
+    }
     for (let index = 0; index < instances; index += 1) {
         await site.addInstance();
         await site.waitUntilReady(index);
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -69,6 +69,8 @@
     streamEvents?: number;
     /** Interval between the events of a stream, in milliseconds. Defaults to 15. */
     eventMilliseconds?: number;
+    /** Version of the target's software, which each event names. Defaults to none, so that events name no version. */
+    softwareVersion?: string | undefined;
     /** Closes the server of the target, whose process has crashed. Defaults to no action. */
     closeServer?: () => void;
 }
@@ -261,6 +263,11 @@
         this.#options = options;
     }
 
+    /** Version of the target's software; `undefined` if events name none. */
+    get softwareVersion(): string | undefined {
+        return this.#options.softwareVersion;
+    }
+
     /** Number of running generations. */
     get activeGenerations(): number {
         return this.#generations.size;
@@ -481,7 +488,7 @@
             await waitMilliseconds(this.#options.eventMilliseconds ?? 15);
             if (this.#generations.get(generation.requestId) === generation) {
                 generation.sentEvents += 1;
-                response.write(formatEvent(generation.sentEvents));
+                response.write(formatEvent(generation.sentEvents, this.softwareVersion));
             }
         }
         if (this.#generations.get(generation.requestId) === generation) {
@@ -540,8 +547,8 @@
     }
 }
 
-function formatEvent(number: number): string {
-    return `id: ${number}\ndata: piece ${number}\n\n`;
+function formatEvent(number: number, softwareVersion?: string): string {
+    return `id: ${number}\ndata: piece ${number}${softwareVersion === undefined ? "" : ` of ${softwareVersion}`}\n\n`;
 }
 
 function listPromptParts(request: IncomingMessage): string[] {
