Retry a stream only at the software version that began it

Cause: the retry after a broken attempt selected among all targets of the service; no code knew their versions. Change: the first event binds the stream to the version of its target, and the selection of targets takes that version as a constraint. Requests for one version wait in a line of their own.

--- a/core/serving/serving_types.ts
+++ b/core/serving/serving_types.ts
@@ -149,6 +149,11 @@
     revision?: number;
 }
 
+/** Gets the version of a target's software; an unknown one counts as a version of its own, which is empty. */
+export function getSoftwareVersion({ softwareVersion }: Pick<ServingTarget, "softwareVersion">): string {
+    return softwareVersion ?? "";
+}
+
 /** One start of a target. */
 export type TargetStart = Pick<ServingTarget, "id" | "startedAt">;
 
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -3,12 +3,14 @@
  * other zones.
  *
  * Load patterns: long generations whose KV cache grows while they run, so that an engine runs out of KV cache before it
- * runs out of slots; bursts in which several instances select a target at the same moment from the same load figures.
+ * runs out of slots; bursts in which several instances select a target at the same moment from the same load figures;
+ * releases during which targets of several software versions serve side by side, and a stream that has begun goes on only
+ * at one of them.
  *
  * @module
  */
 import type { RequestLoad, TargetLoad } from "./load_tracker.ts";
-import type { EngineLimits, ServingTarget } from "./serving_types.ts";
+import { type EngineLimits, getSoftwareVersion, type ServingTarget } from "./serving_types.ts";
 
 /** A target that a request could be sent to. */
 export interface TargetCandidate {
@@ -48,6 +50,8 @@
     instances: number;
     /** Identifiers of the targets at which the request has failed already. */
     avoid: ReadonlySet<string>;
+    /** Software version that the target must have, since it began the stream. Defaults to any. */
+    softwareVersion?: string | undefined;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
 }
@@ -100,7 +104,10 @@
     candidates: readonly TargetCandidate[],
     input: TargetSelectionInput,
 ): TargetSelection {
-    const untried = candidates.filter(candidate => !input.avoid.has(candidate.target.id));
+    const untried = candidates.filter(({ target }) =>
+        !input.avoid.has(target.id)
+        && (input.softwareVersion === undefined || getSoftwareVersion(target) === input.softwareVersion)
+    );
     const accepting = untried.filter(candidate => findClosedUntil(candidate) === undefined);
     const usable = accepting.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
     let best: TargetCandidate | undefined;
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -18,7 +18,7 @@
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { EngineClient } from "./engine_client.ts";
-import type { RequestScheduler, Reservation, ReservationResult } from "./request_scheduler.ts";
+import type { RequestScheduler, Reservation, ReservationRequest, ReservationResult } from "./request_scheduler.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { TargetCall, TargetConnections } from "./target_connections.ts";
@@ -106,16 +106,15 @@
 /** Reserves a target for one attempt at a request. */
 export function reserveForAttempt(
     context: ServingContext,
-    attempt: { exchange: CallerExchange; requestLoad: RequestLoad; avoid: ReadonlySet<string>; },
+    attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
-    const { exchange, requestLoad, avoid } = attempt;
+    const { exchange, ...rest } = attempt;
     const { service, route, priority, arrivedAt, deadline, signal } = exchange;
     const now = context.clock.getMonotonic();
     return context.scheduler.reserveTarget({
+        ...rest,
         service,
-        requestLoad,
         priority,
-        avoid,
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
         remainingMilliseconds: deadline - now,
         signal,
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -30,6 +30,8 @@
     priority: number;
     /** Identifiers of the targets at which the request has failed already. */
     avoid: ReadonlySet<string>;
+    /** Software version that the target must have, since it began the stream. Defaults to any. */
+    softwareVersion?: string | undefined;
     /** Time until the latency objective of the request is missed, in milliseconds. */
     objectiveMilliseconds: number;
     /** Time until the deadline of the request, in milliseconds. */
@@ -91,7 +93,7 @@
 
     /** Reserves a target at once if possible; otherwise queues the request, or refuses it if it would wait too long. */
     async reserveTarget(request: ReservationRequest): Promise<ReservationResult> {
-        const queue = this.#getQueue(request.service.name);
+        const queue = this.#getQueue(request);
         const waiting = queue.size + queue.pending;
         const selection = this.chooseTarget(request);
         if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
@@ -147,7 +149,9 @@
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
     chooseTarget(
-        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid"> & { copyZone?: string; },
+        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
+            copyZone?: string;
+        },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
         return chooseLeastLoadedTarget(state.listCandidates(request.service), {
@@ -157,6 +161,7 @@
             isCopy: request.copyZone !== undefined,
             instances: state.instances,
             avoid: request.avoid,
+            softwareVersion: request.softwareVersion,
             random,
         });
     }
@@ -200,9 +205,11 @@
         return { kind: "refused", reason, retryAfterSeconds };
     }
 
-    #getQueue(service: string): PQueue {
-        const queue = this.#queues.get(service) ?? new PQueue({ concurrency: 1 });
-        this.#queues.set(service, queue);
+    /** Gets the queue of a service, or of one software version: its full targets must not delay requests for others. */
+    #getQueue({ service, softwareVersion }: ReservationRequest): PQueue {
+        const name = softwareVersion === undefined ? service.name : `${service.name} ${softwareVersion}`;
+        const queue = this.#queues.get(name) ?? new PQueue({ concurrency: 1 });
+        this.#queues.set(name, queue);
         return queue;
     }
 
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -8,6 +8,7 @@
     type AttemptEnd,
     estimateOutputTokens,
     EventSplitter,
+    getSoftwareVersion,
     isLongAnswer,
     isRepeatable,
     isStreamComplete,
@@ -113,6 +114,8 @@
     #isAttemptAborted = false;
     /** True once the response of the current attempt has ended. */
     #hasResponseEnded = false;
+    /** Software version that began the stream; `undefined` before its first event. */
+    #softwareVersion: string | undefined;
     readonly #crashGuard: CrashGuard;
     /** Quarantine for which the request is refused. */
     #quarantined: QuarantinedPart | undefined;
@@ -231,8 +234,12 @@
     }
 
     async #reserveTarget(): Promise<Reservation | undefined> {
-        const attempt = { exchange: this.#exchange, requestLoad: this.#requestLoad, avoid: this.#avoid };
-        const result = await reserveForAttempt(this.#context, attempt);
+        const result = await reserveForAttempt(this.#context, {
+            exchange: this.#exchange,
+            requestLoad: this.#requestLoad,
+            avoid: this.#avoid,
+            softwareVersion: this.#softwareVersion,
+        });
         if (result.kind === "placed") {
             return result.reservation;
         }
@@ -395,6 +402,9 @@
                 }
                 if (events.length > 0) {
                     eventCount += events.filter(event => !event.isComment).length;
+                    if (eventCount > 0) {
+                        this.#softwareVersion ??= getSoftwareVersion(attempt.reservation.target);
+                    }
                     await this.#sendEvents(events);
                     attempt.reservation.recordOutput(this.#outputTokens);
                 }
