Move a generation only to an engine of its software version

What callers would see: a generation whose engine leaves during a release goes on from its KV cache at an engine of another software version, and its text is joined from two. Change: each software version of a service has a plan of its own, and a destination needs the version of the source.

--- a/serving/move_coordinator.ts
+++ b/serving/move_coordinator.ts
@@ -5,6 +5,7 @@
  */
 import {
     type DestinationEngine,
+    getSoftwareVersion,
     type LeavingEngine,
     planMoves,
     type PlannedMove,
@@ -24,12 +25,14 @@
     listStreams: () => Iterable<ActiveStream>;
 }
 
-/** Engines of one service that leave at about the same time and whose moves are planned together. */
+/** Engines of one service and software version that leave at about the same time; their moves are planned together. */
 interface LeavingGroup {
     /** Leaving engines that run generations of this instance, with their reports where available. */
     engines: { target: ServingTarget; report: EngineReport | undefined; }[];
     /** Time of the notice that the first engine of the group is leaving, on the monotonic clock in milliseconds. */
     noticedAt: number;
+    /** Version of the engines' software. */
+    softwareVersion: string;
 }
 
 /** Timeout for fetching a report, in milliseconds. A move planned without a report is better than a late move. */
@@ -108,9 +111,17 @@
         const services = new Set(targets.map(target => target.service));
         for (const name of services) {
             const service = this.#options.context.state.table?.findService(name);
-            if (service?.engine?.canMove === true) {
-                const engines = all.filter(({ target }) => target.service === name);
-                this.#startServiceMoves(service, { engines, noticedAt });
+            if (service?.engine?.canMove !== true) {
+                continue;
+            }
+            const engines = all.filter(({ target }) => target.service === name);
+            // A generation goes on only at its software version, so each version has a plan of its own.
+            for (const version of new Set(engines.map(({ target }) => getSoftwareVersion(target)))) {
+                this.#startServiceMoves(service, {
+                    engines: engines.filter(({ target }) => getSoftwareVersion(target) === version),
+                    noticedAt,
+                    softwareVersion: version,
+                });
             }
         }
     }
@@ -125,7 +136,7 @@
     }
 
     /**
-     * Plans and starts the moves of one service's generations.
+     * Plans and starts the moves of one service's generations at one software version.
      *
      * The first round plans the generations in the engines' reports, and schedules a second round if there are streams
      * whose move has not started. The second round plans the generations in newer reports, and then moves all other
@@ -137,7 +148,7 @@
         group: LeavingGroup,
         stage: { round: "first" | "second"; offset: number; } = { round: "first", offset: 0 },
     ): void {
-        const { engines, noticedAt } = group;
+        const { engines, noticedAt, softwareVersion } = group;
         const { round, offset } = stage;
         const notices = engines.map(({ report }) => report?.leavesInMilliseconds ?? DEFAULT_NOTICE_MILLISECONDS);
         const noticeMilliseconds = Math.min(...notices);
@@ -148,8 +159,8 @@
         }));
         const relativePlan = planMoves({
             sources,
-            leaving: this.#listLeaving(service, engines),
-            destinations: this.#listDestinations(service),
+            leaving: this.#listLeaving(service, group),
+            destinations: this.#listDestinations(service, softwareVersion),
             millisecondsPerToken: service.engine?.copyMillisecondsPerToken ?? 0,
             noticeMilliseconds: noticeMilliseconds - offset,
         });
@@ -177,7 +188,7 @@
      * the second round start after those of the first.
      */
     #scheduleSecondRound(service: ServiceDefinition, group: LeavingGroup & { latest: number; }): void {
-        const { engines, noticedAt, latest } = group;
+        const { engines, noticedAt, softwareVersion, latest } = group;
         const now = this.#options.context.clock.getMonotonic();
         setTimeout(() => {
             const targets = engines.map(({ target }) => target);
@@ -187,7 +198,7 @@
                     target,
                     report: report && { ...report, runs: report.runs.filter(run => !planned.has(run.requestId)) },
                 }));
-                this.#startServiceMoves(service, { engines: enginesWithNewRuns, noticedAt }, {
+                this.#startServiceMoves(service, { engines: enginesWithNewRuns, noticedAt, softwareVersion }, {
                     round: "second",
                     offset: latest,
                 });
@@ -196,15 +207,17 @@
     }
 
     /**
-     * Lists a service's engines that leave at about the same time, including those without generations of this
-     * instance.
+     * Lists a service's engines of one software version that leave at about the same time, including those without
+     * generations of this instance.
      */
-    #listLeaving(service: ServiceDefinition, engines: LeavingGroup["engines"]): ServingTarget[] {
+    #listLeaving(service: ServiceDefinition, { engines, softwareVersion }: LeavingGroup): ServingTarget[] {
         const recentTargets = [...this.#recentlyLeaving.values()].map(({ target }) => target);
         const all = new Map(
             [...recentTargets, ...engines.map(({ target }) => target)].map(target => [target.id, target]),
         );
-        return [...all.values()].filter(target => target.service === service.name);
+        return [...all.values()].filter(target =>
+            target.service === service.name && getSoftwareVersion(target) === softwareVersion
+        );
     }
 
     #startPlannedMoves(plan: ReadonlyMap<string, PlannedMove>, noticedAt: number): void {
@@ -224,12 +237,12 @@
         );
     }
 
-    #listDestinations(service: ServiceDefinition): DestinationEngine[] {
+    #listDestinations(service: ServiceDefinition, softwareVersion: string): DestinationEngine[] {
         const { engine } = service;
         const { state } = this.#options.context;
         return state.listCandidates(service).flatMap(({ target, load, penalty }) =>
             penalty > 1 || !state.isMoveDestination(target.id) || engine === undefined
-                || state.directory.isMissing(target.id)
+                || state.directory.isMissing(target.id) || getSoftwareVersion(target) !== softwareVersion
                 ? []
                 : [{
                     id: target.id,
--- a/serving/move_operation.ts
+++ b/serving/move_operation.ts
@@ -8,6 +8,7 @@
  */
 import {
     decideMoveAction,
+    getSoftwareVersion,
     type MoveStepResult,
     type PlannedMove,
     type RequestLoad,
@@ -227,10 +228,12 @@
     }
 
     #reserveDestination(): Reservation | undefined {
-        const { service, requestLoad, notice } = this.#options;
+        const { service, requestLoad, notice, source } = this.#options;
         const { directory } = this.#context.state;
+        const softwareVersion = getSoftwareVersion(source);
         const planned = directory.findTarget(notice.plan.destination ?? "");
         const isUsable = planned !== undefined && !planned.isLeaving
+            && getSoftwareVersion(planned) === softwareVersion
             && this.#context.state.isMoveDestination(planned.id);
         if (isUsable && !this.#excludedTargets.has(planned.id)) {
             return this.#context.scheduler.reserveGivenTarget(planned, requestLoad);
@@ -239,7 +242,8 @@
             service,
             requestLoad: { ...requestLoad, promptTokens: 0 },
             avoid: new Set([...this.#excludedTargets, ...directory.listMissing()]),
-            copyZone: this.#options.source.zone,
+            copyZone: source.zone,
+            softwareVersion,
         });
         return result.kind === "placed"
             ? this.#context.scheduler.reserveGivenTarget(result.target, requestLoad)
