Resume streams of callers only at the software version that began them

Cause: no instance knew at which version a stream had begun, and after a kill of all nobody could. Change: the store holds a baseline version for each service, whose streams need no record. The streams of all other versions are recorded there, in batches of each instance, before their first event is sent. A resumption is bound to the recorded version, or to the baseline if the records, read after its arrival, have none; otherwise it is refused as not run. While one version serves, a service costs no call for each stream.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -20,6 +20,7 @@
 export * from "./serving_types.ts";
 export * from "./shared_limits.ts";
 export * from "./shutdown_admission.ts";
+export * from "./software_versions.ts";
 export * from "./stall_action.ts";
 export * from "./store_position.ts";
 export * from "./stream_end.ts";
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -11,7 +11,7 @@
  *
  * @module
  */
-import type { ServingTarget, TargetStart } from "./serving_types.ts";
+import { getSoftwareVersion, type ServingTarget, type TargetStart } from "./serving_types.ts";
 import { comparePositions, type StorePosition } from "./store_position.ts";
 
 /** A change to a target that affects running requests. */
@@ -265,6 +265,15 @@
         );
     }
 
+    /** Lists the software versions of all targets, by service. */
+    listSoftwareVersions(): Map<string, Set<string>> {
+        const versions = new Map<string, Set<string>>();
+        for (const target of this.#targets.values()) {
+            versions.set(target.service, (versions.get(target.service) ?? new Set()).add(getSoftwareVersion(target)));
+        }
+        return versions;
+    }
+
     /** Returns the complete list, for peers whose list is outdated. */
     getSnapshot(): TargetSnapshot {
         return {
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -21,6 +21,7 @@
 import type { RequestScheduler, Reservation, ReservationRequest, ReservationResult } from "./request_scheduler.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
+import type { StreamVersionStore } from "./stream_version_store.ts";
 import type { TargetCall, TargetConnections } from "./target_connections.ts";
 import type { TargetProbe } from "./target_probe.ts";
 
@@ -36,6 +37,8 @@
     engines: EngineClient;
     /** Finds out whether targets have ended. */
     targetProbe: TargetProbe;
+    /** Software versions of streams, which last in the store. */
+    streamVersions: StreamVersionStore;
     /** Decision log. */
     log: DecisionLog;
     /** Counters and histograms. */
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -344,6 +344,7 @@
             this.#options.state.recordPausedForPeer(target);
         }
         this.#options.state.applyRateStatements(message.instance, message.rateStatements);
+        this.#options.state.applyBaselines(message.baselines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
         if (isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
@@ -494,6 +495,7 @@
             paused: state.backpressure.listPaused(now),
             rateStatements: state.rateLimits.listTold(now),
             promptEvidence: state.requestQuarantine.getEvidence(now),
+            baselines: state.softwareVersions.listBaselines(),
             versions: this.#getVersions(),
             isWatching: isWatching(),
         };
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -51,6 +51,8 @@
     rateStatements: ToldRateStatement[];
     /** Crashes that the sender has observed, and what it knows of parts of prompts under suspicion. */
     promptEvidence: CrashEvidence;
+    /** Software versions whose streams are not recorded, by service, as far as the sender relies on them. */
+    baselines: Record<string, string>;
     /** Versions of the sender's state. */
     versions: StateVersions;
     /** True if the sender watches the store and all its watches work. */
@@ -137,6 +139,7 @@
         paused: v.optional(v.array(v.string()), []),
         rateStatements: v.optional(RateStatementsSchema, []),
         promptEvidence: v.optional(CrashEvidenceSchema, EMPTY_CRASH_EVIDENCE),
+        baselines: v.optional(v.record(v.string(), v.string()), {}),
         versions: VersionsSchema,
         isWatching: v.boolean(),
     }),
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -19,6 +19,7 @@
 import { ServingMetrics } from "./serving_metrics.ts";
 import { ServingState } from "./serving_state.ts";
 import { StoreWatcher } from "./store_watcher.ts";
+import { StreamVersionStore } from "./stream_version_store.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbe } from "./target_probe.ts";
 
@@ -71,6 +72,7 @@
     readonly #storeWatcher: StoreWatcher;
     readonly #peerExchange: PeerExchange;
     readonly #quarantineStore: QuarantineStore;
+    readonly #streamVersions: StreamVersionStore;
     readonly #scheduler: RequestScheduler;
     readonly #connections = new TargetConnections();
     readonly #metrics: ServingMetrics;
@@ -122,6 +124,12 @@
             store: this.#store,
             isWriter: () => this.#peerExchange.isStoreWriter,
         });
+        this.#streamVersions = new StreamVersionStore({
+            ...shared,
+            instance: settings.instance,
+            store: this.#store,
+            isWriter: () => this.#peerExchange.isStoreWriter,
+        });
         const engines = new EngineClient({ state: this.#state, clock });
         this.#scheduler = new RequestScheduler({ ...shared, zone: settings.zone });
         this.#context = {
@@ -130,6 +138,7 @@
             connections: this.#connections,
             engines,
             targetProbe: new TargetProbe(engines),
+            streamVersions: this.#streamVersions,
             getRemainingGraceMilliseconds: () =>
                 this.#stopRequestedAt === undefined
                     ? undefined
@@ -149,6 +158,7 @@
         });
         this.#state.restoreListeners.push(() => this.#registerAgain(random() * REGISTRATION_SPREAD_MILLISECONDS));
         this.#state.restoreListeners.push(() => this.#quarantineStore.handleRestore());
+        this.#state.restoreListeners.push(() => this.#streamVersions.handleRestore());
         this.#state.targetListeners.push(change => {
             moveCoordinator.handleChange(change);
             if (change.kind === "leaving" || change.kind === "removed") {
@@ -210,6 +220,7 @@
         this.#leavingEnginePoller.stop();
         this.#callerServer.close();
         this.#peerExchange.close();
+        this.#streamVersions.close();
         this.#connections.close();
         this.#store.close();
         for (const server of this.#servers) {
@@ -229,6 +240,7 @@
             zones: this.#state.zones,
             targets: this.#state.directory.getSnapshot(),
             rateLimits: this.#state.rateLimits.listLimits(),
+            baselines: this.#state.softwareVersions.listBaselines(),
             quarantined: this.#state.requestQuarantine.listQuarantined(this.#clock.getMonotonic()),
             work: this.#state.loadTracker.getDigest(),
             instances: this.#state.instances,
@@ -299,6 +311,7 @@
             this.#state.expireHeldZones();
             this.#state.expireQuarantines();
             void this.#quarantineStore.update();
+            this.#streamVersions.update();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
                 this.#wasReady = isReady;
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -23,6 +23,7 @@
     type ServingConfiguration,
     type ServingTarget,
     type SharePosition,
+    SoftwareVersions,
     TargetBackpressure,
     type TargetCandidate,
     type TargetChange,
@@ -114,6 +115,8 @@
     readonly recentSends = new RecentSends();
     /** Limits that targets state for their request rates, and this instance's share of them. */
     readonly rateLimits = new TargetRateLimits(this.recentSends);
+    /** Software versions at which streams began. */
+    readonly softwareVersions = new SoftwareVersions();
     /** This instance's share of the request rate of cold targets. */
     readonly coldRateShare: ColdRateShare;
     #settings: InstanceSettings;
@@ -321,6 +324,20 @@
         }
     }
 
+    /** Records the software versions of the targets that are listed now. */
+    recordListedVersions(): void {
+        this.softwareVersions.recordListed(this.directory.listSoftwareVersions(), this.#now());
+    }
+
+    /** Adopts the baselines on which a peer relies. */
+    applyBaselines(baselines: Readonly<Record<string, string>>): void {
+        const listed = this.directory.listSoftwareVersions();
+        for (const [service, softwareVersion] of Object.entries(baselines)) {
+            const isListed = listed.get(service)?.has(softwareVersion) === true;
+            this.softwareVersions.adoptBaseline(service, { softwareVersion, isListed, now: this.#now() });
+        }
+    }
+
     /** Checks whether a running generation may be moved to an engine, which must be in no need of fewer requests. */
     isMoveDestination(id: string): boolean {
         return this.backpressure.findPauseEnd(id, this.#now()) === undefined
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -15,6 +15,8 @@
     type QuarantinedPart,
     type RelayedEvent,
     type RequestLoad,
+    type ServingTarget,
+    SEVERAL_VERSIONS,
     type StreamEnd,
     StreamProgress,
 } from "../core/serving/mod.ts";
@@ -38,7 +40,7 @@
 import { CrashGuard } from "./crash_guard.ts";
 import { type MovedGeneration, type MoveNotice, MoveOperation } from "./move_operation.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
-import type { Reservation } from "./request_scheduler.ts";
+import type { Reservation, ReservationResult } from "./request_scheduler.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { isConnectFailure, isConnectionLoss, TargetCallError, type TargetResponse } from "./target_connections.ts";
 
@@ -184,6 +186,17 @@
         state.getRetryShare(this.#exchange.service.name).recordRequest(clock.getMonotonic());
         let reason = "";
         let moved: MovedGeneration | undefined;
+        if (this.#exchange.request.resumeAfter !== undefined) {
+            const resumption = await this.#context.streamVersions.findVersion(
+                this.#exchange.request,
+                this.#exchange.service.name,
+            );
+            if (resumption.kind === "unknown") {
+                this.#fail(`the software version that began the stream is unknown: ${resumption.reason}`);
+                return;
+            }
+            this.#softwareVersion = resumption.softwareVersion;
+        }
         for (let sends = 0; sends < MAX_SEND_ATTEMPTS + this.#moves; sends += 1) {
             const reservation: Reservation | undefined = moved?.reservation ?? await this.#reserveTarget();
             if (reservation === undefined) {
@@ -234,12 +247,14 @@
     }
 
     async #reserveTarget(): Promise<Reservation | undefined> {
-        const result = await reserveForAttempt(this.#context, {
-            exchange: this.#exchange,
-            requestLoad: this.#requestLoad,
-            avoid: this.#avoid,
-            softwareVersion: this.#softwareVersion,
-        });
+        const { route, service } = this.#exchange;
+        const preferred = this.#softwareVersion === undefined && route.isResumable
+            ? this.#context.streamVersions.getPreferredVersion(service.name)
+            : undefined;
+        const atPreferred = preferred === undefined ? undefined : await this.#reserveAtVersion(preferred);
+        const result = atPreferred?.kind === "placed"
+            ? atPreferred
+            : await this.#reserveAtVersion(this.#softwareVersion);
         if (result.kind === "placed") {
             return result.reservation;
         }
@@ -247,6 +262,16 @@
         return undefined;
     }
 
+    /** Reserves a target of one software version; `undefined` for any. */
+    #reserveAtVersion(softwareVersion: string | undefined): Promise<ReservationResult> {
+        return reserveForAttempt(this.#context, {
+            exchange: this.#exchange,
+            requestLoad: this.#requestLoad,
+            avoid: this.#avoid,
+            softwareVersion,
+        });
+    }
+
     async #runAttempt(reservation: Reservation, copy: KvCacheCopy | undefined): Promise<AttemptResult> {
         const startedAt = this.#now;
         const previousEvents = this.#progress.eventCount;
@@ -402,8 +427,8 @@
                 }
                 if (events.length > 0) {
                     eventCount += events.filter(event => !event.isComment).length;
-                    if (eventCount > 0) {
-                        this.#softwareVersion ??= getSoftwareVersion(attempt.reservation.target);
+                    if (eventCount > 0 && this.#softwareVersion === undefined) {
+                        await this.#recordBeginning(attempt.reservation.target);
                     }
                     await this.#sendEvents(events);
                     attempt.reservation.recordOutput(this.#outputTokens);
@@ -442,6 +467,23 @@
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
+    /** Binds the stream to the software version of the target that sends its first event, which the caller gets after this. */
+    async #recordBeginning(target: ServingTarget): Promise<void> {
+        const { route, request, service } = this.#exchange;
+        const { streamVersions, state } = this.#context;
+        const listed = state.directory.findTarget(target.id) ?? target;
+        // A target that has restarted at another version meanwhile may have answered before or after that.
+        this.#softwareVersion = getSoftwareVersion(listed) === getSoftwareVersion(target)
+            ? getSoftwareVersion(target)
+            : SEVERAL_VERSIONS;
+        if (route.isResumable) {
+            await streamVersions.recordBeginning(request.id, {
+                service: service.name,
+                softwareVersion: this.#softwareVersion,
+            });
+        }
+    }
+
     /** Logs how a stream without a length ended, which nothing in the response itself shows. */
     #recordUnframedEnd(end: StreamEnd, reason: string | undefined): void {
         const { events, unfinishedBytes, isClosedInOrder } = end;
