Soak: engines of two software versions, all instances killed at once, and callers that resume streams

Cause: no soak test had targets of several versions, killed all processes together, or resumed a stream by its caller. Change: two of four engines are at another version; a fault kills all instances; callers resume verdicts that broke off, naming the attempt that brought the first event, up to three times at random instances. The joined text is checked.

--- a/support/platform/soak/soak_recorder.ts
+++ b/support/platform/soak/soak_recorder.ts
@@ -60,6 +60,8 @@
 export class SoakRecorder {
     readonly faults: FaultSpan[] = [];
     readonly requests: SoakRequest[] = [];
+    /** Streams that broke off and were resumed by their callers, with their text as the caller joins it. */
+    readonly joinedStreams: { id: string; text: string; }[] = [];
 
     /** Records the start of a fault. @returns A function that records the end of the fault. */
     recordFault(name: string): () => void {
@@ -72,11 +74,12 @@
 
     /** Finds violations. @param runs How often targets have run each request from the start, by identifier. */
     findViolations(runs: ReadonlyMap<string, number>): string[] {
-        return this.requests.flatMap(request => [
+        const violations = this.requests.flatMap(request => [
             ...this.#checkRuns(request, runs.get(request.id) ?? 0),
             ...checkResponse(request),
             ...this.#checkInterruption(request),
         ]);
+        return [...violations, ...this.joinedStreams.flatMap(({ id, text }) => checkStreamText(`resumed ${id}`, text))];
     }
 
     /** Finds windows in which a target got more requests than its limit allows. */
@@ -132,10 +135,8 @@
         violations.push(`${kind} ${id} got an unsigned response or that of another request`);
     }
     if (kind === "narrative" || kind === "verdict") {
-        const events = [...result.body.toString().matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
-        if (events.some((event, index) => event !== index + 1)) {
-            violations.push(`${kind} ${id} got the wrong event sequence ${events.join(",")}`);
-        }
+        const events = listEventNumbers(result.body.toString());
+        violations.push(...checkStreamText(`${kind} ${id}`, result.body.toString()));
         if (result.isComplete && events.length !== EVENTS_PER_STREAM) {
             violations.push(`${kind} ${id} ended as complete after ${events.length} events`);
         }
@@ -145,3 +146,20 @@
     }
     return violations;
 }
+
+/** Lists the numbers of the events in a stream's text. */
+export function listEventNumbers(text: string): number[] {
+    return [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
+
+/** Checks that a stream's events are in order and of a single software version. */
+function checkStreamText(name: string, text: string): string[] {
+    const events = listEventNumbers(text);
+    const versions = new Set([...text.matchAll(/ of (v\d+)$/gm)].map(match => match[1]));
+    return [
+        ...events.some((event, index) => event !== index + 1)
+            ? [`${name} got the wrong event sequence ${events.join(",")}`]
+            : [],
+        ...versions.size > 1 ? [`${name} holds events of ${[...versions].join(" and ")}`] : [],
+    ];
+}
--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -19,7 +19,7 @@
 } from "../../processes/mod.ts";
 import { buildSiteConfiguration, formatSettingsText, ServingSite, SITE_API_KEY, type SiteTarget } from "../mod.ts";
 import { FaultProxy, ProxyMode } from "./fault_proxy.ts";
-import { SoakRecorder } from "./soak_recorder.ts";
+import { listEventNumbers, SoakRecorder } from "./soak_recorder.ts";
 
 /** Options of {@linkcode runSoak}. */
 export interface SoakOptions {
@@ -74,6 +74,10 @@
 const STATED_LIMIT = 1;
 /** Number of concurrent callers. */
 const CALLER_COUNT = 6;
+/** Number of times that a caller resumes a stream. */
+const MAX_RESUMPTIONS = 3;
+/** Longest time after which a caller resumes a stream that broke off, in milliseconds. */
+const RESUMPTION_DELAY_MILLISECONDS = 600;
 /** Time from the last fault until the site must serve all requests again. */
 const RECOVERY_MILLISECONDS = 4000;
 /** Range of the random duration of a fault, which is added to its minimum duration of 150 ms. */
@@ -114,8 +118,11 @@
     async start(): Promise<void> {
         this.#directory = await mkdtemp(join(tmpdir(), "knapweed-soak-"));
         await this.#site.openStore();
-        for (const service of ["ledger", "ledger", "ledger", "engines", "engines", "engines"]) {
-            await this.#addTarget(service);
+        for (let index = 0; index < 3; index += 1) {
+            await this.#addTarget("ledger");
+        }
+        for (const softwareVersion of ["v1", "v1", "v2", "v2"]) {
+            await this.#addTarget("engines", softwareVersion);
         }
         const unframedEngine = this.#site.targets.find(({ service }) => service === "engines");
         if (unframedEngine !== undefined) {
@@ -176,8 +183,11 @@
     }
 
     /** Adds a target that instances reach through a fault proxy. */
-    async #addTarget(service: string): Promise<void> {
-        const target = await this.#site.addTarget(service, { eventMilliseconds: 40 });
+    async #addTarget(service: string, softwareVersion?: string): Promise<void> {
+        const target = await this.#site.addTarget(service, {
+            eventMilliseconds: 40,
+            ...softwareVersion === undefined ? {} : { softwareVersion },
+        });
         const [address = ""] = await findAddresses(1);
         const proxy = new FaultProxy(parseAddress(target.address));
         await proxy.open(parseAddress(address));
@@ -260,6 +270,35 @@
         if (result !== "not connected") {
             this.#recorder.requests.push({ id, kind, sentAt, endedAt: performance.now(), result });
         }
+        if (kind === "verdict" && typeof result === "object" && result.status === 200 && !result.isComplete) {
+            await this.#resumeStream(id, result.body.toString());
+        }
+    }
+
+    /** Resumes a stream that broke off at random instances, as its caller does, and records the joined text. */
+    async #resumeStream(firstId: string, firstText: string): Promise<void> {
+        let text = firstText;
+        for (let tries = 0; tries < MAX_RESUMPTIONS && !this.#isFinished; tries += 1) {
+            // An event whose last bytes are lost comes again.
+            text = text.slice(0, text.lastIndexOf("\n\n") + 2);
+            const events = listEventNumbers(text);
+            if (events.length === 0) {
+                return;
+            }
+            await waitMilliseconds(RESUMPTION_DELAY_MILLISECONDS * this.#random());
+            const result = await callWithAgent({
+                instance: this.#pick(this.#instances),
+                agent: new Agent(),
+                id: `${firstId}-${tries}`,
+                kind: "verdict",
+                headers: { resumes: firstId, "last-event-id": String(events.at(-1)) },
+            });
+            text += typeof result === "object" && result.status === 200 ? result.body.toString() : "";
+            if (typeof result === "object" && result.status === 200 && result.isComplete) {
+                break;
+            }
+        }
+        this.#recorder.joinedStreams.push({ id: firstId, text });
     }
 
     #pick<Item>(items: readonly Item[]): Item {
@@ -307,6 +346,13 @@
             standIn.faults.faultyAnswers = 3;
         },
         SIGKILL: duration => this.#restartInstance("SIGKILL", duration),
+        "SIGKILL of all instances": async duration => {
+            await Promise.all(this.#instances.map(async instance => {
+                const recordEnd = this.#recorder.recordFault("SIGKILL");
+                await this.#restart(instance, "SIGKILL", duration);
+                recordEnd();
+            }));
+        },
         SIGTERM: () => this.#restartInstance("SIGTERM", 0),
         SIGSTOP: async duration => {
             const instance = this.#pick(this.#instances);
@@ -349,7 +395,10 @@
 
     /** Stops a random instance with a signal, and starts it again after `downTime` milliseconds. */
     async #restartInstance(signal: NodeJS.Signals, downTime: number): Promise<void> {
-        const instance = this.#pick(this.#instances);
+        await this.#restart(this.#pick(this.#instances), signal, downTime);
+    }
+
+    async #restart(instance: SoakInstance, signal: NodeJS.Signals, downTime: number): Promise<void> {
         if (instance.isStopping || instance.isPaused) {
             return;
         }
@@ -415,7 +464,7 @@
 
 /** Sends one request through a caller's HTTP agent, which keeps at most one connection to each instance. */
 function callWithAgent(
-    call: { instance: SoakInstance; agent: Agent; id: string; kind: string; },
+    call: { instance: SoakInstance; agent: Agent; id: string; kind: string; headers?: Record<string, string>; },
 ): Promise<HttpResult | "not connected" | undefined> {
     const { instance, agent, id, kind } = call;
     const isStream = kind === "narrative" || kind === "verdict";
@@ -433,6 +482,7 @@
                 authorization: `Bearer ${SITE_API_KEY}`,
                 ...isStream ? { model: "m", "token-counts": "100,48" } : {},
                 ...kind === "lookup" ? {} : { "content-length": "8" },
+                ...call.headers,
             },
             signal: AbortSignal.timeout(6000),
         }, response => void collectResponse(response).then(resolve));
