Measure the records of streams at 6, 73 and 195 instances, and test the decision on resumptions

Cause: the price of the records at size was not shown, and the decision was tested through processes only.

--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -76,3 +76,30 @@
         And callers lose their connections after 4 events and resume their streams without naming an attempt
         Then no stream holds events of two software versions
         And all resumptions are refused as not run
+
+    Scenario Outline: <instances> instances record <rate> streams a second with at most one call for each, and without long waits
+        When <instances> instances begin <rate> streams a second at a second software version for 2000 ms
+        Then the store gets at most 1 write for each stream, and at most 1 list for each instance
+        And 95 in 100 first events wait less than 60 ms
+
+        Examples:
+            | instances | rate |
+            | 6         | 12   |
+            | 6         | 200  |
+            | 73        | 47   |
+            | 195       | 40   |
+
+    Scenario Outline: a resumption <what> is <end>
+        When a stream is resumed whose record is "<record>", with the baseline "<baseline>", <named>, <read>, <alone>
+        Then it is <end>
+
+        Examples:
+            | what                                             | record | baseline | named                  | read                       | alone                       | end           |
+            | with a record                                    | v2     | v1       | with its attempt named | with records read          | beside other versions       | bound to "v2" |
+            | with a record, while the store is down           | v2     | v1       | with its attempt named | without records read       | beside other versions       | bound to "v2" |
+            | without a record                                 |        | v1       | with its attempt named | with records read          | beside other versions       | bound to "v1" |
+            | without a record, while the store is down        |        | v1       | with its attempt named | without records read       | beside other versions       | unknown       |
+            | while the store is down and one version serves   |        | v1       | with its attempt named | without records read       | without another version     | bound to "v1" |
+            | that names no attempt                            |        | v1       | without a named attempt | with records read         | beside other versions       | unknown       |
+            | that names no attempt while one version serves   |        | v1       | without a named attempt | without records read      | without another version     | bound to "v1" |
+            | while no baseline is known                       |        |          | with its attempt named | with records read          | beside other versions       | unknown       |
--- a/features/steps/platform_version_steps.ts
+++ b/features/steps/platform_version_steps.ts
@@ -5,8 +5,15 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { decideResumption, type Resumption } from "../../core/serving/mod.ts";
 import { waitMilliseconds } from "../../network/mod.ts";
-import { type SiteTarget, startServingSite } from "../../support/platform/mod.ts";
+import { createRandom } from "../../support/fixtures/random.ts";
+import {
+    measureVersionRecords,
+    type SiteTarget,
+    startServingSite,
+    type VersionRecordResult,
+} from "../../support/platform/mod.ts";
 import type { HttpResult } from "../../support/processes/mod.ts";
 import { closeCallerConnections } from "../support/caller_connections.ts";
 import { createRequestId, getSite, listTargets, siteContext } from "../support/site_context.ts";
@@ -208,3 +215,52 @@
         assert.ok(result.isComplete, "a stream does not look complete");
     }
 });
+
+/** Result of the load that the scenario has run. */
+let records: VersionRecordResult | undefined;
+
+When(
+    "{int} instances begin {int} streams a second at a second software version for {int} ms",
+    async function(instances: number, streamsPerSecond: number, milliseconds: number) {
+        records = await measureVersionRecords({ instances, streamsPerSecond, milliseconds, random: createRandom(1) });
+    },
+);
+
+Then(
+    "the store gets at most {int} write for each stream, and at most {int} list for each instance",
+    function(writes: number, lists: number) {
+        assert.ok(records !== undefined && records.streams > 0, "no stream has begun");
+        assert.ok(records.writes <= records.streams * writes, `${records.writes} writes, ${records.streams} streams`);
+        assert.ok(records.lists <= records.instances * lists, `${records.lists} lists`);
+    },
+);
+
+Then("{int} in {int} first events wait less than {int} ms", function(count: number, all: number, bound: number) {
+    const { waits = [] } = records ?? {};
+    const wait = waits[Math.ceil(waits.length * count / all) - 1] ?? Infinity;
+    assert.ok(wait < bound, `the first events waited ${wait.toFixed(1)} ms`);
+});
+
+/** Decision of the scenario. */
+let resumption: Resumption | undefined;
+
+When(
+    /^a stream is resumed whose record is "(.*)", with the baseline "(.*)", (.+), (.+), (.+)$/,
+    function(record: string, baseline: string, named: string, read: string, alone: string) {
+        resumption = decideResumption({
+            recordedVersion: record === "" ? undefined : record,
+            baseline: baseline === "" ? undefined : baseline,
+            isAttemptNamed: named === "with its attempt named",
+            hasReadRecords: read === "with records read",
+            isBaselineAlone: alone === "without another version",
+        });
+    },
+);
+
+Then("it is bound to {string}", function(softwareVersion: string) {
+    assert.deepEqual(resumption, { kind: "bound", softwareVersion });
+});
+
+Then("it is unknown", function() {
+    assert.equal(resumption?.kind, "unknown");
+});
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -8,3 +8,4 @@
 export * from "./serving_process.ts";
 export * from "./serving_state.ts";
 export * from "./store_watcher.ts";
+export * from "./stream_version_store.ts";
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -44,7 +44,7 @@
 /** Options of a {@linkcode ServingState}. */
 export interface ServingStateOptions {
     /** Settings of the instance. */
-    settings: InstanceSettings;
+    settings: Pick<InstanceSettings, "bounds">;
     /** Source of time. */
     clock: Clock;
     /** Decision log. */
@@ -119,7 +119,7 @@
     readonly softwareVersions = new SoftwareVersions();
     /** This instance's share of the request rate of cold targets. */
     readonly coldRateShare: ColdRateShare;
-    #settings: InstanceSettings;
+    #settings: Pick<InstanceSettings, "bounds">;
     /** Called with each change to a target. */
     readonly targetListeners: ((change: TargetChange) => void)[] = [];
     /**
--- a/serving/stream_version_store.ts
+++ b/serving/stream_version_store.ts
@@ -36,7 +36,7 @@
     /** Name of this instance. */
     instance: string;
     /** Client of the store. */
-    store: StoreClient;
+    store: Pick<StoreClient, "listObjects" | "createObject" | "updateObject" | "putObject">;
     /** State with the targets and the versions of streams. */
     state: ServingState;
     /** Decision log. */
