--- /dev/null
+++ b/features/platform/partition.feature
@@ -0,0 +1,32 @@
+@platform @partition
+Feature: An instance that reaches no target serves its callers through other instances
+
+    Callers, the store and the other instances still reach it. Its connections to targets are reset and new ones refused, or
+    all are silent, or the open ones live on while new ones are refused.
+
+    # second1 of issue 29: such instances served 0 of 46 requests, the others 172 of 172.
+    Scenario Outline: instances whose connections to targets are <cut> serve as well as the others
+        Given a serving site with 3 instances
+        And callers send requests to all instances for 500 ms
+        When the connections of instances 1 and 2 to targets are <cut>
+        And callers send requests to all instances for 1500 ms
+        And callers send requests to all instances for 1500 ms
+        Then each instance has served at least 9 in 10 of the latest requests
+        And no request has run twice, and none that was refused has run
+        And no instance has seen a target end
+        When the connections of instances 1 and 2 to targets work again
+        And callers send requests to all instances for 1500 ms
+        Then each instance has served at least 9 in 10 of the latest requests
+        And all instances reach targets themselves
+
+        Examples:
+            | cut    |
+            | reset  |
+            | silent |
+            | closed |
+
+    Scenario: a request whose targets have all ended is refused as not run
+        Given a serving site with 3 instances
+        When all targets end
+        And callers send requests to all instances for 500 ms
+        Then no request was served, and each is refused within 1500 ms
--- /dev/null
+++ b/features/steps/platform_partition_steps.ts
@@ -0,0 +1,122 @@
+/**
+ * Steps about instances that are partitioned from all targets.
+ *
+ * @module
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { waitMilliseconds } from "../../network/mod.ts";
+import type { LinkCut } from "../../support/platform/mod.ts";
+import type { HttpResult } from "../../support/processes/mod.ts";
+import { createRequestId, getInstance, getSite } from "../support/site_context.ts";
+
+/** A request of the scenario. */
+interface SentRequest {
+    id: string;
+    kind: string;
+    instance: number;
+    milliseconds: number;
+    /** Response; `undefined` if none has arrived. */
+    result: HttpResult | undefined;
+}
+
+/** Kinds of the requests, which are sent in turn. */
+const KINDS = ["lookup", "stamp", "narrative", "verdict"];
+/** Interval between two requests to the same instance, in milliseconds. */
+const INTERVAL_MILLISECONDS = 60;
+
+/** All requests of the scenario, and those of the latest step. */
+let requests: SentRequest[] = [];
+let latestRequests: SentRequest[] = [];
+
+async function sendRequest(instance: number, kind: string): Promise<void> {
+    const request: SentRequest = { id: createRequestId(), kind, instance, milliseconds: 0, result: undefined };
+    latestRequests.push(request);
+    requests.push(request);
+    const sentAt = performance.now();
+    request.result = await getSite().call({ kind, id: request.id, instance }).catch(() => undefined);
+    request.milliseconds = performance.now() - sentAt;
+}
+
+/** Sends requests to all instances at a fixed interval, and waits for the responses. */
+async function sendRequests(milliseconds: number): Promise<void> {
+    latestRequests = [];
+    const startedAt = performance.now();
+    const calls: Promise<void>[] = [];
+    for (let count = 0; count * INTERVAL_MILLISECONDS < milliseconds; count += 1) {
+        await waitMilliseconds(Math.max(0, startedAt + count * INTERVAL_MILLISECONDS - performance.now()));
+        for (const instance of getSite().instances.keys()) {
+            calls.push(sendRequest(instance, KINDS[count % KINDS.length] ?? ""));
+        }
+    }
+    await Promise.all(calls);
+}
+
+Given("callers send requests to all instances for {int} ms", async function(milliseconds: number) {
+    await sendRequests(milliseconds);
+});
+
+When(/^the connections of instances 1 and 2 to targets are (reset|silent|closed)$/, function(cut: LinkCut) {
+    requests = [];
+    [1, 2].forEach(number => getInstance(number).targetLink.breakConnections(cut));
+});
+
+When("the connections of instances 1 and 2 to targets work again", function() {
+    [1, 2].forEach(number => getInstance(number).targetLink.resume());
+});
+
+When("all targets end", function() {
+    requests = [];
+    getSite().targets.forEach(({ opened }) => opened.close());
+});
+
+function isServed({ result }: SentRequest): boolean {
+    return result?.status === 200 && result.isComplete;
+}
+
+Then(
+    "each instance has served at least {int} in {int} of the latest requests",
+    function(count: number, all: number) {
+        for (const instance of getSite().instances.keys()) {
+            const own = latestRequests.filter(request => request.instance === instance);
+            const failed = own.filter(request => !isServed(request));
+            const bodies = failed.map(({ kind, result }) => `${kind}: ${result?.body.toString().slice(0, 200)}`);
+            assert.ok(
+                own.length - failed.length >= own.length * count / all,
+                `instance ${instance + 1} has served ${own.length - failed.length} of ${own.length}: ${
+                    bodies.join("; ")
+                }`,
+            );
+        }
+    },
+);
+
+Then("no request has run twice, and none that was refused has run", function() {
+    const runs = getSite().targets.flatMap(({ standIn }) => standIn.started);
+    for (const { id, kind, result } of requests) {
+        const count = runs.filter(run => run === id).length;
+        if (kind === "stamp" || kind === "narrative") {
+            assert.ok(count <= 1, `a ${kind} ran ${count} times`);
+            assert.ok(result?.status !== 503 || count === 0, `a ${kind} was refused and ran`);
+        }
+    }
+});
+
+Then("no instance has seen a target end", function() {
+    const lines = getSite().instances.flatMap(instance => instance.lines);
+    assert.deepEqual(lines.filter(({ event }) => event === "target crash observed"), []);
+});
+
+Then("all instances reach targets themselves", function() {
+    for (const { lines } of getSite().instances) {
+        const changes = lines.filter(({ event }) => event === "all targets lost" || event === "targets regained");
+        assert.notEqual(changes.at(-1)?.["event"], "all targets lost");
+    }
+});
+
+Then("no request was served, and each is refused within {int} ms", function(milliseconds: number) {
+    for (const { kind, result, milliseconds: duration } of requests) {
+        assert.ok(result !== undefined && [502, 503].includes(result.status), `${kind}: ${result?.status}`);
+        assert.ok(duration < milliseconds, `a ${kind} was refused after ${duration.toFixed(0)} ms`);
+    }
+});
--- a/network/reset_detection.ts
+++ b/network/reset_detection.ts
@@ -21,6 +21,9 @@
     });
 }
 
+/** Opens a connection to an address. */
+export type OpenConnection = (address: Address) => Socket;
+
 /** Opens a connection whose end is observed, and on which small writes are not delayed. */
 export function openObservedConnection({ host, port }: Address): Socket {
     const socket = connect({ host, port, noDelay: true });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -5,7 +5,7 @@
  */
 import type { Server } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import { openHttpServer, waitMilliseconds } from "../network/mod.ts";
+import { type OpenConnection, openHttpServer, openObservedConnection, waitMilliseconds } from "../network/mod.ts";
 import { decodePeer, encodePeer, type InstanceSettings, StoreClient, StoreKind } from "../platform/mod.ts";
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
@@ -33,6 +33,8 @@
     clock?: Clock;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). Defaults to `Math.random`. */
     random?: () => number;
+    /** Opens a connection to a target. Defaults to one over TCP. */
+    openTargetConnection?: OpenConnection;
 }
 
 /** Interval at which expired missing targets are removed and changed limits are applied, in milliseconds. */
@@ -74,7 +76,7 @@
     readonly #quarantineStore: QuarantineStore;
     readonly #streamVersions: StreamVersionStore;
     readonly #scheduler: RequestScheduler;
-    readonly #connections = new TargetConnections();
+    readonly #connections: TargetConnections;
     readonly #metrics: ServingMetrics;
     readonly #callerServer: CallerServer;
     readonly #leavingEnginePoller: LeavingEnginePoller;
@@ -88,6 +90,8 @@
 
     constructor(options: ServingProcessOptions) {
         const { settings, log, clock = systemClock, random = Math.random } = options;
+        const { openTargetConnection = openObservedConnection } = options;
+        this.#connections = new TargetConnections(openTargetConnection);
         this.#settings = settings;
         this.#log = log;
         this.#clock = clock;
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -11,6 +11,7 @@
     BodyTooLargeError,
     ByteBudget,
     hasFailed,
+    type OpenConnection,
     openObservedConnection,
     parseAddress,
     readBody,
@@ -110,14 +111,16 @@
 /** HTTP agent for one target that does not reuse a connection on which unsolicited bytes have arrived. */
 class TargetAgent extends Agent {
     #reusePausedUntil = 0;
+    readonly #openConnection: OpenConnection;
 
-    constructor() {
+    constructor(openConnection: OpenConnection) {
         super({
             keepAlive: true,
             maxFreeSockets: MAX_IDLE_CONNECTIONS,
             scheduling: "lifo",
             timeout: IDLE_TIMEOUT_MILLISECONDS,
         });
+        this.#openConnection = openConnection;
     }
 
     /** Stops reusing connections for {@linkcode REUSE_PAUSE_MILLISECONDS}. */
@@ -140,7 +143,7 @@
     }
 
     override createConnection(options: { host: string; port: number; }): Socket {
-        const socket = openObservedConnection(options);
+        const socket = this.#openConnection(options);
         const timer = setTimeout(
             () => socket.destroy(new Error("connection was not accepted in time")),
             CONNECT_TIMEOUT_MILLISECONDS,
@@ -179,6 +182,12 @@
     readonly #responseBudget = new ByteBudget(MAX_ALL_BUFFERED_RESPONSES_BYTES);
     readonly #pending = new Set<PendingResponse>();
     #overheadTimer: NodeJS.Timeout | undefined;
+    readonly #openConnection: OpenConnection;
+
+    /** @param openConnection Opens a connection to a target. Defaults to one over TCP. */
+    constructor(openConnection: OpenConnection = openObservedConnection) {
+        this.#openConnection = openConnection;
+    }
 
     /** Closes the idle connections to a target that was removed or is leaving. */
     closeIdleConnections(targetId: string): void {
@@ -302,7 +311,7 @@
     }
 
     #getAgent(targetId: string): TargetAgent {
-        const agent = this.#agents.get(targetId) ?? new TargetAgent();
+        const agent = this.#agents.get(targetId) ?? new TargetAgent(this.#openConnection);
         this.#agents.set(targetId, agent);
         return agent;
     }
--- a/support/platform/mod.ts
+++ b/support/platform/mod.ts
@@ -6,5 +6,6 @@
 export * from "./serving_site.ts";
 export * from "./settings_text.ts";
 export * from "./store_stand_in.ts";
+export * from "./target_link.ts";
 export * from "./target_stand_in.ts";
 export * from "./version_record_load.ts";
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -4,13 +4,14 @@
  *
  * @module
  */
-import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
+import { type OpenConnection, parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { type InstanceSettings } from "../../platform/mod.ts";
 import { ServingProcess } from "../../serving/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { callHttp, findAddresses, type HttpResult } from "../processes/mod.ts";
 import { type OpenedStandIn, openStandIn } from "../stand_ins/mod.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
+import { TargetLink } from "./target_link.ts";
 import { type KvCopies, TargetStandIn } from "./target_stand_in.ts";
 
 /** A target of the site. */
@@ -35,6 +36,8 @@
     process: ServingProcess;
     /** Log lines of the instance, decoded from JSON. */
     lines: Record<string, unknown>[];
+    /** Link of the instance to all targets. */
+    targetLink: TargetLink;
 }
 
 /** A caller's request. */
@@ -224,7 +227,8 @@
                 coldSlack: 5,
             },
         };
-        const instance = { settings, ...await this.#startProcess(settings) };
+        const targetLink = new TargetLink();
+        const instance = { settings, targetLink, ...await this.#startProcess(settings, targetLink) };
         this.instances.push(instance);
         return instance;
     }
@@ -234,18 +238,22 @@
         this.instances.forEach(({ process }) => process.close());
         await waitMilliseconds(options.downMilliseconds ?? 0);
         await Promise.all(this.instances.map(async instance => {
-            Object.assign(instance, await this.#startProcess(instance.settings));
+            Object.assign(instance, await this.#startProcess(instance.settings, instance.targetLink));
         }));
     }
 
-    async #startProcess(settings: InstanceSettings): Promise<Pick<SiteInstance, "process" | "lines">> {
+    async #startProcess(
+        settings: InstanceSettings,
+        targetLink: TargetLink,
+    ): Promise<Pick<SiteInstance, "process" | "lines">> {
         const lines: Record<string, unknown>[] = [];
         const log = new DecisionLog({
             name: "knapweed-serve",
             clock: systemClock,
             writeLine: line => lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
         });
-        const process = new ServingProcess({ settings, log });
+        const openTargetConnection: OpenConnection = address => targetLink.openConnection(address);
+        const process = new ServingProcess({ settings, log, openTargetConnection });
         await process.start();
         return { process, lines };
     }
