--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -18,6 +18,7 @@
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { EngineClient } from "./engine_client.ts";
+import type { PartitionMonitor } from "./partition_monitor.ts";
 import type { RequestScheduler, Reservation, ReservationRequest, ReservationResult } from "./request_scheduler.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
@@ -39,6 +40,10 @@
     targetProbe: TargetProbe;
     /** Software versions of streams, which last in the store. */
     streamVersions: StreamVersionStore;
+    /** Finds out whether this instance is partitioned from all targets. */
+    partitionMonitor: PartitionMonitor;
+    /** Lists the addresses at which other instances that reach targets take callers' requests. */
+    listRelayPeers: () => string[];
     /** Decision log. */
     log: DecisionLog;
     /** Counters and histograms. */
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -20,6 +20,7 @@
     sendError,
     type ServingContext,
 } from "./caller_exchange.ts";
+import { sendThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
@@ -250,6 +251,9 @@
             signal: AbortSignal.any([call.disconnected, timeout]),
             isCallerDisconnected: () => call.disconnected.aborted,
         };
+        if (this.#context.partitionMonitor.isPartitioned && await sendThroughPeer(this.#context, exchange)) {
+            return;
+        }
         await (route.kind === "stream"
             ? handleStreamCall(this.#context, { exchange, activeStreams: this.#activeStreams })
             : handleUnaryCall(this.#context, exchange));
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -44,6 +44,8 @@
     clock: Clock;
     /** Checks whether this instance watches the store and all its watches work. */
     isWatching: () => boolean;
+    /** Gets the address at which this instance takes requests of callers; empty while it reaches no target, or stops. */
+    getRelayAddress: () => string;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
     /** Reads the configuration from the store; resolves to true on success. */
@@ -65,6 +67,8 @@
     versions: StateVersions;
     /** True if the peer's last digest says that it watches the store. */
     isWatching: boolean;
+    /** Address at which the peer takes requests of callers; empty if it takes none. */
+    relayAddress: string;
     /** True once the peer has missed too many digests. */
     isLost: boolean;
 }
@@ -177,6 +181,16 @@
         return [...this.#peers.values()].some(peer => peer.isWatching && !peer.isLost);
     }
 
+    /** Lists the addresses at which peers that reach targets take requests of callers. */
+    listRelayPeers(): string[] {
+        const now = this.#options.clock.getMonotonic();
+        return [...this.#peers.values()]
+            .filter(({ isLost, relayAddress, lastDigestAt = Number.NEGATIVE_INFINITY }) =>
+                !isLost && relayAddress !== "" && now - lastDigestAt < MAX_DIGEST_AGE_MILLISECONDS
+            )
+            .map(({ relayAddress }) => relayAddress);
+    }
+
     /** Decides whether this instance is one of the few that watch the store on behalf of all. */
     decideWatching(): boolean {
         const now = this.#options.clock.getMonotonic();
@@ -334,6 +348,7 @@
         peer.isLost = false;
         peer.versions = message.versions;
         peer.isWatching = message.isWatching;
+        peer.relayAddress = message.relayAddress;
         for (const target of message.unreachable) {
             this.#options.state.recordUnreachableByPeer(target);
         }
@@ -455,6 +470,7 @@
             lastSentAt: Number.NEGATIVE_INFINITY,
             versions,
             isWatching: false,
+            relayAddress: "",
             isLost: false,
         };
         this.#peers.set(name, peer);
@@ -484,7 +500,7 @@
     }
 
     #buildDigest(now: number): DigestMessage {
-        const { state, instance, isWatching } = this.#options;
+        const { state, instance, isWatching, getRelayAddress } = this.#options;
         return {
             kind: "digest",
             instance,
@@ -498,6 +514,7 @@
             baselines: state.softwareVersions.listBaselines(),
             versions: this.#getVersions(),
             isWatching: isWatching(),
+            relayAddress: getRelayAddress(),
         };
     }
 
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -57,6 +57,8 @@
     versions: StateVersions;
     /** True if the sender watches the store and all its watches work. */
     isWatching: boolean;
+    /** Address at which the sender takes requests of callers; empty while it reaches no target, or stops. */
+    relayAddress: string;
 }
 
 /** Message that forwards an update of the store to peers that do not watch it. */
@@ -142,6 +144,7 @@
         baselines: v.optional(v.record(v.string(), v.string()), {}),
         versions: VersionsSchema,
         isWatching: v.boolean(),
+        relayAddress: v.optional(v.string(), ""),
     }),
     v.object({
         kind: v.literal("news"),
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -5,6 +5,7 @@
  */
 import type { Server } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
+import { DigestReason } from "../core/serving/mod.ts";
 import { type OpenConnection, openHttpServer, openObservedConnection, waitMilliseconds } from "../network/mod.ts";
 import { decodePeer, encodePeer, type InstanceSettings, StoreClient, StoreKind } from "../platform/mod.ts";
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
@@ -13,6 +14,7 @@
 import { EngineClient } from "./engine_client.ts";
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
 import { MoveCoordinator } from "./move_coordinator.ts";
+import { PartitionMonitor } from "./partition_monitor.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { QuarantineStore } from "./quarantine_store.ts";
 import { RequestScheduler } from "./request_scheduler.ts";
@@ -77,6 +79,7 @@
     readonly #streamVersions: StreamVersionStore;
     readonly #scheduler: RequestScheduler;
     readonly #connections: TargetConnections;
+    readonly #partitionMonitor: PartitionMonitor;
     readonly #metrics: ServingMetrics;
     readonly #callerServer: CallerServer;
     readonly #leavingEnginePoller: LeavingEnginePoller;
@@ -120,6 +123,10 @@
             instance: settings.instance,
             address: settings.peerAddress,
             isWatching: () => this.#storeWatcher.isWatching,
+            getRelayAddress: () =>
+                this.#partitionMonitor.isPartitioned || this.#stopRequestedAt !== undefined
+                    ? ""
+                    : `${settings.callerAddress.host}:${settings.callerAddress.port}`,
             readConfiguration: () => this.#storeWatcher.readKind(StoreKind.configuration),
             readTargets: () => this.#storeWatcher.readKind(StoreKind.targets),
         });
@@ -134,6 +141,12 @@
             store: this.#store,
             isWriter: () => this.#peerExchange.isStoreWriter,
         });
+        this.#partitionMonitor = new PartitionMonitor({
+            ...shared,
+            connections: this.#connections,
+            openConnection: openTargetConnection,
+            onChange: () => this.#state.loadTracker.onEngineLoadChange(DigestReason.loadIncreased),
+        });
         const engines = new EngineClient({ state: this.#state, clock });
         this.#scheduler = new RequestScheduler({ ...shared, zone: settings.zone });
         this.#context = {
@@ -143,6 +156,8 @@
             engines,
             targetProbe: new TargetProbe(engines),
             streamVersions: this.#streamVersions,
+            partitionMonitor: this.#partitionMonitor,
+            listRelayPeers: () => this.#peerExchange.listRelayPeers(),
             getRemainingGraceMilliseconds: () =>
                 this.#stopRequestedAt === undefined
                     ? undefined
@@ -316,6 +331,7 @@
             this.#state.expireQuarantines();
             void this.#quarantineStore.update();
             this.#streamVersions.update();
+            this.#partitionMonitor.update();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
                 this.#wasReady = isReady;
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -39,6 +39,7 @@
 } from "./caller_exchange.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import { type MovedGeneration, type MoveNotice, MoveOperation } from "./move_operation.ts";
+import { sendUnreachableThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import type { Reservation, ReservationResult } from "./request_scheduler.ts";
 import { StallDetector } from "./stall_detector.ts";
@@ -118,6 +119,8 @@
     #hasResponseEnded = false;
     /** Software version that began the stream; `undefined` before its first event. */
     #softwareVersion: string | undefined;
+    /** Number of attempts whose target has accepted no connection. */
+    #connectFailures = 0;
     readonly #crashGuard: CrashGuard;
     /** Quarantine for which the request is refused. */
     #quarantined: QuarantinedPart | undefined;
@@ -243,7 +246,10 @@
                 break;
             }
         }
-        this.#fail(reason);
+        const attempts = { verdict: this.#verdict, connectFailures: this.#connectFailures };
+        if (!await sendUnreachableThroughPeer(this.#context, this.#exchange, attempts)) {
+            this.#fail(reason);
+        }
     }
 
     async #reserveTarget(): Promise<Reservation | undefined> {
@@ -332,6 +338,7 @@
             return record;
         }
         this.#avoid.add(reservation.target.id);
+        this.#connectFailures += result.isUnreachable === true ? 1 : 0;
         this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
         this.#possibleRuns += result.verdict === "not-run" ? 0 : 1;
         return record;
@@ -612,10 +619,11 @@
 
     #canRetry({ verdict, isUnreachable }: { verdict: Verdict; isUnreachable?: boolean; }): boolean {
         const { route, service, signal } = this.#exchange;
-        const { state, clock } = this.#context;
+        const { state, clock, partitionMonitor } = this.#context;
         const isSafe = verdict === "not-run" && this.#verdict === "not-run" || isRepeatable(route);
         if (
-            signal.aborted || !isSafe || !this.#crashGuard.isRetryAllowed()
+            signal.aborted || !isSafe || isUnreachable === true && partitionMonitor.isPartitioned
+            || !this.#crashGuard.isRetryAllowed()
             || this.#possibleRuns >= Math.max(1, route.maxAttempts)
         ) {
             return false;
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -5,6 +5,7 @@
  */
 import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import type { Socket } from "node:net";
+import type { WaitingRequest } from "../core/serving/mod.ts";
 import type { AttemptProgress } from "../core/verdict/mod.ts";
 import {
     applyInterimResponseLimit,
@@ -94,6 +95,12 @@
     initialBytes: number;
     /** Bytes of the body that have been read. */
     bodyBytes: number;
+    /** Identifier of the target. */
+    targetId: string;
+    /** Time at which the request was sent, on the monotonic clock in milliseconds. */
+    sentAt: number;
+    /** True once the head of the response has arrived. */
+    isAnswered: boolean;
 }
 
 /**
@@ -183,12 +190,21 @@
     readonly #pending = new Set<PendingResponse>();
     #overheadTimer: NodeJS.Timeout | undefined;
     readonly #openConnection: OpenConnection;
+    /** Called when data of a response have arrived. */
+    onData: () => void = () => undefined;
+    /** Called when a target has accepted no connection. */
+    onConnectFailure: (targetId: string) => void = () => undefined;
 
     /** @param openConnection Opens a connection to a target. Defaults to one over TCP. */
     constructor(openConnection: OpenConnection = openObservedConnection) {
         this.#openConnection = openConnection;
     }
 
+    /** Lists the requests that targets have not begun to answer. */
+    listWaiting(): WaitingRequest[] {
+        return [...this.#pending].filter(({ isAnswered }) => !isAnswered);
+    }
+
     /** Closes the idle connections to a target that was removed or is leaving. */
     closeIdleConnections(targetId: string): void {
         const agent = this.#agents.get(targetId);
@@ -240,9 +256,19 @@
             });
             const fail = (message: string, { isConnectionLost = false } = {}): void => {
                 request.destroy();
+                if (progress === "not-connected" && !call.signal.aborted) {
+                    this.onConnectFailure(call.targetId);
+                }
                 reject(new TargetCallError(message, { progress, isAborted: call.signal.aborted, isConnectionLost }));
             };
-            const pending = { request, initialBytes: 0, bodyBytes: 0 };
+            const pending: PendingResponse = {
+                request,
+                initialBytes: 0,
+                bodyBytes: 0,
+                targetId: call.targetId,
+                sentAt: performance.now(),
+                isAnswered: false,
+            };
             request.on("close", () => this.#pending.delete(pending));
             request.on("socket", socket => {
                 pending.initialBytes = socket.bytesRead;
@@ -264,6 +290,8 @@
             request.on("response", response => {
                 const head = decodeResponseHead(response);
                 progress = "answering";
+                pending.isAnswered = true;
+                this.onData();
                 // A late copy of an earlier refusal would say "not run" of a request that may have run.
                 if (head.isRefusal && head.requestId === undefined && request.reusedSocket) {
                     agent.pauseReuse();
@@ -285,6 +313,7 @@
                     // Node.js reports a response without a length as complete even if its connection was reset.
                     isComplete: () => response.complete && !hasFailed(socket),
                     recordBody: bytes => {
+                        this.onData();
                         pending.bodyBytes += bytes;
                     },
                     close: () => request.destroy(),
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -23,6 +23,7 @@
     writeResponseHead,
 } from "./caller_exchange.ts";
 import { CrashGuard } from "./crash_guard.ts";
+import { sendUnreachableThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import type { Reservation } from "./request_scheduler.ts";
 import { isConnectFailure, isConnectionLoss, TargetCallError } from "./target_connections.ts";
@@ -62,6 +63,8 @@
     #lastFailure: { head: TargetResponseHead; body: Buffer; } | undefined;
     /** Time at which the head of the current attempt's response arrived; `undefined` before. */
     #headAt: number | undefined;
+    /** Number of attempts whose target has accepted no connection. */
+    #connectFailures = 0;
     readonly #crashGuard: CrashGuard;
     /** Quarantine for which the request is refused. */
     #quarantined: QuarantinedPart | undefined;
@@ -105,7 +108,10 @@
                 break;
             }
         }
-        this.#fail(reason);
+        const attempts = { verdict: this.#verdict, connectFailures: this.#connectFailures };
+        if (!await sendUnreachableThroughPeer(this.#context, this.#exchange, attempts)) {
+            this.#fail(reason);
+        }
     }
 
     async #runAttempt(reservation: Reservation): Promise<AttemptResult> {
@@ -120,6 +126,7 @@
         metrics.countAttempt(this.#exchange.service.name, result.kind === "answered" ? "answered" : result.verdict);
         if (!this.#exchange.isCallerDisconnected()) {
             const isUnreachable = result.kind === "failed" && result.isUnreachable === true;
+            this.#connectFailures += isUnreachable ? 1 : 0;
             state.recordAttempt(reservation.target.id, { hasFailed: result.kind === "failed", isUnreachable });
         }
         if (result.kind === "failed") {
@@ -210,8 +217,8 @@
 
     #canRetry({ verdict, isUnreachable }: { verdict: Verdict; isUnreachable?: boolean; }): boolean {
         const { route, service, signal } = this.#exchange;
-        const { state, clock } = this.#context;
-        const isAllowed = !signal.aborted
+        const { state, clock, partitionMonitor } = this.#context;
+        const isAllowed = !signal.aborted && !(isUnreachable === true && partitionMonitor.isPartitioned)
             && this.#possibleRuns < route.maxAttempts
             && decideRetry({
                 verdict,
