--- a/features/platform/partition.feature
+++ b/features/platform/partition.feature
@@ -30,3 +30,9 @@
         When all targets end
         And callers send requests to all instances for 500 ms
         Then no request was served, and each is refused within 1500 ms
+
+    # An instance of second1 quarantined a sound request, since refused connections looked like the ends of targets.
+    Scenario: an instance that is cut from all targets in the middle of lookups does not take them for ended
+        Given a serving site with 3 instances
+        When the connections of instances 1 and 2 to targets are reset in the middle of 6 lookups
+        Then no instance has seen a target end
--- a/features/steps/platform_partition_steps.ts
+++ b/features/steps/platform_partition_steps.ts
@@ -6,7 +6,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { waitMilliseconds } from "../../network/mod.ts";
-import type { LinkCut } from "../../support/platform/mod.ts";
+import { LinkCut } from "../../support/platform/mod.ts";
 import type { HttpResult } from "../../support/processes/mod.ts";
 import { createRequestId, getInstance, getSite } from "../support/site_context.ts";
 
@@ -61,6 +61,19 @@
     [1, 2].forEach(number => getInstance(number).targetLink.breakConnections(cut));
 });
 
+When(
+    "the connections of instances 1 and 2 to targets are reset in the middle of {int} lookups",
+    async function(count: number) {
+        for (const { standIn } of getSite().targets) {
+            Object.assign(standIn.faults, { answer: "silence", faultyAnswers: count });
+        }
+        const calls = Array.from({ length: count }, (_, index) => sendRequest(index % 2, "lookup"));
+        await waitMilliseconds(INTERVAL_MILLISECONDS);
+        [1, 2].forEach(number => getInstance(number).targetLink.breakConnections(LinkCut.reset));
+        await Promise.all(calls);
+    },
+);
+
 When("the connections of instances 1 and 2 to targets work again", function() {
     [1, 2].forEach(number => getInstance(number).targetLink.resume());
 });
--- a/network/listener_probe.ts
+++ b/network/listener_probe.ts
@@ -3,16 +3,20 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import type { Address } from "./address.ts";
+import { type OpenConnection, openObservedConnection } from "./reset_detection.ts";
 
 /** Result of {@linkcode checkListener}; `unknown` if the address does not respond in time. */
 export type ListenerState = "listening" | "refused" | "unknown";
 
 /** Checks whether a process accepts connections at an address, by opening one. The promise never rejects. */
-export function checkListener(address: Address, options: { timeoutMilliseconds: number; }): Promise<ListenerState> {
+export function checkListener(
+    address: Address,
+    options: { timeoutMilliseconds: number; openConnection?: OpenConnection; },
+): Promise<ListenerState> {
     return new Promise(resolve => {
-        const socket = connect(address);
+        const { openConnection = openObservedConnection } = options;
+        const socket = openConnection(address);
         const finish = (state: ListenerState): void => {
             clearTimeout(timer);
             socket.destroy();
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -154,7 +154,7 @@
             scheduler: this.#scheduler,
             connections: this.#connections,
             engines,
-            targetProbe: new TargetProbe(engines),
+            targetProbe: new TargetProbe({ engines, openConnection: openTargetConnection }),
             streamVersions: this.#streamVersions,
             partitionMonitor: this.#partitionMonitor,
             listRelayPeers: () => this.#peerExchange.listRelayPeers(),
--- a/serving/target_probe.ts
+++ b/serving/target_probe.ts
@@ -4,21 +4,28 @@
  * @module
  */
 import type { ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
-import { checkListener, parseAddress } from "../network/mod.ts";
+import { checkListener, type OpenConnection, parseAddress } from "../network/mod.ts";
 import type { EngineClient } from "./engine_client.ts";
 
+/** Options of a {@linkcode TargetProbe}. */
+export interface TargetProbeOptions {
+    /** Client that asks engines. */
+    engines: EngineClient;
+    /** Opens a connection to a target of a plain service. */
+    openConnection: OpenConnection;
+}
+
 /** Time within which a target of a plain service accepts a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 100;
 
 /** Finds out whether targets have ended: nothing listens at their address. */
 export class TargetProbe {
-    readonly #engines: EngineClient;
+    readonly #options: TargetProbeOptions;
     /** Results that are not known yet, by target. */
     readonly #pending = new Map<string, Promise<boolean>>();
 
-    /** @param engines Client that asks engines. */
-    constructor(engines: EngineClient) {
-        this.#engines = engines;
+    constructor(options: TargetProbeOptions) {
+        this.#options = options;
     }
 
     /** Checks whether a target has ended. A target that does not respond is not known to have ended. */
@@ -31,10 +38,11 @@
 
     async #checkEnd(target: ServingTarget, { engine }: Pick<ServiceDefinition, "engine">): Promise<boolean> {
         if (engine !== undefined) {
-            return this.#engines.hasEnded(target);
+            return this.#options.engines.hasEnded(target);
         }
         const state = await checkListener(parseAddress(target.address), {
             timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+            openConnection: this.#options.openConnection,
         });
         return state === "refused";
     }
