Take no crash evidence from refused connections while no target can be reached

Cause: a refused connection to the target of a failed attempt counted as its end. Change: before it counts, the instance opens connections to a few other targets; if none accepts, nothing is recorded.

--- a/serving/crash_guard.ts
+++ b/serving/crash_guard.ts
@@ -47,7 +47,7 @@
      * @returns True if the target was found to have crashed.
      */
     async recordAttempt(target: ServingTarget, end: AttemptEnd): Promise<boolean> {
-        const { state, metrics, targetProbe } = this.#context;
+        const { state, metrics, targetProbe, partitionMonitor } = this.#context;
         const { service, fingerprint, sharedPromptParts } = this.#exchange;
         const evidence = classifyAttemptEnd(end);
         this.#mayCrashAnother = false;
@@ -60,6 +60,10 @@
         if (evidence === AttemptEvidence.none || !isExpectedToRun || !await targetProbe.hasEnded(target, service)) {
             return false;
         }
+        // To an instance that is partitioned from all targets, each of them looks as if it had ended.
+        if (!await partitionMonitor.checkTargets(target.id)) {
+            return false;
+        }
         metrics.countCrash(service.name);
         state.recordAttempt(target.id, { hasFailed: true, isUnreachable: true });
         // A request that was waiting at an engine says nothing about the parts of its prompt, which many requests share.
