Do not take targets for lost after a stall during their check

What callers would see: after a stall of 250 ms or more, an instance sends its requests through others for a second, and evidence of a crash is dropped. Cause: after a stall Node.js runs due timers before it handles connections that were accepted meanwhile, so that the check of targets ended as if none had accepted. Change: the timer's result is taken after the connections have been handled.

--- a/features/platform/partition.feature
+++ b/features/platform/partition.feature
@@ -36,3 +36,8 @@
         Given a serving site with 3 instances
         When the connections of instances 1 and 2 to targets are reset in the middle of 6 lookups
         Then no instance has seen a target end
+
+    Scenario: an instance that stalls while it checks its targets does not count them as lost
+        Given a serving site
+        When targets are checked by an instance that stalls for 400 ms meanwhile
+        Then the check has reached a target
--- a/features/steps/platform_partition_steps.ts
+++ b/features/steps/platform_partition_steps.ts
@@ -5,9 +5,11 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { waitMilliseconds } from "../../network/mod.ts";
+import { openObservedConnection, waitMilliseconds } from "../../network/mod.ts";
+import { PartitionMonitor, ServingState, TargetConnections } from "../../serving/mod.ts";
 import { LinkCut } from "../../support/platform/mod.ts";
 import type { HttpResult } from "../../support/processes/mod.ts";
+import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { createRequestId, getInstance, getSite } from "../support/site_context.ts";
 
 /** A request of the scenario. */
@@ -20,6 +22,46 @@
     result: HttpResult | undefined;
 }
 
+/** Result of the latest check of targets. */
+let hasReachedTarget = false;
+
+When("targets are checked by an instance that stalls for {int} ms meanwhile", async function(milliseconds: number) {
+    const clock = systemClock;
+    const log = new DecisionLog({ name: "knapweed-serve", clock, writeLine: () => true });
+    const { settings } = getInstance(1);
+    const state = new ServingState({ settings, clock, log });
+    const targets = getSite().targets.map(({ id, service, address }) => ({
+        id,
+        service,
+        address,
+        zone: settings.zone,
+        slots: 1,
+        isLeaving: false,
+        coldMilliseconds: 0,
+        startedAt: 0,
+    }));
+    state.applySnapshot({ revision: 1, targets }, "store");
+    const monitor = new PartitionMonitor({
+        state,
+        connections: new TargetConnections(),
+        openConnection: openObservedConnection,
+        log,
+        clock,
+        random: Math.random,
+        onChange: () => undefined,
+    });
+    const check = monitor.checkTargets();
+    const stalledUntil = performance.now() + milliseconds;
+    while (performance.now() < stalledUntil) {
+        // The process does nothing else.
+    }
+    hasReachedTarget = await check;
+});
+
+Then("the check has reached a target", function() {
+    assert.ok(hasReachedTarget, "no target has accepted a connection");
+});
+
 /** Kinds of the requests, which are sent in turn. */
 const KINDS = ["lookup", "stamp", "narrative", "verdict"];
 /** Interval between two requests to the same instance, in milliseconds. */
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+export * from "./partition_monitor.ts";
 export { parsePeerMessage, type PeerMessage } from "./peer_messages.ts";
 export * from "./serving_metrics.ts";
 export * from "./serving_process.ts";
 export * from "./serving_state.ts";
 export * from "./store_watcher.ts";
 export * from "./stream_version_store.ts";
+export { TargetConnections } from "./target_connections.ts";
--- a/serving/partition_monitor.ts
+++ b/serving/partition_monitor.ts
@@ -94,7 +94,8 @@
                 socket.destroy();
                 resolve(hasAccepted);
             };
-            const timer = setTimeout(() => finish(false), CONNECT_TIMEOUT_MILLISECONDS);
+            // After a stall of this process the timer is handled before the connections that were accepted meanwhile.
+            const timer = setTimeout(() => setImmediate(finish, false), CONNECT_TIMEOUT_MILLISECONDS);
             socket.once("connect", () => finish(true));
             socket.on("error", () => finish(false));
         });
