Use one probe of listeners and one wait for room in a response

Cause: a last reading found that the monitor of partitions probed targets with a copy of checkListener, so that the mend for stalls stood beside the shared probe and not in it, and that the relay through a peer waited for room with a copy of waitUntilWritable that left its listeners behind. Change: the monitor calls checkListener, which now handles accepted connections before its timer; the relay calls waitUntilWritable, moved to caller_exchange.ts. No check or bound changes.

--- a/network/listener_probe.ts
+++ b/network/listener_probe.ts
@@ -22,7 +22,8 @@
             socket.destroy();
             resolve(state);
         };
-        const timer = setTimeout(() => finish("unknown"), options.timeoutMilliseconds);
+        // After a stall of this process the timer is handled before the connections that were accepted meanwhile.
+        const timer = setTimeout(() => setImmediate(finish, "unknown"), options.timeoutMilliseconds);
         socket.on("connect", () => finish("listening"));
         socket.on("error", (error: NodeJS.ErrnoException) => {
             finish(error.code === "ECONNREFUSED" ? "refused" : "unknown");
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -225,6 +225,19 @@
     response.writeHead(head.status, headers);
 }
 
+/** Waits until the response can buffer more data, or the caller has disconnected. */
+export function waitUntilWritable(response: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        const end = (): void => {
+            response.off("drain", end);
+            response.off("close", end);
+            resolve();
+        };
+        response.once("drain", end);
+        response.once("close", end);
+    });
+}
+
 /** Resets the caller's connection, so that a partial response cannot look complete, however it is framed. */
 export function abortResponse(response: ServerResponse): void {
     if (response.socket?.destroyed === false) {
--- a/serving/partition_monitor.ts
+++ b/serving/partition_monitor.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import { type ServingTarget, TargetReachability } from "../core/serving/mod.ts";
-import { type OpenConnection, parseAddress } from "../network/mod.ts";
+import { checkListener, type OpenConnection, parseAddress } from "../network/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { TargetConnections } from "./target_connections.ts";
@@ -86,18 +86,9 @@
         return hasReachedTarget;
     }
 
-    #hasAccepted({ address }: ServingTarget): Promise<boolean> {
-        return new Promise(resolve => {
-            const socket = this.#options.openConnection(parseAddress(address));
-            const finish = (hasAccepted: boolean): void => {
-                clearTimeout(timer);
-                socket.destroy();
-                resolve(hasAccepted);
-            };
-            // After a stall of this process the timer is handled before the connections that were accepted meanwhile.
-            const timer = setTimeout(() => setImmediate(finish, false), CONNECT_TIMEOUT_MILLISECONDS);
-            socket.once("connect", () => finish(true));
-            socket.on("error", () => finish(false));
-        });
+    async #hasAccepted({ address }: ServingTarget): Promise<boolean> {
+        const { openConnection } = this.#options;
+        const timeoutMilliseconds = CONNECT_TIMEOUT_MILLISECONDS;
+        return await checkListener(parseAddress(address), { timeoutMilliseconds, openConnection }) === "listening";
     }
 }
--- a/serving/peer_relay.ts
+++ b/serving/peer_relay.ts
@@ -10,7 +10,13 @@
 import type { Verdict } from "../core/verdict/mod.ts";
 import { applyInterimResponseLimit, hasFailed, openObservedConnection, parseAddress } from "../network/mod.ts";
 import { encodeHandedOverHeaders, filterRelayedHeaders } from "../platform/mod.ts";
-import { abortResponse, type CallerExchange, sendError, type ServingContext } from "./caller_exchange.ts";
+import {
+    abortResponse,
+    type CallerExchange,
+    sendError,
+    type ServingContext,
+    waitUntilWritable,
+} from "./caller_exchange.ts";
 
 /** Number of other instances that are tried while none of them can have read the request. */
 const MAX_PEERS = 3;
@@ -111,10 +117,7 @@
         response.flushHeaders();
         for await (const chunk of peerResponse as AsyncIterable<Buffer>) {
             if (!response.destroyed && !response.write(chunk)) {
-                await new Promise<void>(resolve => {
-                    response.once("drain", resolve);
-                    response.once("close", resolve);
-                });
+                await waitUntilWritable(response);
             }
         }
         isComplete = peerResponse.complete && !hasFailed(socket);
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -35,6 +35,7 @@
     reserveForAttempt,
     sendError,
     type ServingContext,
+    waitUntilWritable,
     writeResponseHead,
 } from "./caller_exchange.ts";
 import { CrashGuard } from "./crash_guard.ts";
@@ -713,16 +714,3 @@
         return this.#exchange.deadline - this.#now;
     }
 }
-
-/** Waits until the response can buffer more data, or the caller has disconnected. */
-function waitUntilWritable(response: CallerExchange["response"]): Promise<void> {
-    return new Promise(resolve => {
-        const end = (): void => {
-            response.off("drain", end);
-            response.off("close", end);
-            resolve();
-        };
-        response.once("drain", end);
-        response.once("close", end);
-    });
-}
