Log how each response of a target ended, and what was known about the target

Cause: the hypotheses of the incident cannot be told apart in the log: only streams without a length had a line, without what the target answered. Change: the line response ended for each response without a length or chunks, without an event, or broken off, with the target's presence and the decision; a counter of ends; the probe of targets says running, gone or unknown in place of ended or not. No decision changes.

--- /dev/null
+++ b/core/serving/target_presence.ts
@@ -0,0 +1,18 @@
+/**
+ * States what is known about whether a target still runs.
+ *
+ * @module
+ */
+
+/** What a call to a target shows about whether it still runs. */
+export const TargetPresence = {
+    /** It answers, or accepts connections. */
+    running: "running",
+    /** Nothing listens at its address. */
+    gone: "gone",
+    /** It does not respond, or must not be called now. */
+    unknown: "unknown",
+} as const;
+
+/** One of the values of {@linkcode TargetPresence}. */
+export type TargetPresence = (typeof TargetPresence)[keyof typeof TargetPresence];
--- a/serving/engine_client.ts
+++ b/serving/engine_client.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import type { ServingTarget } from "../core/serving/mod.ts";
+import { type ServingTarget, TargetPresence } from "../core/serving/mod.ts";
 import { waitMilliseconds } from "../network/mod.ts";
 import {
     type EngineReport,
@@ -13,6 +13,7 @@
     type MoveStep,
     type MoveStepResponse,
     pollEngine,
+    type PollResult,
     releaseCopy,
     sendMoveStep,
 } from "../platform/mod.ts";
@@ -31,6 +32,12 @@
 /** Pause between these calls, in milliseconds; an engine that ends may close its connections before its port. */
 const POLL_PAUSE_MILLISECONDS = 50;
 
+const PRESENCE_BY_POLL: Record<PollResult, TargetPresence> = {
+    answered: TargetPresence.running,
+    gone: TargetPresence.gone,
+    unanswered: TargetPresence.unknown,
+};
+
 /** Calls the control endpoints of engines. */
 export class EngineClient {
     readonly #options: EngineClientOptions;
@@ -47,10 +54,10 @@
     }
 
     /**
-     * Checks whether an engine has ended: nothing listens at its address or behind a gateway there. An engine that does not
-     * answer, or that wants no requests, is not known to have ended.
+     * Finds out whether an engine still runs; it does not if nothing listens at its address or behind a gateway there. Of an
+     * engine that does not answer, or that wants no requests, it is not known.
      */
-    async hasEnded(engine: ServingTarget): Promise<boolean> {
+    async findPresence(engine: ServingTarget): Promise<TargetPresence> {
         const { clock } = this.#options;
         const startedAt = clock.getMonotonic();
         for (;;) {
@@ -58,7 +65,7 @@
                 ? "unanswered"
                 : await pollEngine(engine.address, { onNotice: this.#buildNoticeHandler(engine) });
             if (result !== "unanswered" || clock.getMonotonic() - startedAt >= REPEAT_POLL_MILLISECONDS) {
-                return result === "gone";
+                return PRESENCE_BY_POLL[result];
             }
             await waitMilliseconds(POLL_PAUSE_MILLISECONDS);
         }
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -25,6 +25,7 @@
     readonly registry = new Registry();
     readonly #requests: Counter<"route" | "end">;
     readonly #attempts: Counter<"service" | "result">;
+    readonly #responseEnds: Counter<"framed" | "complete">;
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
     readonly #storeCalls: Counter<"kind" | "result">;
@@ -45,6 +46,12 @@
             labelNames: ["service", "result"],
             registers,
         });
+        this.#responseEnds = new Counter({
+            name: "knapweed_serving_response_ends_total",
+            help: "Ends of targets' responses, by whether they have a length or chunks and whether they are complete.",
+            labelNames: ["framed", "complete"],
+            registers,
+        });
         this.#crashes = new Counter({
             name: "knapweed_serving_engine_crashes_total",
             help: "Attempts whose target, engine or not, was found to have crashed, by service.",
@@ -89,6 +96,11 @@
         this.#attempts.inc({ service, result });
     }
 
+    /** Counts the end of a target's response. */
+    countResponseEnd({ isFramed, isComplete }: { isFramed: boolean; isComplete: boolean; }): void {
+        this.#responseEnds.inc({ framed: String(isFramed), complete: String(isComplete) });
+    }
+
     /** Counts an attempt whose target was found to have crashed. */
     countCrash(service: string): void {
         this.#crashes.inc({ service });
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -19,6 +19,7 @@
     SEVERAL_VERSIONS,
     type StreamEnd,
     StreamProgress,
+    TargetPresence,
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
@@ -32,6 +33,7 @@
     estimateRequestLoad,
     isUnconfirmedRefusal,
     recordOutcome,
+    recordResponseEnd,
     reserveForAttempt,
     sendError,
     type ServingContext,
@@ -457,18 +459,24 @@
             mayBeEmpty: this.#mayBeEmpty(),
             unfinishedBytes: splitter.getPendingBytes().length,
         };
-        if (!end.isFramed) {
-            this.#recordUnframedEnd(end, failure);
-        }
         // The stream also ends if a move has stopped the generation; only the result of the move shows whether it has.
         const moved = await this.#waitForMove();
         if (moved !== undefined) {
             return moved;
         }
-        const isComplete = isStreamComplete(end)
-            && (end.isFramed || !await this.#hasBrokenOff(attempt.reservation))
-            && !this.#exchange.signal.aborted;
-        if (isComplete) {
+        const presence = isStreamComplete(end) && !end.isFramed && !this.#hasAllTokens() && !this.#mayBeStopped
+            ? await this.#context.targetProbe.findPresence(attempt.reservation.target, this.#exchange.service)
+            : undefined;
+        const isWhole = isStreamComplete(end)
+            && (end.isFramed || this.#hasAllTokens() || !this.#mayBeStopped && presence !== TargetPresence.gone);
+        recordResponseEnd(this.#context, this.#exchange, {
+            ...end,
+            target: attempt.reservation.target.id,
+            isComplete: isWhole,
+            presence,
+            reason: failure,
+        });
+        if (isWhole && !this.#exchange.signal.aborted) {
             return { kind: "complete" };
         }
         const reason = attempt.attemptAbort.signal.aborted ? "stream is silent" : failure ?? "stream broke off";
@@ -492,31 +500,6 @@
         }
     }
 
-    /** Logs how a stream without a length ended, which nothing in the response itself shows. */
-    #recordUnframedEnd(end: StreamEnd, reason: string | undefined): void {
-        const { events, unfinishedBytes, isClosedInOrder } = end;
-        this.#context.log.record("trouble", "unframed stream ended", {
-            request: this.#exchange.request.id,
-            target: this.targetId,
-            events,
-            unfinishedBytes,
-            isClosedInOrder,
-            isMoving: this.isMoving,
-            reason,
-        });
-    }
-
-    /**
-     * Checks whether a stream that ended with its connection was broken off. The system closes the connections of a process
-     * that ends as an engine does at the end of a stream. A stream with all the tokens that its caller allows is whole.
-     */
-    async #hasBrokenOff({ target }: Reservation): Promise<boolean> {
-        if (this.#hasAllTokens()) {
-            return false;
-        }
-        return this.#mayBeStopped || await this.#context.targetProbe.hasEnded(target, this.#exchange.service);
-    }
-
     /**
      * Checks whether a resumed response may have no event: its caller has resumed the stream, perhaps behind its last event,
      * or all events had arrived before the first response broke off.
--- a/serving/target_probe.ts
+++ b/serving/target_probe.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
-import { checkListener, type OpenConnection, parseAddress } from "../network/mod.ts";
+import { type ServiceDefinition, type ServingTarget, TargetPresence } from "../core/serving/mod.ts";
+import { checkListener, type ListenerState, type OpenConnection, parseAddress } from "../network/mod.ts";
 import type { EngineClient } from "./engine_client.ts";
 
 /** Options of a {@linkcode TargetProbe}. */
@@ -18,32 +18,46 @@
 /** Time within which a target of a plain service accepts a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 100;
 
-/** Finds out whether targets have ended: nothing listens at their address. */
+const PRESENCE_BY_LISTENER: Record<ListenerState, TargetPresence> = {
+    listening: TargetPresence.running,
+    refused: TargetPresence.gone,
+    unknown: TargetPresence.unknown,
+};
+
+/** Finds out whether targets still run. */
 export class TargetProbe {
     readonly #options: TargetProbeOptions;
     /** Results that are not known yet, by target. */
-    readonly #pending = new Map<string, Promise<boolean>>();
+    readonly #pending = new Map<string, Promise<TargetPresence>>();
 
     constructor(options: TargetProbeOptions) {
         this.#options = options;
     }
 
     /** Checks whether a target has ended. A target that does not respond is not known to have ended. */
-    hasEnded(target: ServingTarget, service: Pick<ServiceDefinition, "engine">): Promise<boolean> {
+    async hasEnded(target: ServingTarget, service: Pick<ServiceDefinition, "engine">): Promise<boolean> {
+        return await this.findPresence(target, service) === TargetPresence.gone;
+    }
+
+    /** Finds out whether a target still runs. */
+    findPresence(target: ServingTarget, service: Pick<ServiceDefinition, "engine">): Promise<TargetPresence> {
         const pending = this.#pending.get(target.id)
-            ?? this.#checkEnd(target, service).finally(() => this.#pending.delete(target.id));
+            ?? this.#findPresence(target, service).finally(() => this.#pending.delete(target.id));
         this.#pending.set(target.id, pending);
         return pending;
     }
 
-    async #checkEnd(target: ServingTarget, { engine }: Pick<ServiceDefinition, "engine">): Promise<boolean> {
+    async #findPresence(
+        target: ServingTarget,
+        { engine }: Pick<ServiceDefinition, "engine">,
+    ): Promise<TargetPresence> {
         if (engine !== undefined) {
-            return this.#options.engines.hasEnded(target);
+            return this.#options.engines.findPresence(target);
         }
         const state = await checkListener(parseAddress(target.address), {
             timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
             openConnection: this.#options.openConnection,
         });
-        return state === "refused";
+        return PRESENCE_BY_LISTENER[state];
     }
 }
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { type AttemptEnd, isRepeatable, type QuarantinedPart } from "../core/serving/mod.ts";
+import { type AttemptEnd, isRepeatable, type QuarantinedPart, TargetPresence } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
 import {
@@ -17,6 +17,7 @@
     describeAttempt,
     isUnconfirmedRefusal,
     recordOutcome,
+    recordResponseEnd,
     reserveForAttempt,
     sendError,
     type ServingContext,
@@ -169,8 +170,23 @@
             const body = await this.#context.connections.readResponseBody(targetResponse);
             const { head } = targetResponse;
             // The system closes the connections of a process that ends as a target does at the end of such a body.
-            const isComplete = targetResponse.isComplete()
-                && (head.isFramed || !await targetProbe.hasEnded(reservation.target, this.#exchange.service));
+            const isClosedInOrder = targetResponse.isComplete();
+            const presence = isClosedInOrder && !head.isFramed
+                ? await targetProbe.findPresence(reservation.target, this.#exchange.service)
+                : undefined;
+            const isComplete = isClosedInOrder && presence !== TargetPresence.gone;
+            recordResponseEnd(this.#context, this.#exchange, {
+                isFramed: head.isFramed,
+                isClosedInOrder,
+                // The body counts as one event.
+                events: 1,
+                mayBeEmpty: true,
+                unfinishedBytes: 0,
+                target: reservation.target.id,
+                isComplete,
+                presence,
+                reason: undefined,
+            });
             return this.#classifyResponse({ head, body, isComplete });
         }
         catch (error) {
