Reproduce ORDER: broken-off streams that look complete

Cause: hypotheses 1, 2 and 4 of the incident: silence of the target counts as life, a response without an event counts as the rest of a stream, and a resumption may leave out events.

--- a/features/platform/broken_streams.feature
+++ b/features/platform/broken_streams.feature
@@ -15,6 +15,8 @@
             | an unframed stream that ends before its first event | broken off |
             | an unframed stream that ends inside an event        | broken off |
             | an unframed stream that is reset after an event     | broken off |
+            | a response in chunks without an event               | broken off |
+            | a response with the length 0                        | broken off |
 
     Scenario: a verdict whose engine ends an unframed stream before its first event is answered by another engine
         Given a serving site
@@ -125,6 +127,9 @@
             | no HTTP                                             |
             | an unframed stream that ends before its first event |
             | an unframed stream that ends inside an event        |
+            | a response in chunks without an event               |
+            | a response with the length 0                        |
+            | a signed response that is no stream                 |
 
     Scenario: a verdict that its caller resumes after the last event is complete
         Given a serving site
@@ -171,6 +176,35 @@
             | crashes                    |
             | is replaced at its address |
             | ends behind a gateway that answers in its place |
+            | breaks off and falls silent |
+
+    Scenario: a verdict without a length whose engine breaks off and falls silent goes on at another engine
+        Given a serving site with slow streams
+        When the engines send streams without a length
+        And a caller starts a "verdict"
+        And its engine breaks off and falls silent after 3 events
+        Then the stream is whole and its events are in order
+
+    Scenario: a verdict whose resumption leaves out an event is broken off
+        Given a serving site with slow streams
+        When resumed generations leave out an event
+        And a caller starts a "verdict"
+        And its engine crashes after 3 events
+        Then the stream is broken off and its events are in order
+
+    Scenario: a narrative whose destination leaves out an event is broken off
+        Given a serving site with slow streams
+        When resumed generations leave out an event
+        And a caller starts a "narrative"
+        And its engine announces its shutdown after 3 events
+        Then the stream is broken off and its events are in order
+
+    # A 200 that is no stream is an answer, as long as the caller has received nothing else.
+    Scenario: a narrative that is answered with something else than a stream gets that answer
+        Given a serving site
+        When the targets respond with "a signed response that is no stream" 1 times
+        And a caller sends a "narrative"
+        Then the response has the status 200 and is whole
 
     Scenario: a stream without a length of a service without engines is broken off if its target ends
         Given a serving site with slow streams
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -387,6 +387,12 @@
     otherEngine.standIn.faults.faultyAnswers = times;
 });
 
+When("resumed generations leave out an event", function() {
+    listEngines().forEach(({ standIn }) => {
+        standIn.faults.skippedEvents = 1;
+    });
+});
+
 Then("both engines have received the request", function() {
     const id = formatRequestId(siteContext.requestCount);
     for (const { id: engine, standIn } of listEngines()) {
@@ -411,6 +417,10 @@
         engine.standIn.abortGenerations();
         engine.standIn.faults.born = 2000;
     },
+    "breaks off and falls silent": engine => {
+        engine.standIn.abortGenerations();
+        engine.standIn.faults.reportFault = "silence";
+    },
     "ends behind a gateway that answers in its place": engine => {
         engine.standIn.abortGenerations();
         engine.standIn.faults.reportFault = "gateway";
@@ -423,7 +433,7 @@
 };
 
 When(
-    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes|is replaced at its address|ends behind a gateway that answers in its place|ends) after (\d+) events$/,
+    /^its engine (announces its shutdown|announces its shutdown only in its own report|announces its shutdown only in its answers|is removed from the store|crashes|is replaced at its address|breaks off and falls silent|ends behind a gateway that answers in its place|ends) after (\d+) events$/,
     async function(event: string, events: string) {
         await waitForEvents(Number(events));
         const engine = listEngines().find(({ standIn }) => standIn.activeGenerations > 0);
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -23,10 +23,12 @@
     /** Sends streams without a length and without chunks; they end with their connection. */
     isUnframed: boolean;
     /**
-     * How reports are answered: "" at once, "late" after 300 ms, "reset" by a reset of the connection, or "gateway" by
-     * a 502 of what lies between.
+     * How reports are answered: "" at once, "late" after 300 ms, "reset" by a reset of the connection, "gateway" by a 502
+     * of what lies between, or "silence" not at all.
      */
     reportFault: string;
+    /** Number of events that a resumed generation leaves out at its beginning. */
+    skippedEvents: number;
     /** Start of the process at this address, in Unix milliseconds, as reports state it; 0 to state none. */
     born: number;
     /** Reports the state `draining` instead of `ready`. */
@@ -218,6 +220,14 @@
         void request.socket.end(
             formatSignedHead(readRequestId(request), "transfer-encoding: identity\r\nconnection: close"),
         ),
+    "a response in chunks without an event": (_, request) =>
+        void request.socket.write(`${formatChunkedHead(readRequestId(request))}0\r\n\r\n`),
+    "a response with the length 0": (_, request) =>
+        void request.socket.write(formatSignedHead(readRequestId(request), "content-length: 0")),
+    "a signed response that is no stream": (target, request, response) => {
+        response.setHeader("content-type", "application/json");
+        target.sendResponse(request, response, { status: 200 });
+    },
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
@@ -233,6 +243,7 @@
         isFinalCopyReplyLost: false,
         isUnframed: false,
         reportFault: "",
+        skippedEvents: 0,
         born: 0,
         isLeaving: false,
         announcesLeaving: false,
@@ -285,6 +296,9 @@
                 request.socket.resetAndDestroy();
                 return;
             }
+            if (this.faults.reportFault === "silence") {
+                return;
+            }
             if (this.faults.reportFault === "gateway") {
                 sendJson(response, { status: 502, value: { error: "no upstream" } });
                 return;
@@ -431,7 +445,8 @@
             this.sendResponse(request, response, { status: 200 });
             return;
         }
-        const events = Number(request.headers["last-event-id"] ?? 0);
+        const resumeAfter = request.headers["last-event-id"];
+        const events = resumeAfter === undefined ? 0 : Number(resumeAfter) + this.faults.skippedEvents;
         await this.#sendEvents(request, response, {
             requestId: readRequestId(request),
             sentEvents: events,
@@ -461,7 +476,8 @@
         this.#options.kvCopies.delete(handle);
         this.resumed.push(generation.requestId);
         // Events that the source sent may be lost; the caller names the last one that it has.
-        const sentEvents = Math.min(generation.sentEvents, Number(request.headers["last-event-id"] ?? 0));
+        const sentEvents = Math.min(generation.sentEvents, Number(request.headers["last-event-id"] ?? 0))
+            + this.faults.skippedEvents;
         await this.#sendEvents(request, response, { ...generation, sentEvents, response });
     }
 
