Take the silence of a target for doubt, and a later start for another target

What callers saw: a stream without a length or chunks that had broken off was framed as complete. Cause: the call that finds out whether the target has ended took no answer for life, and did not compare the start time that the report states. The last chunk was this system's own claim. Change: one decision for streams and buffered responses, with the outcomes complete, broken off and unknown (response_end.ts). Only a target that is shown to run on, with the same start, has ended such a response itself: by its report, by a reset of the accepted report call, or by an accepted connection while it wants no requests. In doubt, requests that may be repeated go on at another target, others are broken off or get may have run.

--- a/core/serving/target_presence.ts
+++ b/core/serving/target_presence.ts
@@ -10,7 +10,9 @@
     running: "running",
     /** Nothing listens at its address. */
     gone: "gone",
-    /** It does not respond, or must not be called now. */
+    /** Another target, or a later start of it, answers at its address. */
+    replaced: "replaced",
+    /** It does not respond. */
     unknown: "unknown",
 } as const;
 
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,15 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type {
-    ClientAccount,
-    RequestLoad,
-    Route,
-    ServiceDefinition,
-    ServingTarget,
-    StreamEnd,
-    TargetPresence,
-} from "../core/serving/mod.ts";
+import type { ClientAccount, RequestLoad, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
@@ -182,26 +174,6 @@
     }
 }
 
-/**
- * Counts how a target's response ended, and logs it unless the response itself shows that it is complete and not empty.
- */
-export function recordResponseEnd(
-    context: ServingContext,
-    exchange: CallerExchange,
-    end: StreamEnd & {
-        target: string;
-        isComplete: boolean;
-        presence: TargetPresence | undefined;
-        reason: string | undefined;
-    },
-): void {
-    const { isFramed, isComplete, events } = end;
-    context.metrics.countResponseEnd({ isFramed, isComplete });
-    if (!isFramed || !isComplete || events === 0) {
-        context.log.record("trouble", "response ended", { request: exchange.request.id, ...end });
-    }
-}
-
 /** Logs and counts a finished request. */
 export function recordOutcome(
     context: ServingContext,
--- a/serving/engine_client.ts
+++ b/serving/engine_client.ts
@@ -34,9 +34,27 @@
 
 const PRESENCE_BY_POLL: Record<PollResult, TargetPresence> = {
     answered: TargetPresence.running,
+    replaced: TargetPresence.replaced,
     gone: TargetPresence.gone,
+    reset: TargetPresence.running,
     unanswered: TargetPresence.unknown,
 };
+/** Results after which an engine is not called again. */
+const POLL_FINALITY: Record<PollResult, boolean> = {
+    answered: true,
+    replaced: true,
+    gone: true,
+    reset: false,
+    unanswered: false,
+};
+
+/** How long the presence of a target is checked. */
+export interface PresenceCheck {
+    /** Timeout of one call, in milliseconds. */
+    callMilliseconds: number;
+    /** Time within which the call is repeated if the target does not respond, in milliseconds. */
+    withinMilliseconds: number;
+}
 
 /** Calls the control endpoints of engines. */
 export class EngineClient {
@@ -48,23 +66,30 @@
 
     /** Fetches the report of an engine; resolves to `undefined` if there is no usable response. */
     async fetchReport(engine: ServingTarget, timeoutMilliseconds: number): Promise<EngineReport | undefined> {
-        return this.#isPaused(engine)
+        return this.isPaused(engine)
             ? undefined
             : fetchReport(engine.address, { timeoutMilliseconds, onNotice: this.#buildNoticeHandler(engine) });
     }
 
     /**
-     * Finds out whether an engine still runs; it does not if nothing listens at its address or behind a gateway there. Of an
-     * engine that does not answer, or that wants no requests, it is not known.
+     * Finds out whether an engine still runs. One that does not respond is called again for `withinMilliseconds`, and in any
+     * case for a moment: an engine that ends may close its connections before its port.
      */
-    async findPresence(engine: ServingTarget): Promise<TargetPresence> {
+    async findPresence(engine: ServingTarget, options: PresenceCheck): Promise<TargetPresence> {
         const { clock } = this.#options;
         const startedAt = clock.getMonotonic();
         for (;;) {
-            const result = this.#isPaused(engine)
+            const result = this.isPaused(engine)
                 ? "unanswered"
-                : await pollEngine(engine.address, { onNotice: this.#buildNoticeHandler(engine) });
-            if (result !== "unanswered" || clock.getMonotonic() - startedAt >= REPEAT_POLL_MILLISECONDS) {
+                : await pollEngine(engine.address, {
+                    startedAt: engine.startedAt,
+                    timeoutMilliseconds: options.callMilliseconds,
+                    onNotice: this.#buildNoticeHandler(engine),
+                });
+            const elapsed = clock.getMonotonic() - startedAt;
+            const isFinal = POLL_FINALITY[result] || elapsed >= REPEAT_POLL_MILLISECONDS
+                    && (result !== "unanswered" || elapsed >= options.withinMilliseconds);
+            if (isFinal) {
                 return PRESENCE_BY_POLL[result];
             }
             await waitMilliseconds(POLL_PAUSE_MILLISECONDS);
@@ -73,7 +98,7 @@
 
     /** Requests one step of a move from the engine that runs the generation. */
     async sendMoveStep(engine: ServingTarget, step: Omit<MoveStep, "source" | "onNotice">): Promise<MoveStepResponse> {
-        return this.#isPaused(engine)
+        return this.isPaused(engine)
             ? { kind: "unanswered", reason: "the engine wants no requests" }
             : sendMoveStep({ ...step, source: engine.address, onNotice: this.#buildNoticeHandler(engine) });
     }
@@ -83,11 +108,12 @@
         engine: ServingTarget,
         copy: { handle: string; timeoutMilliseconds: number; },
     ): Promise<boolean> {
-        return !this.#isPaused(engine)
+        return !this.isPaused(engine)
             && releaseCopy({ ...copy, source: engine.address, onNotice: this.#buildNoticeHandler(engine) });
     }
 
-    #isPaused({ id }: ServingTarget): boolean {
+    /** Checks whether an engine has asked this instance for a pause, in which it gets no calls. */
+    isPaused({ id }: ServingTarget): boolean {
         const { state, clock } = this.#options;
         return state.backpressure.findPauseEnd(id, clock.getMonotonic()) !== undefined;
     }
--- /dev/null
+++ b/serving/response_end_check.ts
@@ -0,0 +1,60 @@
+/**
+ * Finds out whether the response of a target is its whole answer, and records the decision.
+ *
+ * @module
+ */
+import {
+    decideResponseOutcome,
+    type ResponseEnd,
+    ResponseOutcome,
+    type ServingTarget,
+    type TargetPresence,
+} from "../core/serving/mod.ts";
+import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
+
+/** A response that has ended. */
+export interface EndedResponse {
+    /** Target that sent the response. */
+    target: ServingTarget;
+    /** How the response ended. */
+    end: ResponseEnd;
+    /** Error that ended the response; `undefined` if there was none. */
+    reason?: string | undefined;
+}
+
+/** Reasons for which an attempt fails whose response is not known to be complete. */
+export const INCOMPLETE_REASONS: Record<Exclude<ResponseOutcome, "complete">, string> = {
+    "broken off": "answer broke off",
+    unknown: "answer may have broken off",
+};
+
+/**
+ * Finds out whether a response is a whole answer. If only its target can show it, the target is called.
+ *
+ * The decision is counted, and logged unless the response itself shows that it is complete.
+ */
+export async function checkResponseEnd(
+    context: ServingContext,
+    exchange: Pick<CallerExchange, "request" | "service">,
+    { target, end, reason }: EndedResponse,
+): Promise<ResponseOutcome> {
+    let presence: TargetPresence | undefined;
+    let outcome = decideResponseOutcome(end);
+    if (outcome === ResponseOutcome.unknown) {
+        presence = await context.targetProbe.findPresence(target, exchange.service);
+        outcome = decideResponseOutcome(end, presence);
+    }
+    const isShown = end.isFramed && end.events > 0 && outcome === ResponseOutcome.complete;
+    context.metrics.countResponseEnd({ isFramed: end.isFramed, outcome });
+    if (!isShown) {
+        context.log.record("trouble", "response ended", {
+            request: exchange.request.id,
+            target: target.id,
+            outcome,
+            presence,
+            ...end,
+            reason,
+        });
+    }
+    return outcome;
+}
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -25,7 +25,7 @@
     readonly registry = new Registry();
     readonly #requests: Counter<"route" | "end">;
     readonly #attempts: Counter<"service" | "result">;
-    readonly #responseEnds: Counter<"framed" | "complete">;
+    readonly #responseEnds: Counter<"framed" | "outcome">;
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
     readonly #storeCalls: Counter<"kind" | "result">;
@@ -48,8 +48,8 @@
         });
         this.#responseEnds = new Counter({
             name: "knapweed_serving_response_ends_total",
-            help: "Ends of targets' responses, by whether they have a length or chunks and whether they are complete.",
-            labelNames: ["framed", "complete"],
+            help: "Ends of targets' responses, by whether they have a length or chunks and what they show.",
+            labelNames: ["framed", "outcome"],
             registers,
         });
         this.#crashes = new Counter({
@@ -97,8 +97,8 @@
     }
 
     /** Counts the end of a target's response. */
-    countResponseEnd({ isFramed, isComplete }: { isFramed: boolean; isComplete: boolean; }): void {
-        this.#responseEnds.inc({ framed: String(isFramed), complete: String(isComplete) });
+    countResponseEnd({ isFramed, outcome }: { isFramed: boolean; outcome: string; }): void {
+        this.#responseEnds.inc({ framed: String(isFramed), outcome });
     }
 
     /** Counts an attempt whose target was found to have crashed. */
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -154,7 +154,12 @@
             scheduler: this.#scheduler,
             connections: this.#connections,
             engines,
-            targetProbe: new TargetProbe({ engines, openConnection: openTargetConnection }),
+            targetProbe: new TargetProbe({
+                engines,
+                openConnection: openTargetConnection,
+                findTarget: id => this.#state.directory.findTarget(id),
+                clock,
+            }),
             streamVersions: this.#streamVersions,
             partitionMonitor: this.#partitionMonitor,
             listRelayPeers: () => this.#peerExchange.listRelayPeers(),
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -6,20 +6,19 @@
  */
 import {
     type AttemptEnd,
+    buildBodyEnd,
     estimateOutputTokens,
     EventSplitter,
     getSoftwareVersion,
     isLongAnswer,
     isRepeatable,
-    isStreamComplete,
     type QuarantinedPart,
     type RelayedEvent,
     type RequestLoad,
+    ResponseOutcome,
     type ServingTarget,
     SEVERAL_VERSIONS,
-    type StreamEnd,
     StreamProgress,
-    TargetPresence,
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
@@ -33,7 +32,6 @@
     estimateRequestLoad,
     isUnconfirmedRefusal,
     recordOutcome,
-    recordResponseEnd,
     reserveForAttempt,
     sendError,
     type ServingContext,
@@ -45,6 +43,7 @@
 import { sendUnreachableThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import type { Reservation, ReservationResult } from "./request_scheduler.ts";
+import { checkResponseEnd, INCOMPLETE_REASONS } from "./response_end_check.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { isConnectFailure, isConnectionLoss, TargetCallError, type TargetResponse } from "./target_connections.ts";
 
@@ -53,6 +52,8 @@
     reservation: Reservation;
     attemptAbort: AbortController;
     stallDetector: StallDetector;
+    /** True if a moved generation goes on from a copy of its KV cache. */
+    isMoved: boolean;
     /** Time at which the request was sent, on the monotonic clock in milliseconds. */
     sentAt: number;
 }
@@ -369,7 +370,13 @@
             }));
             quarantineWatch.stop();
             this.#headAt = this.#now;
-            return await this.#handleResponse(targetResponse, { reservation, attemptAbort, stallDetector, sentAt });
+            return await this.#handleResponse(targetResponse, {
+                reservation,
+                attemptAbort,
+                stallDetector,
+                isMoved: copy !== undefined,
+                sentAt,
+            });
         }
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
@@ -402,7 +409,8 @@
         const { head } = targetResponse;
         const { target } = attempt.reservation;
         applyResponseNotice(this.#context, this.#exchange, { target, head, sentAt: attempt.sentAt });
-        if (head.status === 200 && head.isSigned && head.requestId === this.#exchange.request.id) {
+        const isOwn = head.isSigned && head.requestId === this.#exchange.request.id;
+        if (head.status === 200 && isOwn) {
             this.#writeHead(head);
             return this.#relayEvents(targetResponse, attempt);
         }
@@ -410,9 +418,16 @@
         if (head.isRefusal) {
             return { kind: "failed", verdict: "not-run", reason: `refused with ${head.status}` };
         }
-        if (!head.isSigned || !targetResponse.isComplete() || head.requestId !== this.#exchange.request.id) {
+        if (!isOwn) {
             return { kind: "failed", verdict: "may-have-run", reason: `unsigned answer ${head.status}` };
         }
+        const outcome = await checkResponseEnd(this.#context, this.#exchange, {
+            target,
+            end: buildBodyEnd({ isFramed: head.isFramed, isClosedInOrder: targetResponse.isComplete() }),
+        });
+        if (outcome !== ResponseOutcome.complete) {
+            return { kind: "failed", verdict: "may-have-run", reason: INCOMPLETE_REASONS[outcome] };
+        }
         if (head.status >= 500 && isRepeatable(this.#exchange.route)) {
             return { kind: "failed", verdict: "ran", reason: `failed with ${head.status}` };
         }
@@ -452,34 +467,30 @@
             this.#hasResponseEnded = true;
             targetResponse.close();
         }
-        const end: StreamEnd = {
+        const end = {
             isFramed: targetResponse.head.isFramed,
             isClosedInOrder: failure === undefined && targetResponse.isComplete(),
             events: eventCount,
-            mayBeEmpty: this.#mayBeEmpty(),
             unfinishedBytes: splitter.getPendingBytes().length,
+            mayBeEmpty: attempt.isMoved || this.#mayBeEmpty(),
+            hasAllTokens: this.#hasAllTokens(),
         };
         // The stream also ends if a move has stopped the generation; only the result of the move shows whether it has.
         const moved = await this.#waitForMove();
         if (moved !== undefined) {
             return moved;
         }
-        const presence = isStreamComplete(end) && !end.isFramed && !this.#hasAllTokens() && !this.#mayBeStopped
-            ? await this.#context.targetProbe.findPresence(attempt.reservation.target, this.#exchange.service)
-            : undefined;
-        const isWhole = isStreamComplete(end)
-            && (end.isFramed || this.#hasAllTokens() || !this.#mayBeStopped && presence !== TargetPresence.gone);
-        recordResponseEnd(this.#context, this.#exchange, {
-            ...end,
-            target: attempt.reservation.target.id,
-            isComplete: isWhole,
-            presence,
+        const outcome = await checkResponseEnd(this.#context, this.#exchange, {
+            target: attempt.reservation.target,
+            end: { ...end, mayBeStopped: this.#mayBeStopped },
             reason: failure,
         });
-        if (isWhole && !this.#exchange.signal.aborted) {
+        if (outcome === ResponseOutcome.complete && !this.#exchange.signal.aborted) {
             return { kind: "complete" };
         }
-        const reason = attempt.attemptAbort.signal.aborted ? "stream is silent" : failure ?? "stream broke off";
+        const reason = attempt.attemptAbort.signal.aborted
+            ? "stream is silent"
+            : failure ?? INCOMPLETE_REASONS[outcome === ResponseOutcome.complete ? ResponseOutcome.unknown : outcome];
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
@@ -500,13 +511,10 @@
         }
     }
 
-    /**
-     * Checks whether a resumed response may have no event: its caller has resumed the stream, perhaps behind its last event,
-     * or all events had arrived before the first response broke off.
-     */
+    /** Checks whether the response may have no event: its caller may have had the last one, or asks for the head only. */
     #mayBeEmpty(): boolean {
-        const isResumed = this.#progress.lastEventId !== undefined;
-        return isResumed && (this.#progress.eventCount === 0 || this.#hasAllTokens());
+        const { resumeAfter, method } = this.#exchange.request;
+        return method === "HEAD" || resumeAfter !== undefined && this.#progress.eventCount === 0;
     }
 
     /**
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -6,7 +6,13 @@
  *
  * @module
  */
-import { type AttemptEnd, isRepeatable, type QuarantinedPart, TargetPresence } from "../core/serving/mod.ts";
+import {
+    type AttemptEnd,
+    buildBodyEnd,
+    isRepeatable,
+    type QuarantinedPart,
+    ResponseOutcome,
+} from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
 import {
@@ -17,7 +23,6 @@
     describeAttempt,
     isUnconfirmedRefusal,
     recordOutcome,
-    recordResponseEnd,
     reserveForAttempt,
     sendError,
     type ServingContext,
@@ -27,6 +32,7 @@
 import { sendUnreachableThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import type { Reservation } from "./request_scheduler.ts";
+import { checkResponseEnd, INCOMPLETE_REASONS } from "./response_end_check.ts";
 import { isConnectFailure, isConnectionLoss, TargetCallError } from "./target_connections.ts";
 
 /** Result of one attempt at a target. */
@@ -149,7 +155,7 @@
     }
 
     async #sendToTarget(reservation: Reservation): Promise<AttemptResult> {
-        const { clock, targetProbe } = this.#context;
+        const { clock } = this.#context;
         const sentAt = clock.getMonotonic();
         const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(this.#attemptTimeoutMilliseconds)));
         const quarantineWatch = this.#crashGuard.watchQuarantine();
@@ -170,24 +176,11 @@
             const body = await this.#context.connections.readResponseBody(targetResponse);
             const { head } = targetResponse;
             // The system closes the connections of a process that ends as a target does at the end of such a body.
-            const isClosedInOrder = targetResponse.isComplete();
-            const presence = isClosedInOrder && !head.isFramed
-                ? await targetProbe.findPresence(reservation.target, this.#exchange.service)
-                : undefined;
-            const isComplete = isClosedInOrder && presence !== TargetPresence.gone;
-            recordResponseEnd(this.#context, this.#exchange, {
-                isFramed: head.isFramed,
-                isClosedInOrder,
-                // The body counts as one event.
-                events: 1,
-                mayBeEmpty: true,
-                unfinishedBytes: 0,
-                target: reservation.target.id,
-                isComplete,
-                presence,
-                reason: undefined,
+            const outcome = await checkResponseEnd(this.#context, this.#exchange, {
+                target: reservation.target,
+                end: buildBodyEnd({ isFramed: head.isFramed, isClosedInOrder: targetResponse.isComplete() }),
             });
-            return this.#classifyResponse({ head, body, isComplete });
+            return this.#classifyResponse({ head, body, outcome });
         }
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
@@ -213,13 +206,20 @@
         return result.isConnectionLost === true && result.verdict === "may-have-run" ? "failed" : "other";
     }
 
-    #classifyResponse(targetResponse: { head: TargetResponseHead; body: Buffer; isComplete: boolean; }): AttemptResult {
-        const { head, body, isComplete } = targetResponse;
+    #classifyResponse(
+        targetResponse: { head: TargetResponseHead; body: Buffer; outcome: ResponseOutcome; },
+    ): AttemptResult {
+        const { head, body, outcome } = targetResponse;
         if (head.isRefusal) {
             return { kind: "failed", verdict: "not-run", reason: `refused with ${head.status}` };
         }
-        if (!isComplete) {
-            return { kind: "failed", verdict: "may-have-run", reason: "answer broke off", isConnectionLost: true };
+        if (outcome !== ResponseOutcome.complete) {
+            return {
+                kind: "failed",
+                verdict: "may-have-run",
+                reason: INCOMPLETE_REASONS[outcome],
+                isConnectionLost: true,
+            };
         }
         if (!head.isSigned || head.requestId !== this.#exchange.request.id) {
             return { kind: "failed", verdict: "may-have-run", reason: `unsigned answer ${head.status}` };
