Do not take a framed response without an event for the rest of a stream

What callers saw: a stream that broke off after three events was framed as complete, if the next target sent a response with chunks or a length and no event; a new stream without any event too. Cause: a frame counted as evidence for the whole stream. It shows the end of one response only. Change: a response without an event ends a stream only if the caller has resumed it or asks for the head only, a moved generation goes on from its copy, or all the tokens that the caller allows have arrived.

--- a/core/serving/response_end.ts
+++ b/core/serving/response_end.ts
@@ -68,7 +68,7 @@
     if (end.hasAllTokens) {
         return ResponseOutcome.complete;
     }
-    if (end.events === 0 && !end.isFramed && !end.mayBeEmpty) {
+    if (end.events === 0 && !end.mayBeEmpty) {
         return ResponseOutcome.brokenOff;
     }
     if (end.isFramed) {
