Relay a response that is no stream of events as one answer

What callers saw: a signed 200 with JSON in place of a stream was held back by the splitter of events, and its caller's connection was reset. Cause: each signed 200 on the route of a stream was taken for a stream, whatever media type it states.

--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -410,7 +410,7 @@
         const { target } = attempt.reservation;
         applyResponseNotice(this.#context, this.#exchange, { target, head, sentAt: attempt.sentAt });
         const isOwn = head.isSigned && head.requestId === this.#exchange.request.id;
-        if (head.status === 200 && isOwn) {
+        if (head.status === 200 && isOwn && head.isEventStream) {
             this.#writeHead(head);
             return this.#relayEvents(targetResponse, attempt);
         }
