Break off a stream whose continuation leaves out events

What callers saw: a stream that went on at another engine, after a break or a move, lacked an event and was framed as complete. Cause: events that were repeated were filtered, but not whether events were missing between two responses. Change: if the identifiers of a stream have been consecutive numbers, the first event of another response has to be the next one; otherwise the attempt fails.

--- a/core/serving/stream_progress.ts
+++ b/core/serving/stream_progress.ts
@@ -1,15 +1,21 @@
 /**
  * Tracks which events of a stream have been sent to the caller.
  *
- * Load pattern: a stream is resumed at another engine, which may repeat events that the first engine has sent already.
+ * Load pattern: a stream is resumed at another engine, which may repeat events that the first engine has sent already, or
+ * go on behind events that were lost with its connection.
  *
  * @module
  */
 
+/** Number of events that show whether the identifiers of a stream are consecutive numbers. */
+const MIN_CONSECUTIVE_EVENTS = 2;
+
 /** Counts the events that have been sent to a caller. */
 export class StreamProgress {
     #eventCount = 0;
     #lastEventId: string | undefined;
+    /** Number of events in a row whose identifiers increase by one. */
+    #consecutiveEvents = 0;
     #firstEventAt = 0;
     #lastEventAt = 0;
     #longestPause = 0;
@@ -41,6 +47,15 @@
         return !(Number(id) <= Number(this.#lastEventId));
     }
 
+    /**
+     * Checks whether the first event of another response leaves out others: the stream's identifiers have been consecutive
+     * numbers so far.
+     */
+    hasGap(id: string | undefined): boolean {
+        return this.#eventCount >= MIN_CONSECUTIVE_EVENTS && this.#consecutiveEvents === this.#eventCount
+            && Number(id) > Number(this.#lastEventId) + 1;
+    }
+
     /**
      * Records that an event is sent to the caller.
      *
@@ -53,6 +68,8 @@
         if (pause === undefined) {
             this.#firstEventAt = now;
         }
+        const isConsecutive = this.#eventCount === 0 || Number(id) === Number(this.#lastEventId) + 1;
+        this.#consecutiveEvents = isConsecutive ? this.#consecutiveEvents + 1 : 0;
         this.#eventCount += 1;
         this.#lastEventId = id ?? this.#lastEventId;
         this.#lastEventAt = now;
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -561,6 +561,9 @@
                 response.write(event.bytes);
                 continue;
             }
+            if (this.#lastEventAt === undefined && this.#progress.hasGap(event.id)) {
+                throw new Error(`events after ${this.#progress.lastEventId} are missing before ${event.id}`);
+            }
             const pause = this.#progress.recordEvent(event.id, this.#now);
             this.#lastEventAt = this.#now;
             this.#recordLongAnswer();
