Do not complete a response of another instance that does not show its end

What callers would see: a response of something else at another instance's address, without a length or chunks, got chunks and a last one. Cause: its orderly close counted as its end. Instances frame each response that they send. Change: a relayed response has to show its own end; the check is shared with the client of services.

--- a/features/platform/partition.feature
+++ b/features/platform/partition.feature
@@ -41,3 +41,8 @@
         Given a serving site
         When targets are checked by an instance that stalls for 400 ms meanwhile
         Then the check has reached a target
+
+    # Instances frame all responses that they send. One without a frame comes from something else at their address.
+    Scenario: a response of another instance without a length or chunks does not look complete
+        When a request is handed over to an address whose responses have neither a length nor chunks
+        Then its response is not complete
--- a/features/steps/platform_partition_steps.ts
+++ b/features/steps/platform_partition_steps.ts
@@ -5,10 +5,19 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { openObservedConnection, waitMilliseconds } from "../../network/mod.ts";
+import {
+    openHttpServer,
+    openObservedConnection,
+    parseAddress,
+    setUnframed,
+    waitMilliseconds,
+} from "../../network/mod.ts";
+import { decodeCallerRequest } from "../../platform/mod.ts";
+import type { CallerExchange, ServingContext } from "../../serving/caller_exchange.ts";
 import { PartitionMonitor, ServingState, TargetConnections } from "../../serving/mod.ts";
+import { sendThroughPeer } from "../../serving/peer_relay.ts";
 import { LinkCut } from "../../support/platform/mod.ts";
-import type { HttpResult } from "../../support/processes/mod.ts";
+import { callHttp, findAddresses, type HttpResult } from "../../support/processes/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { createRequestId, getInstance, getSite } from "../support/site_context.ts";
 
@@ -25,6 +34,49 @@
 /** Result of the latest check of targets. */
 let hasReachedTarget = false;
 
+let handedOver: HttpResult | undefined;
+
+When("a request is handed over to an address whose responses have neither a length nor chunks", async function() {
+    const [peer = "", caller = ""] = await findAddresses(2);
+    const peerServer = await openHttpServer({
+        address: parseAddress(peer),
+        handler: (_, response) => {
+            setUnframed(response);
+            response.end("a part of the answer");
+        },
+    });
+    const clock = systemClock;
+    const context = {
+        listRelayPeers: () => [peer],
+        log: new DecisionLog({ name: "knapweed-serve", clock, writeLine: () => true }),
+        metrics: { countRequest: () => undefined },
+        clock,
+        random: Math.random,
+    } as unknown as ServingContext;
+    const callerServer = await openHttpServer({
+        address: parseAddress(caller),
+        handler: async (request, response) => {
+            const exchange = {
+                request: decodeCallerRequest(request, Buffer.alloc(0)),
+                response,
+                route: { name: "lookup" },
+                arrivedAt: clock.getMonotonic(),
+                deadline: clock.getMonotonic() + 1000,
+                signal: new AbortController().signal,
+                isCallerDisconnected: () => false,
+            } as unknown as CallerExchange;
+            await sendThroughPeer(context, exchange);
+        },
+    });
+    handedOver = await callHttp({ address: caller, path: "/lookup/1" }).catch(() => undefined);
+    peerServer.close();
+    callerServer.close();
+});
+
+Then("its response is not complete", function() {
+    assert.notEqual(handedOver?.isComplete, true, `"${handedOver?.body.toString()}" looks complete`);
+});
+
 When("targets are checked by an instance that stalls for {int} ms meanwhile", async function(milliseconds: number) {
     const clock = systemClock;
     const log = new DecisionLog({ name: "knapweed-serve", clock, writeLine: () => true });
--- a/gateway/service_client.ts
+++ b/gateway/service_client.ts
@@ -6,7 +6,7 @@
 import { type IncomingHttpHeaders, type IncomingMessage, request as startRequest } from "node:http";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import { AttemptProgress } from "../core/verdict/mod.ts";
-import { hasFailed, isFramed, openObservedConnection, parseAddress, readBody } from "../network/mod.ts";
+import { hasFailed, hasOwnEnd, openObservedConnection, parseAddress, readBody } from "../network/mod.ts";
 
 /** A request to a service. */
 export interface ServiceRequest {
@@ -61,8 +61,6 @@
 ]);
 /** Request headers that are meant for the gateway, and are not forwarded. */
 const GATEWAY_HEADERS = new Set(["authorization", "x-deadline-milliseconds", "x-kind"]);
-/** Statuses of responses that end with their head. */
-const STATUSES_WITHOUT_CONTENT = new Set([204, 304]);
 /** Response header with which a service states that it refused a request before running it. */
 const VERDICT_HEADER = "x-verdict";
 /** Header that a service may echo, which shows that the response belongs to the request. */
@@ -143,13 +141,12 @@
     if (status === 503 && response.headers[VERDICT_HEADER] === "not-run") {
         return { kind: "failed", progress: AttemptProgress.refused, message: "the service refused the request" };
     }
-    const hasContent = request.method !== "HEAD" && !STATUSES_WITHOUT_CONTENT.has(status);
-    const hasOwnEnd = !hasContent || isFramed(response.headers);
+    const isEndShown = hasOwnEnd(response, request.method);
     // Node.js reports a response that ends with its connection as complete even if the connection was reset.
-    if (!hasOwnEnd && hasFailed(socket)) {
+    if (!isEndShown && hasFailed(socket)) {
         const message = "the connection was reset before the end of the response";
         return { kind: "failed", progress: AttemptProgress.answering, message };
     }
     const headers = pickForwardedHeaders(response.headers);
-    return { kind: "answered", response: { status, headers, body, isFramed: hasOwnEnd } };
+    return { kind: "answered", response: { status, headers, body, isFramed: isEndShown } };
 }
--- a/serving/peer_relay.ts
+++ b/serving/peer_relay.ts
@@ -8,7 +8,13 @@
  */
 import { type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import type { Verdict } from "../core/verdict/mod.ts";
-import { applyInterimResponseLimit, hasFailed, openObservedConnection, parseAddress } from "../network/mod.ts";
+import {
+    applyInterimResponseLimit,
+    hasFailed,
+    hasOwnEnd,
+    openObservedConnection,
+    parseAddress,
+} from "../network/mod.ts";
 import { encodeHandedOverHeaders, filterRelayedHeaders } from "../platform/mod.ts";
 import {
     abortResponse,
@@ -120,7 +126,8 @@
                 await waitUntilWritable(response);
             }
         }
-        isComplete = peerResponse.complete && !hasFailed(socket);
+        // An instance frames each response that it sends; without a frame nothing shows where the response ends.
+        isComplete = peerResponse.complete && !hasFailed(socket) && hasOwnEnd(peerResponse, exchange.request.method);
     }
     catch {
         // The connection to the instance was lost; the result says so, and is logged.
