--- /dev/null
+++ b/features/platform/response_ends.feature
@@ -0,0 +1,29 @@
+@platform @broken-stream @response-ends
+Feature: One decision on whether the end of a response is the end of its answer
+
+    A response with a frame, a length or chunks, shows its end itself. One without ends with its connection, and only a
+    target that runs on has closed that itself. "0/0" are the events of the response and the bytes after the last one.
+
+    Scenario Outline: a response of <events> <traits> whose target is <presence> is <outcome>
+        When a response with <events> and the traits "<traits>" ends, and its target is "<presence>" afterwards
+        Then the decision on its end is "<outcome>"
+
+        Examples:
+            | events | traits                   | presence | outcome    |
+            | 3/0    | framed in-order          | unknown  | complete   |
+            | 3/0    | framed                   | running  | broken off |
+            | 3/9    | framed in-order          | running  | broken off |
+            | 0/0    | framed in-order          | running  | broken off |
+            | 0/0    | framed in-order rest     | unknown  | complete   |
+            | 0/0    | framed in-order full     | unknown  | complete   |
+            | 3/0    | in-order                 | running  | complete   |
+            | 3/0    | in-order                 | gone     | broken off |
+            | 3/0    | in-order                 | replaced | broken off |
+            | 3/0    | in-order                 | unknown  | unknown    |
+            | 3/0    | in-order full            | gone     | complete   |
+            | 3/0    | in-order stopped         | running  | broken off |
+            | 3/9    | in-order full            | running  | broken off |
+            | 3/0    | full                     | running  | broken off |
+            | 0/0    | in-order                 | running  | broken off |
+            | 0/0    | in-order rest            | running  | complete   |
+            | 0/0    | in-order rest            | unknown  | unknown    |
