Do not wait for a silent target beyond the deadline of its request

What callers would see: a stream whose target fell silent was held for up to a second past its deadline before it was broken off. Cause: the check whether the target runs on had a time limit of its own only. Change: the check ends with the deadline, or when the caller leaves; the answer counts as unknown then.

--- a/features/platform/broken_streams.feature
+++ b/features/platform/broken_streams.feature
@@ -185,6 +185,13 @@
         And its engine breaks off and falls silent after 3 events
         Then the stream is whole and its events are in order
 
+    Scenario: a narrative whose engine breaks off and falls silent is broken off at its deadline
+        Given a serving site with slow streams
+        When the engines send streams without a length
+        And a caller starts a "narrative" with a deadline of 500 ms
+        And its engine breaks off and falls silent after 3 events
+        Then the stream is broken off within 700 ms of its start
+
     Scenario: a verdict whose resumption leaves out an event is broken off
         Given a serving site with slow streams
         When resumed generations leave out an event
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -12,6 +12,7 @@
 import {
     buildSiteConfiguration,
     ServingSite,
+    type SiteCall,
     type SiteTarget,
     startServingSite,
     StoreStandIn,
@@ -30,7 +31,15 @@
     siteContext,
 } from "../support/site_context.ts";
 
-let stream: { result: Promise<HttpResult | undefined>; text: string; } | undefined;
+/** A stream that a caller has started. */
+interface StartedStream {
+    result: Promise<HttpResult | undefined>;
+    text: string;
+    /** Time of the start, on the monotonic clock in milliseconds. */
+    startedAt: number;
+}
+
+let stream: StartedStream | undefined;
 
 function listEngines(): SiteTarget[] {
     return getSite().targets.filter(target => target.service === "engines");
@@ -231,8 +240,22 @@
     stream = startStream(kind);
 });
 
-function startStream(kind: string, signal?: AbortSignal): { result: Promise<HttpResult | undefined>; text: string; } {
-    const startedStream = { result: Promise.resolve<HttpResult | undefined>(undefined), text: "" };
+When("a caller starts a {string} with a deadline of {int} ms", function(kind: string, deadlineMilliseconds: number) {
+    stream = startStream(kind, { deadlineMilliseconds });
+});
+
+Then("the stream is broken off within {int} ms of its start", async function(milliseconds: number) {
+    const result = await stream?.result;
+    const elapsed = performance.now() - (stream?.startedAt ?? 0);
+    assert.notEqual(result?.isComplete, true, "the stream looks complete");
+    assert.ok(elapsed <= milliseconds, `it was broken off after ${elapsed} ms`);
+});
+
+function startStream(
+    kind: string,
+    options: Pick<SiteCall, "signal" | "deadlineMilliseconds"> = {},
+): StartedStream {
+    const startedStream: StartedStream = { result: Promise.resolve(undefined), text: "", startedAt: performance.now() };
     const onChunk = (chunk: Buffer): void => {
         startedStream.text += chunk.toString();
     };
@@ -241,7 +264,7 @@
         id: createRequestId(),
         deadlineMilliseconds: 6000,
         onChunk,
-        ...signal === undefined ? {} : { signal },
+        ...options,
     });
     startedStream.result = call.catch(() => undefined);
     return startedStream;
@@ -255,7 +278,7 @@
 
 When("a caller sends a {string} and disconnects after {int} events", async function(kind: string, events: number) {
     const abortController = new AbortController();
-    stream = startStream(kind, abortController.signal);
+    stream = startStream(kind, { signal: abortController.signal });
     await waitForEvents(events);
     abortController.abort();
 });
@@ -327,12 +350,14 @@
 });
 
 When("a caller starts a {string} with the method {string}", function(kind: string, method: string) {
-    stream = { result: getSite().call({ kind, method, id: createRequestId() }).catch(() => undefined), text: "" };
+    const result = getSite().call({ kind, method, id: createRequestId() }).catch(() => undefined);
+    stream = { result, text: "", startedAt: performance.now() };
 });
 
 When("a caller resumes a {string} after event {int}", function(kind: string, event: number) {
     const headers = { "last-event-id": String(event) };
-    stream = { result: getSite().call({ kind, headers, id: createRequestId() }).catch(() => undefined), text: "" };
+    const result = getSite().call({ kind, headers, id: createRequestId() }).catch(() => undefined);
+    stream = { result, text: "", startedAt: performance.now() };
 });
 
 Then("the response is complete within {int} ms", async function(milliseconds: number) {
--- a/serving/response_end_check.ts
+++ b/serving/response_end_check.ts
@@ -8,7 +8,7 @@
     type ResponseEnd,
     ResponseOutcome,
     type ServingTarget,
-    type TargetPresence,
+    TargetPresence,
 } from "../core/serving/mod.ts";
 import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
 
@@ -35,13 +35,13 @@
  */
 export async function checkResponseEnd(
     context: ServingContext,
-    exchange: Pick<CallerExchange, "request" | "service">,
+    exchange: Pick<CallerExchange, "request" | "service" | "signal">,
     { target, end, reason }: EndedResponse,
 ): Promise<ResponseOutcome> {
     let presence: TargetPresence | undefined;
     let outcome = decideResponseOutcome(end);
     if (outcome === ResponseOutcome.unknown) {
-        presence = await context.targetProbe.findPresence(target, exchange.service);
+        presence = await findPresence(context, exchange, target);
         outcome = decideResponseOutcome(end, presence);
     }
     const isShown = end.isFramed && end.events > 0 && outcome === ResponseOutcome.complete;
@@ -58,3 +58,18 @@
     }
     return outcome;
 }
+
+/** Finds out whether a target still runs; not known if the caller leaves or the deadline passes meanwhile. */
+async function findPresence(
+    { targetProbe }: ServingContext,
+    { service, signal }: Pick<CallerExchange, "service" | "signal">,
+    target: ServingTarget,
+): Promise<TargetPresence> {
+    if (signal.aborted) {
+        return TargetPresence.unknown;
+    }
+    const aborted = new Promise<TargetPresence>(resolve => {
+        signal.addEventListener("abort", () => resolve(TargetPresence.unknown), { once: true });
+    });
+    return Promise.race([targetProbe.findPresence(target, service), aborted]);
+}
