Do not send a request again over a connection that brought its refusal

What callers would see: a request that a target had refused and that came back to it (the caller's retry with the same id, or a move to a target that had refused the request at first) was told "not run" while the target ran it, or went on at a second engine, if the target wrote the refusal once more on the kept connection.

Cause: the connection compares the id that a response names. The copy names the right one if the same request was on the connection before.

Change: an agent remembers which requests were refused on each connection. A request with such an id gets a new connection, on which no earlier refusal can arrive. After 64 refusals a connection is not reused, so that the memory is bounded and nothing is forgotten.

Evidence: npm test -- @repeated-refusal.

--- /dev/null
+++ b/features/platform/repeated_refusals.feature
@@ -0,0 +1,36 @@
+@platform @not-run @repeated-refusal
+Feature: Refusals that a faulty target writes once more
+
+    A target that refuses a request keeps the connection. A faulty one writes the refusal once more on it, in place of the
+    response to a later request, which it runs. Only a refusal that certainly belongs to its request shows that the request
+    did not run.
+
+    # A copied refusal named the right request, if the same request was on the connection before.
+    Scenario Outline: a <kind> that is sent again is not taken for refused if its <refusal> is written once more
+        Given a serving site with 1 targets of each service
+        When the targets respond with "a <refusal> with its name" 1 times
+        And a caller sends a "<kind>"
+        And the targets respond with "the refusal once more" 1 times
+        And the caller sends the same "<kind>" again
+        Then the response has the status 200 and is whole
+        And the request ran 1 times and arrived at targets 2 times
+
+        Examples:
+            | kind      | refusal |
+            | stamp     | 503     |
+            | stamp     | 421     |
+            | stamp     | 429     |
+            | narrative | 503     |
+            | verdict   | 503     |
+            | lookup    | 503     |
+
+    # An engine had resumed a generation that went on at its source as well.
+    Scenario: a generation is not moved back if the engine that it is moved to writes its earlier refusal once more
+        Given a serving site with slow streams
+        When the targets respond with "a 503 with its name" 1 times
+        And a caller starts a "narrative"
+        And the other engine responds with "the refusal once more" 1 times
+        And its engine announces its shutdown after 3 events
+        Then the stream is whole and its events are in order
+        And the request was started only once
+        And the generation was moved once
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -112,12 +112,15 @@
 const IDLE_TIMEOUT_MILLISECONDS = 4000;
 /** Maximum number of idle connections kept open to one target. */
 const MAX_IDLE_CONNECTIONS = 8;
+/** Number of refusals after which a connection is not reused; the identifiers of the refused requests are kept. */
+const MAX_REFUSALS = 64;
 /** Time for which connections to a target are not reused after it sent unsolicited bytes, in milliseconds. */
 const REUSE_PAUSE_MILLISECONDS = 10_000;
 
 /** HTTP agent for one target that does not reuse a connection on which unsolicited bytes have arrived. */
 class TargetAgent extends Agent {
     #reusePausedUntil = 0;
+    readonly #refusedIds = new WeakMap<Socket, Set<string>>();
     readonly #openConnection: OpenConnection;
 
     constructor(openConnection: OpenConnection) {
@@ -135,8 +138,25 @@
         this.#reusePausedUntil = performance.now() + REUSE_PAUSE_MILLISECONDS;
     }
 
+    /** Records that a request was refused on a connection. */
+    recordRefusal(socket: Socket, requestId: string): void {
+        const refusedIds = this.#refusedIds.get(socket) ?? new Set();
+        refusedIds.add(requestId);
+        this.#refusedIds.set(socket, refusedIds);
+    }
+
+    /**
+     * Checks whether a request may be sent over an idle connection. The copy of a refusal that its connection brought
+     * before would name the right request.
+     */
+    isReusableFor(requestId: string): boolean {
+        return !Object.values(this.freeSockets).flat()
+            .some(socket => socket !== undefined && this.#refusedIds.get(socket)?.has(requestId));
+    }
+
     override keepSocketAlive(socket: Socket): boolean {
-        const isReusable = performance.now() >= this.#reusePausedUntil && socket.readableLength === 0;
+        const isReusable = performance.now() >= this.#reusePausedUntil && socket.readableLength === 0
+            && (this.#refusedIds.get(socket)?.size ?? 0) < MAX_REFUSALS;
         if (!isReusable || !(super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket)) {
             return false;
         }
@@ -244,10 +264,12 @@
         const agent = this.#getAgent(call.targetId);
         return new Promise((resolve, reject) => {
             let progress: AttemptProgress = "not-connected";
-            const headers: [string, string][] = [...call.headers, ["Connection", "keep-alive"]];
+            const address = parseAddress(call.address);
+            const isKept = agent.isReusableFor(call.requestId);
+            const headers: [string, string][] = [...call.headers, ["Connection", isKept ? "keep-alive" : "close"]];
             const request = startRequest({
-                ...parseAddress(call.address),
-                agent,
+                ...address,
+                ...isKept ? { agent } : { createConnection: () => agent.createConnection(address) },
                 method: call.method,
                 path: call.path,
                 headers: headers.flat() as unknown as Record<string, string>,
@@ -307,6 +329,9 @@
                 }
                 response.on("error", () => undefined);
                 const { socket } = response;
+                if (head.isRefusal) {
+                    agent.recordRefusal(socket, call.requestId);
+                }
                 resolve({
                     head,
                     response,
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -104,6 +104,35 @@
 const formatChunkedHead = (requestId: string): string => formatSignedHead(requestId, "transfer-encoding: chunked");
 const formatUnframedHead = (requestId: string): string => formatSignedHead(requestId, "connection: close");
 
+const formatRefusal = ({ status, headers }: { status: number; headers: string; }): string =>
+    `HTTP/1.1 ${status} Refused\r\n${headers}content-length: 0\r\n\r\n`;
+
+/** Headers of a refusal of another request. */
+const FOREIGN_REFUSAL = "attempt-id: 0000000000000000\r\nnot-executed: 1\r\n";
+
+/** Builds a function that runs the request, but sends a refusal of an earlier one in place of the response. */
+function buildEarlierRefusal(refusal: { status: number; headers: string; }): SendResponse {
+    return (target, request) => {
+        target.started.push(readRequestId(request));
+        request.socket.write(formatRefusal(refusal));
+    };
+}
+
+/** Statuses of the latest refusals, by the connection. */
+const refusedStatuses = new WeakMap<Socket, number>();
+
+/** Builds a function that refuses the request, and keeps the connection. */
+function buildNamedRefusal(status: number): SendResponse {
+    return (_, request, response) => {
+        refusedStatuses.set(request.socket, status);
+        sendJson(response, {
+            status,
+            value: {},
+            headers: { "attempt-id": readRequestId(request), "not-executed": "1" },
+        });
+    };
+}
+
 /** Functions that send a normal or a faulty response, by the name that scenarios use. */
 const RESPONSES: Record<string, SendResponse> = {
     "a status line without end": buildEndlessResponse(() => "HTTP/1.1 200 ", "o"),
@@ -148,6 +177,37 @@
         target.started.push(readRequestId(request));
         request.socket.write("HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n");
     },
+    "an earlier refusal with another name": buildEarlierRefusal({ status: 503, headers: FOREIGN_REFUSAL }),
+    "an earlier refusal with another name and a pause": buildEarlierRefusal({
+        status: 503,
+        headers: `${FOREIGN_REFUSAL}retry-after: 5\r\nserver-limit: 0.1\r\n`,
+    }),
+    "an earlier 503 with a pause": buildEarlierRefusal({ status: 503, headers: "retry-after: 5\r\n" }),
+    "an earlier 421": buildEarlierRefusal({ status: 421, headers: "" }),
+    "an earlier 429": buildEarlierRefusal({ status: 429, headers: "not-executed: 1\r\n" }),
+    "an earlier 408": buildEarlierRefusal({ status: 408, headers: "not-executed: 1\r\n" }),
+    "a 503 with its name": buildNamedRefusal(503),
+    "a 421 with its name": buildNamedRefusal(421),
+    "a 429 with its name": buildNamedRefusal(429),
+    // Runs the request; on the connection of a refusal, a copy of that refusal arrives in place of the response.
+    "the refusal once more": (target, request, response) => {
+        const status = refusedStatuses.get(request.socket);
+        if (status === undefined) {
+            void target.runRequest(request, response);
+            return;
+        }
+        (request.headers["kv-from"] === undefined ? target.started : target.resumed).push(readRequestId(request));
+        request.socket.write(
+            formatRefusal({ status, headers: `attempt-id: ${readRequestId(request)}\r\nnot-executed: 1\r\n` }),
+        );
+    },
+    "its answer and a refusal at once": (target, request) => {
+        target.started.push(readRequestId(request));
+        request.socket.write(
+            formatSignedHead(readRequestId(request), `content-length: ${RESPONSE_BODY.length}`) + RESPONSE_BODY
+                + formatRefusal({ status: 503, headers: "not-executed: 1\r\n" }),
+        );
+    },
     ok: (target, request, response) => target.sendResponse(request, response, { status: 200 }),
     "a failure": (target, request, response) => target.sendResponse(request, response, { status: 500 }),
     "a failure that looks like a promise": (target, request, response) =>
@@ -411,6 +471,11 @@
             RESPONSES[this.faults.answer]?.(this, request, response);
             return;
         }
+        await this.runRequest(request, response, body);
+    }
+
+    /** Runs a request, and sends a normal response. */
+    async runRequest(request: IncomingMessage, response: ServerResponse, body?: Buffer): Promise<void> {
         const handle = String(request.headers["kv-from"] ?? "").split("/")[1];
         if (handle !== undefined) {
             await this.#resumeGeneration(request, response, handle);
@@ -423,7 +488,7 @@
             await this.#crash(response);
             return;
         }
-        if (this.faults.crashingRequest === `${request.url} ${body.toString()}`) {
+        if (this.faults.crashingRequest === `${request.url} ${body?.toString() ?? ""}`) {
             await this.#crash(response);
             return;
         }
