Decide in one place whether a response belongs to its request, and log doubts

What operators would see: a copied refusal left no line of its own; only the attempt's result in the line of the request said what had arrived.

A response that proves nothing is logged as "response proves nothing" with its request, target, status and reason. The decisions are those of before.

Evidence: npm test -- @repeated-refusal. The 11 scenarios by kind and copied refusal (503, 421, 429 and 408, without a name or with another one) failed before at the missing line alone: status and number of runs were right. They pass now. The scenario with an answer and a refusal in one write passed before as well.

--- a/features/platform/repeated_refusals.feature
+++ b/features/platform/repeated_refusals.feature
@@ -34,3 +34,34 @@
         Then the stream is whole and its events are in order
         And the request was started only once
         And the generation was moved once
+
+    Scenario Outline: a <kind> that runs is not taken for refused if <refusal> is written once more
+        Given a serving site with 1 targets of each service
+        When a caller sends a "<kind>"
+        And the targets respond with "<refusal>" 1 times
+        And a caller sends a "<kind>"
+        Then the response has the status 502 and is whole
+        And the request ran 1 times and arrived at targets 1 times
+        And the instance has logged that the response proves nothing, since it names <named>
+
+        Examples:
+            | kind      | refusal                                        | named           |
+            | stamp     | an earlier refusal                             | no request      |
+            | stamp     | an earlier refusal with another name           | another request |
+            | stamp     | an earlier 421                                 | no request      |
+            | stamp     | an earlier 429                                 | no request      |
+            | stamp     | an earlier 408                                 | no request      |
+            | narrative | an earlier refusal                             | no request      |
+            | narrative | an earlier refusal with another name           | another request |
+            | verdict   | an earlier refusal                             | no request      |
+            | verdict   | an earlier refusal with another name           | another request |
+            | lookup    | an earlier refusal                             | no request      |
+            | lookup    | an earlier refusal with another name           | another request |
+
+    Scenario: an answer that a refusal follows at once is whole
+        Given a serving site with 1 targets of each service
+        When the targets respond with "its answer and a refusal at once" 1 times
+        And a caller sends a "stamp"
+        Then the response has the status 200 and is whole
+        When a caller sends a "stamp"
+        Then the response has the status 200 and is whole
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -95,6 +95,14 @@
         const { settings, log, clock = systemClock, random = Math.random } = options;
         const { openTargetConnection = openObservedConnection } = options;
         this.#connections = new TargetConnections(openTargetConnection);
+        this.#connections.onDoubtfulResponse = ({ call, head, reason }) =>
+            log.record("trouble", "response proves nothing", {
+                request: call.requestId,
+                target: call.targetId,
+                status: head.status,
+                isRefusal: head.isRefusal,
+                reason,
+            });
         this.#settings = settings;
         this.#log = log;
         this.#clock = clock;
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -6,7 +6,7 @@
 import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { WaitingRequest } from "../core/serving/mod.ts";
-import type { AttemptProgress } from "../core/verdict/mod.ts";
+import { type AttemptProgress, findResponseDoubt, type ResponseDoubt } from "../core/verdict/mod.ts";
 import {
     applyInterimResponseLimit,
     BodyTooLargeError,
@@ -88,6 +88,16 @@
     close: () => void;
 }
 
+/** A response that proves nothing about the request on its connection. */
+export interface DoubtfulResponse {
+    /** Request that was sent over the connection last. */
+    call: TargetCall;
+    /** Head of the response. */
+    head: TargetResponseHead;
+    /** Why the response proves nothing. */
+    reason: ResponseDoubt;
+}
+
 /** A request whose response is not complete yet. */
 interface PendingResponse {
     request: ClientRequest;
@@ -214,6 +224,8 @@
     onData: () => void = () => undefined;
     /** Called when a target has accepted no connection. */
     onConnectFailure: (targetId: string) => void = () => undefined;
+    /** Called when a response has arrived that proves nothing about its request. */
+    onDoubtfulResponse: (response: DoubtfulResponse) => void = () => undefined;
 
     /** @param openConnection Opens a connection to a target. Defaults to one over TCP. */
     constructor(openConnection: OpenConnection = openObservedConnection) {
@@ -314,17 +326,17 @@
                 progress = "answering";
                 pending.isAnswered = true;
                 this.onData();
-                // A late copy of an earlier refusal would say "not run" of a request that may have run.
-                if (head.isRefusal && head.requestId === undefined && request.reusedSocket) {
-                    agent.pauseReuse();
-                    progress = "sent";
-                    fail(`refusal with ${head.status} names no request on a reused connection`);
-                    return;
-                }
-                if (head.requestId !== undefined && head.requestId !== call.requestId) {
+                const doubt = findResponseDoubt({
+                    requestId: call.requestId,
+                    namedRequestId: head.requestId,
+                    isRefusal: head.isRefusal,
+                    isReusedConnection: request.reusedSocket,
+                });
+                if (doubt !== undefined) {
                     agent.pauseReuse();
                     progress = "sent";
-                    fail(`answer belongs to another request "${head.requestId}"`);
+                    this.onDoubtfulResponse({ call, head, reason: doubt });
+                    fail(`response with ${head.status} ${doubt}`);
                     return;
                 }
                 response.on("error", () => undefined);
