Take nothing from a response without a name on a reused connection

What callers would see: a target that wrote an earlier 503 with "retry-after" once more, without a name and without "not-executed", got no further requests for that pause, and the only target's callers were refused.

Cause: only refusals without a name were doubted on a reused connection. Of other responses the verdict was right ("may have run"), but their notices (pause, limit, shutdown) were applied.

Change: a response without a name on a reused connection proves nothing, whatever its status. On a fresh connection it counts as before: targets echo the id, and nothing was sent over that connection that could be copied.

Evidence: npm test -- @repeated-refusal.

--- a/core/verdict/response_doubt.ts
+++ b/core/verdict/response_doubt.ts
@@ -13,8 +13,6 @@
     requestId: string;
     /** Identifier of the request that the response names; `undefined` if it names none. */
     namedRequestId: string | undefined;
-    /** True if the target states that it refused the request before running it. */
-    isRefusal: boolean;
     /** True if the connection has brought an earlier response. */
     isReusedConnection: boolean;
 }
@@ -33,8 +31,7 @@
 const DOUBT_CONDITIONS: Record<ResponseDoubt, (origin: ResponseOrigin) => boolean> = {
     "names another request": ({ requestId, namedRequestId }) =>
         namedRequestId !== undefined && namedRequestId !== requestId,
-    "names no request": ({ namedRequestId, isRefusal, isReusedConnection }) =>
-        namedRequestId === undefined && isRefusal && isReusedConnection,
+    "names no request": ({ namedRequestId, isReusedConnection }) => namedRequestId === undefined && isReusedConnection,
 };
 
 /**
@@ -47,7 +44,7 @@
  *
  * @example
  * ```ts
- * findResponseDoubt({ requestId: "b", namedRequestId: "a", isRefusal: true, isReusedConnection: true });
+ * findResponseDoubt({ requestId: "b", namedRequestId: "a", isReusedConnection: true });
  * // "names another request"
  * ```
  */
--- a/features/platform/repeated_refusals.feature
+++ b/features/platform/repeated_refusals.feature
@@ -58,6 +58,22 @@
             | lookup    | an earlier refusal                             | no request      |
             | lookup    | an earlier refusal with another name           | another request |
 
+    # A copy without a name had paused its target, and a copied limit or shutdown notice would have been applied too.
+    Scenario Outline: <refusal> that is written once more neither pauses nor limits its target
+        Given a serving site with 1 targets of each service
+        When a caller sends a "<kind>"
+        And the targets respond with "<refusal>" 1 times
+        And a caller sends a "<kind>"
+        And a caller sends a "<kind>"
+        Then the response has the status 200 and is whole
+
+        Examples:
+            | kind      | refusal                                          |
+            | stamp     | an earlier refusal with another name and a pause |
+            | stamp     | an earlier 503 with a pause                      |
+            | narrative | an earlier 503 with a pause                      |
+            | lookup    | an earlier 503 with a pause                      |
+
     Scenario: an answer that a refusal follows at once is whole
         Given a serving site with 1 targets of each service
         When the targets respond with "its answer and a refusal at once" 1 times
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -329,7 +329,6 @@
                 const doubt = findResponseDoubt({
                     requestId: call.requestId,
                     namedRequestId: head.requestId,
-                    isRefusal: head.isRefusal,
                     isReusedConnection: request.reusedSocket,
                 });
                 if (doubt !== undefined) {
