Test refusals that arrive before a request is written, in part or at all

Seven scenarios drive TargetConnections against a target over TCP: a copied refusal that lies in the socket's buffer when the next request is written (421, 429, 503, with and without a name, with the true answer behind it), and refusals that arrive after the first bytes of a body of 12 MB. A refusal with the right name is believed there, and the rest of the body follows before anything else uses the connection; one with another name ends the connection inside the body.

The decisions were right before; no fault was found here.

--- a/features/platform/repeated_refusals.feature
+++ b/features/platform/repeated_refusals.feature
@@ -81,3 +81,33 @@
         Then the response has the status 200 and is whole
         When a caller sends a "stamp"
         Then the response has the status 200 and is whole
+
+    Scenario Outline: a <refusal> that has arrived before the next request is written proves nothing about that request
+        Given connections to a target that is driven byte by byte
+        When a request "a" is answered, and its connection is kept
+        And a <refusal> arrives in the moment before a request "b" is written
+        Then the request "b" counts as sent, and it is known that <doubt>
+
+        Examples:
+            | refusal                              | doubt                              |
+            | 503 without a name                   | the response names no request      |
+            | 503 with the name "a"                | the response names another request |
+            | 421 without a name                   | the response names no request      |
+            | 429 with the name "a"                | the response names another request |
+            | 503 without a name, and its answer   | the response names no request      |
+
+    Scenario: a refusal that arrives before the whole request is written belongs to it, and the rest of the body follows
+        Given connections to a target that is driven byte by byte
+        When a request "a" with a body of 12 MB is refused with its name after the first bytes
+        And the target reads on after 100 ms
+        Then the request "a" counts as refused
+        When a request "b" is answered, and its connection is kept
+        Then each connection has brought whole requests, one after the other
+
+    Scenario: a refusal of another request that arrives before the whole request is written ends the connection
+        Given connections to a target that is driven byte by byte
+        When a request "a" with a body of 12 MB is refused with another name after the first bytes
+        And the target reads on after 100 ms
+        Then the request "a" counts as sent, and it is known that the response names another request
+        When a request "b" is answered, and its connection is kept
+        Then the first connection has brought nothing but a part of the request "a"
--- a/features/steps/platform_repeated_refusal_steps.ts
+++ b/features/steps/platform_repeated_refusal_steps.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
-import { Then, When } from "@cucumber/cucumber";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { waitMilliseconds } from "../../network/mod.ts";
+import { TargetCallError, TargetConnections } from "../../serving/mod.ts";
 import { waitForLine } from "../support/log_lines.ts";
+import { type RawConnection, RawTarget, splitRequests } from "../support/raw_target.ts";
 import { formatRequestId, getSite, siteContext } from "../support/site_context.ts";
 
 When("the caller sends the same {string} again", async function(kind: string) {
@@ -22,3 +26,149 @@
         });
     },
 );
+
+/** Time in which a connection becomes idle after its response, in milliseconds. */
+const IDLE_MILLISECONDS = 20;
+/** Time within which the rest of a body arrives, in milliseconds. */
+const BODY_MILLISECONDS = 3000;
+const MEGABYTE = 1024 * 1024;
+
+/** Connections under test, the target, and the results of the scenario's requests by identifier. */
+interface RawSite {
+    connections: TargetConnections;
+    target: RawTarget;
+    address: string;
+    results: Map<string, Promise<string>>;
+}
+
+let rawSite: RawSite | undefined;
+
+function getRawSite(): RawSite {
+    if (rawSite === undefined) {
+        throw new Error("Cannot run the step: the scenario has opened no connections.");
+    }
+    return rawSite;
+}
+
+/** Sends a request; its result is "refused", "answered", or the stage that it had reached and the reason. */
+function startRequest(id: string, bodyBytes = 0): void {
+    const { connections, address, results } = getRawSite();
+    const result = connections.sendRequest({
+        targetId: "target-1",
+        address,
+        requestId: id,
+        method: "POST",
+        path: `/${id}`,
+        headers: [["Attempt-Id", id], ["Content-Length", String(bodyBytes)]],
+        body: Buffer.alloc(bodyBytes, "x"),
+        signal: new AbortController().signal,
+    }).then(async targetResponse => {
+        await connections.readResponseBody(targetResponse);
+        return targetResponse.head.isRefusal ? "refused" : "answered";
+    }, (error: unknown) => error instanceof TargetCallError ? `${error.progress}: ${error.message}` : String(error));
+    results.set(id, result);
+}
+
+function formatResponse(status: number, name: string | undefined): string {
+    const lines = [
+        `HTTP/1.1 ${status} Status`,
+        ...name === undefined ? [] : [`attempt-id: ${name}`],
+        ...status === 200 ? [] : ["not-executed: 1"],
+        "content-length: 0",
+    ];
+    return `${lines.join("\r\n")}\r\n\r\n`;
+}
+
+function getLastConnection(): RawConnection {
+    const connection = getRawSite().target.connections.at(-1);
+    assert.ok(connection !== undefined, "no connection was opened");
+    return connection;
+}
+
+Given("connections to a target that is driven byte by byte", async function() {
+    const target = new RawTarget();
+    rawSite = { connections: new TargetConnections(), target, address: await target.open(), results: new Map() };
+});
+
+After(() => {
+    rawSite?.connections.close();
+    rawSite?.target.close();
+    rawSite = undefined;
+});
+
+When("a request {string} is answered, and its connection is kept", async function(id: string) {
+    const { target, results } = getRawSite();
+    target.onData = connection => {
+        if (splitRequests(connection).paths.at(-1) === `/${id}`) {
+            target.onData = () => undefined;
+            connection.socket.write(formatResponse(200, id));
+        }
+    };
+    startRequest(id);
+    assert.equal(await results.get(id), "answered");
+    await waitMilliseconds(IDLE_MILLISECONDS);
+});
+
+When(
+    /^a (\d+) (?:without a name|with the name "([^"]*)")(, and its answer)? arrives in the moment before a request "([^"]*)" is written$/,
+    function(status: string, name: string | undefined, answer: string | undefined, id: string) {
+        const { target } = getRawSite();
+        // Both writes happen before the event loop reads from any socket.
+        getLastConnection().socket.write(
+            formatResponse(Number(status), name ?? undefined) + ((answer ?? "") === "" ? "" : formatResponse(200, id)),
+        );
+        startRequest(id);
+        target.onData = () => undefined;
+    },
+);
+
+When(
+    /^a request "([^"]*)" with a body of (\d+) MB is refused with (its|another) name after the first bytes$/,
+    function(id: string, megabytes: string, named: string) {
+        const { target } = getRawSite();
+        target.onData = ({ socket }) => {
+            target.onData = () => undefined;
+            socket.pause();
+            socket.write(formatResponse(503, named === "its" ? id : "0"));
+        };
+        startRequest(id, Number(megabytes) * MEGABYTE);
+    },
+);
+
+When("the target reads on after {int} ms", async function(milliseconds: number) {
+    await waitMilliseconds(milliseconds);
+    getLastConnection().socket.resume();
+    await waitMilliseconds(milliseconds);
+});
+
+Then("the request {string} counts as refused", async function(id: string) {
+    assert.equal(await getRawSite().results.get(id), "refused");
+});
+
+Then(
+    /^the request "([^"]*)" counts as sent, and it is known that the response names (no request|another request)$/,
+    async function(id: string, named: string) {
+        const result = await getRawSite().results.get(id);
+        assert.match(result ?? "", new RegExp(`^sent: response with \\d+ names ${named}$`));
+    },
+);
+
+Then("each connection has brought whole requests, one after the other", async function() {
+    const { connections } = getRawSite().target;
+    const deadline = performance.now() + BODY_MILLISECONDS;
+    while (connections.some(connection => splitRequests(connection).rest.length > 0) && performance.now() < deadline) {
+        await waitMilliseconds(IDLE_MILLISECONDS);
+    }
+    const requests = connections.map(splitRequests);
+    assert.deepEqual(requests.map(({ rest }) => rest.length), requests.map(() => 0));
+    assert.deepEqual(requests.flatMap(({ paths }) => paths), ["/a", "/b"]);
+});
+
+Then("the first connection has brought nothing but a part of the request {string}", function(id: string) {
+    const [first, ...others] = getRawSite().target.connections;
+    const text = Buffer.concat(first?.received ?? []).toString("latin1");
+    const body = text.slice(text.indexOf("\r\n\r\n") + 4);
+    assert.ok(text.startsWith(`POST /${id} `), "another request came first");
+    assert.ok(body.length < 12 * MEGABYTE && /^x*$/.test(body), "other bytes came behind the head");
+    assert.deepEqual(others.map(connection => splitRequests(connection).paths), [["/b"]]);
+});
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -10,4 +10,4 @@
 export * from "./serving_state.ts";
 export * from "./store_watcher.ts";
 export * from "./stream_version_store.ts";
-export { TargetConnections } from "./target_connections.ts";
+export { TargetCallError, TargetConnections } from "./target_connections.ts";
