Test that calls other than requests to targets have a connection each

An earlier refusal can only be written again on a kept connection. Reports, polls, steps and releases of moves, and the calls of the own interface's clients to services and engines each open a connection and do not keep it.

--- a/features/platform/repeated_refusals.feature
+++ b/features/platform/repeated_refusals.feature
@@ -111,3 +111,20 @@
         Then the request "a" counts as sent, and it is known that the response names another request
         When a request "b" is answered, and its connection is kept
         Then the first connection has brought nothing but a part of the request "a"
+
+    Scenario: calls that control engines, and calls of the own interface's clients, have a connection each
+        Given connections to a target that is driven byte by byte
+        When the target refuses each of these calls with a 503 and keeps its connection
+            | call               |
+            | report             |
+            | report             |
+            | poll               |
+            | move step          |
+            | move step          |
+            | release            |
+            | service request    |
+            | service request    |
+            | engine stream      |
+            | engine stream      |
+            | engine cancelation |
+        Then the target has accepted 11 connections
--- a/features/steps/platform_repeated_refusal_steps.ts
+++ b/features/steps/platform_repeated_refusal_steps.ts
@@ -3,10 +3,15 @@
  *
  * @module
  */
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { buildRoutingTable } from "../../core/inventory/mod.ts";
+import { cancelGeneration, openEngineStream } from "../../gateway/engine_client.ts";
+import { callService } from "../../gateway/service_client.ts";
 import { waitMilliseconds } from "../../network/mod.ts";
+import { fetchReport, pollEngine, releaseCopy, sendMoveStep } from "../../platform/mod.ts";
 import { TargetCallError, TargetConnections } from "../../serving/mod.ts";
+import { BAGMATI, createInventory } from "../../support/fixtures/inventories.ts";
 import { waitForLine } from "../support/log_lines.ts";
 import { type RawConnection, RawTarget, splitRequests } from "../support/raw_target.ts";
 import { formatRequestId, getSite, siteContext } from "../support/site_context.ts";
@@ -32,6 +37,8 @@
 /** Time within which the rest of a body arrives, in milliseconds. */
 const BODY_MILLISECONDS = 3000;
 const MEGABYTE = 1024 * 1024;
+/** Timeout of a call over a connection of its own. */
+const CALL_TIMEOUT = { timeoutMilliseconds: 500 };
 
 /** Connections under test, the target, and the results of the scenario's requests by identifier. */
 interface RawSite {
@@ -172,3 +179,67 @@
     assert.ok(body.length < 12 * MEGABYTE && /^x*$/.test(body), "other bytes came behind the head");
     assert.deepEqual(others.map(connection => splitRequests(connection).paths), [["/b"]]);
 });
+
+When(
+    "requests {string} and {string} are answered at the same time, and their connections are kept",
+    async function(first: string, second: string) {
+        const { target, results } = getRawSite();
+        startRequest(first);
+        startRequest(second);
+        target.onData = ({ socket, received }) => {
+            const [path = ""] = splitRequests({ socket, received }).paths;
+            socket.write(formatResponse(200, path.slice(1)));
+        };
+        assert.deepEqual(await Promise.all([results.get(first), results.get(second)]), ["answered", "answered"]);
+        await waitMilliseconds(IDLE_MILLISECONDS);
+    },
+);
+
+Then("the target has accepted {int} connections", function(count: number) {
+    assert.equal(getRawSite().target.connections.length, count);
+});
+
+/** Builds a call of the own interface's gateway. */
+function buildGatewayCall(address: string) {
+    const [target] = buildRoutingTable(createInventory(BAGMATI, { engines: [], services: [address] })).targets.values();
+    if (target === undefined) {
+        throw new Error("Cannot run the step: the inventory has no target.");
+    }
+    const connectMilliseconds = CALL_TIMEOUT.timeoutMilliseconds;
+    return {
+        ...CALL_TIMEOUT,
+        target,
+        method: "POST",
+        path: "/a",
+        headers: {},
+        body: Buffer.from("{}"),
+        connectMilliseconds,
+    };
+}
+
+/** Functions that send one call to a target, by the call's name in the feature file. */
+const FRESH_CALLS: Record<string, (address: string) => Promise<unknown>> = {
+    report: address => fetchReport(address, CALL_TIMEOUT),
+    poll: address => pollEngine(address),
+    "move step": address =>
+        sendMoveStep({ ...CALL_TIMEOUT, source: address, destination: "127.0.0.1:9", requestId: "a", isFinal: true }),
+    release: address => releaseCopy({ ...CALL_TIMEOUT, source: address, handle: "copy" }),
+    "service request": address => callService({ ...buildGatewayCall(address), maxResponseBytes: MEGABYTE }),
+    "engine stream": async address => {
+        const signal = AbortSignal.timeout(CALL_TIMEOUT.timeoutMilliseconds);
+        const silenceMilliseconds = CALL_TIMEOUT.timeoutMilliseconds;
+        const request = { ...buildGatewayCall(address), generation: "a", silenceMilliseconds, signal };
+        await assert.rejects(async () => openEngineStream(request).next());
+    },
+    "engine cancelation": address =>
+        cancelGeneration(buildGatewayCall(address).target, { ...CALL_TIMEOUT, generation: "a" }),
+};
+
+When("the target refuses each of these calls with a 503 and keeps its connection", async function(table: DataTable) {
+    const { target, address } = getRawSite();
+    target.onData = ({ socket }) => socket.write(formatResponse(503, undefined));
+    for (const { call = "" } of table.hashes()) {
+        await FRESH_CALLS[call]?.(address);
+        await waitMilliseconds(IDLE_MILLISECONDS);
+    }
+});
