Do not reuse idle connections after a response that proves nothing

What callers would see: a target that writes an earlier refusal once more on each of its kept connections made one request that may not be repeated fail (502) for each of them, up to eight, although reuse is paused after the first.

Cause: the pause kept connections from becoming idle, but those that were idle already were taken for the next requests.

Change: during the pause each request gets a new connection.

Evidence: npm test -- @repeated-refusal, "idle connections to a target are not reused ...": before 2 connections for 4 requests, one of them taken from the idle ones after the doubtful response; 32 passed, 0 failed with the change.

--- a/features/platform/repeated_refusals.feature
+++ b/features/platform/repeated_refusals.feature
@@ -112,6 +112,15 @@
         When a request "b" is answered, and its connection is kept
         Then the first connection has brought nothing but a part of the request "a"
 
+    # Connections that were idle already were reused, so that each could fail a request that is not repeatable.
+    Scenario: idle connections to a target are not reused after a response that proves nothing
+        Given connections to a target that is driven byte by byte
+        When requests "a" and "b" are answered at the same time, and their connections are kept
+        And a 503 without a name arrives in the moment before a request "c" is written
+        Then the request "c" counts as sent, and it is known that the response names no request
+        When a request "d" is answered, and its connection is kept
+        Then the target has accepted 3 connections
+
     Scenario: calls that control engines, and calls of the own interface's clients, have a connection each
         Given connections to a target that is driven byte by byte
         When the target refuses each of these calls with a 503 and keeps its connection
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -160,12 +160,12 @@
      * before would name the right request.
      */
     isReusableFor(requestId: string): boolean {
-        return !Object.values(this.freeSockets).flat()
+        return !this.#isReusePaused && !Object.values(this.freeSockets).flat()
             .some(socket => socket !== undefined && this.#refusedIds.get(socket)?.has(requestId));
     }
 
     override keepSocketAlive(socket: Socket): boolean {
-        const isReusable = performance.now() >= this.#reusePausedUntil && socket.readableLength === 0
+        const isReusable = !this.#isReusePaused && socket.readableLength === 0
             && (this.#refusedIds.get(socket)?.size ?? 0) < MAX_REFUSALS;
         if (!isReusable || !(super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket)) {
             return false;
@@ -179,6 +179,10 @@
         return true;
     }
 
+    get #isReusePaused(): boolean {
+        return performance.now() < this.#reusePausedUntil;
+    }
+
     override createConnection(options: { host: string; port: number; }): Socket {
         const socket = this.#openConnection(options);
         const timer = setTimeout(
