Send a request again over a new connection to a target that refused it

What callers would see: as in the case of a copy on the same connection, if the target writes the refusal once more on another kept connection: a request that ran, or was running, was told "not run", or went on at a second engine.

Cause: the refused requests were remembered for each connection, and the copy may arrive on any.

Change: an agent remembers the requests that its target has refused. A request that comes back gets a new connection. After 512 refusals the agent is replaced together with its connections, so that no kept connection is older than the memory.

Evidence: npm test -- @repeated-refusal.

--- a/features/platform/repeated_refusals.feature
+++ b/features/platform/repeated_refusals.feature
@@ -137,3 +137,15 @@
             | engine stream      |
             | engine cancelation |
         Then the target has accepted 11 connections
+
+    # A target may keep its refusal apart from the connection, and write it on any other that is kept.
+    Scenario: a request that its target has refused is not taken for refused if the copy arrives on another connection
+        Given connections to a target that is driven byte by byte
+        When requests "a" and "b" are answered at the same time, "a" by a refusal that ends its connection
+        And a 503 with the name "a" arrives in the moment before a request "a" is written
+        Then the request "a" is answered once its target answers
+
+    Scenario: connections to a target are replaced before its refusals are forgotten
+        Given connections to a target that is driven byte by byte
+        When 600 requests are refused one after the other
+        Then the target has accepted 2 connections
--- a/features/steps/platform_repeated_refusal_steps.ts
+++ b/features/steps/platform_repeated_refusal_steps.ts
@@ -195,6 +195,46 @@
     },
 );
 
+When(
+    "requests {string} and {string} are answered at the same time, {string} by a refusal that ends its connection",
+    async function(first: string, second: string, refused: string) {
+        const { target, results } = getRawSite();
+        target.onData = ({ socket, received }) => {
+            const id = splitRequests({ socket, received }).paths[0]?.slice(1);
+            if (id === refused) {
+                socket.end(formatResponse(503, id));
+            }
+            else {
+                socket.write(formatResponse(200, id));
+            }
+        };
+        startRequest(first);
+        startRequest(second);
+        const ends = await Promise.all([results.get(first), results.get(second)]);
+        assert.deepEqual(ends, [first, second].map(id => id === refused ? "refused" : "answered"));
+        await waitMilliseconds(IDLE_MILLISECONDS);
+    },
+);
+
+Then("the request {string} is answered once its target answers", async function(id: string) {
+    const { target, results } = getRawSite();
+    await waitMilliseconds(IDLE_MILLISECONDS);
+    target.connections.at(-1)?.socket.write(formatResponse(200, id));
+    assert.equal(await results.get(id), "answered");
+});
+
+When("{int} requests are refused one after the other", async function(count: number) {
+    const { target, results } = getRawSite();
+    target.onData = ({ socket, received }) => {
+        socket.write(formatResponse(503, splitRequests({ socket, received }).paths.at(-1)?.slice(1)));
+    };
+    for (let index = 0; index < count; index += 1) {
+        startRequest(String(index));
+        assert.equal(await results.get(String(index)), "refused");
+        await waitMilliseconds(0);
+    }
+});
+
 Then("the target has accepted {int} connections", function(count: number) {
     assert.equal(getRawSite().target.connections.length, count);
 });
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -122,15 +122,15 @@
 const IDLE_TIMEOUT_MILLISECONDS = 4000;
 /** Maximum number of idle connections kept open to one target. */
 const MAX_IDLE_CONNECTIONS = 8;
-/** Number of refusals after which a connection is not reused; the identifiers of the refused requests are kept. */
-const MAX_REFUSALS = 64;
+/** Number of refused requests that are remembered for a target; its connections are replaced before any is forgotten. */
+const MAX_REFUSED_REQUESTS = 512;
 /** Time for which connections to a target are not reused after it sent unsolicited bytes, in milliseconds. */
 const REUSE_PAUSE_MILLISECONDS = 10_000;
 
 /** HTTP agent for one target that does not reuse a connection on which unsolicited bytes have arrived. */
 class TargetAgent extends Agent {
     #reusePausedUntil = 0;
-    readonly #refusedIds = new WeakMap<Socket, Set<string>>();
+    readonly #refusedIds = new Set<string>();
     readonly #openConnection: OpenConnection;
 
     constructor(openConnection: OpenConnection) {
@@ -148,25 +148,26 @@
         this.#reusePausedUntil = performance.now() + REUSE_PAUSE_MILLISECONDS;
     }
 
-    /** Records that a request was refused on a connection. */
-    recordRefusal(socket: Socket, requestId: string): void {
-        const refusedIds = this.#refusedIds.get(socket) ?? new Set();
-        refusedIds.add(requestId);
-        this.#refusedIds.set(socket, refusedIds);
+    /** Number of requests that the target has refused since the agent was created. */
+    get refusedRequests(): number {
+        return this.#refusedIds.size;
+    }
+
+    /** Records that the target has refused a request. */
+    recordRefusal(requestId: string): void {
+        this.#refusedIds.add(requestId);
     }
 
     /**
-     * Checks whether a request may be sent over an idle connection. The copy of a refusal that its connection brought
-     * before would name the right request.
+     * Checks whether a request may be sent over an idle connection. A copy of an earlier refusal of the same request would
+     * name the right request.
      */
     isReusableFor(requestId: string): boolean {
-        return !this.#isReusePaused && !Object.values(this.freeSockets).flat()
-            .some(socket => socket !== undefined && this.#refusedIds.get(socket)?.has(requestId));
+        return !this.#isReusePaused && !this.#refusedIds.has(requestId);
     }
 
     override keepSocketAlive(socket: Socket): boolean {
-        const isReusable = !this.#isReusePaused && socket.readableLength === 0
-            && (this.#refusedIds.get(socket)?.size ?? 0) < MAX_REFUSALS;
+        const isReusable = !this.#isReusePaused && socket.readableLength === 0;
         if (!isReusable || !(super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket)) {
             return false;
         }
@@ -345,7 +346,7 @@
                 response.on("error", () => undefined);
                 const { socket } = response;
                 if (head.isRefusal) {
-                    agent.recordRefusal(socket, call.requestId);
+                    this.#recordRefusal(agent, call);
                 }
                 resolve({
                     head,
@@ -379,6 +380,14 @@
         }, OVERHEAD_CHECK_INTERVAL_MILLISECONDS);
     }
 
+    /** Records a refusal; an agent that remembers enough of them is replaced together with its connections. */
+    #recordRefusal(agent: TargetAgent, { targetId, requestId }: TargetCall): void {
+        agent.recordRefusal(requestId);
+        if (agent.refusedRequests >= MAX_REFUSED_REQUESTS && this.#agents.get(targetId) === agent) {
+            this.closeIdleConnections(targetId);
+        }
+    }
+
     #getAgent(targetId: string): TargetAgent {
         const agent = this.#agents.get(targetId) ?? new TargetAgent(this.#openConnection);
         this.#agents.set(targetId, agent);
