--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -6,7 +6,7 @@
 import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { WaitingRequest } from "../core/serving/mod.ts";
-import type { AttemptProgress } from "../core/verdict/mod.ts";
+import { type AttemptProgress, findResponseDoubt, type ResponseDoubt } from "../core/verdict/mod.ts";
 import {
     applyInterimResponseLimit,
     BodyTooLargeError,
@@ -88,6 +88,16 @@
     close: () => void;
 }
 
+/** A response that proves nothing about the request on its connection. */
+export interface DoubtfulResponse {
+    /** Request that was sent over the connection last. */
+    call: TargetCall;
+    /** Head of the response. */
+    head: TargetResponseHead;
+    /** Why the response proves nothing. */
+    reason: ResponseDoubt;
+}
+
 /** A request whose response is not complete yet. */
 interface PendingResponse {
     request: ClientRequest;
@@ -112,12 +122,15 @@
 const IDLE_TIMEOUT_MILLISECONDS = 4000;
 /** Maximum number of idle connections kept open to one target. */
 const MAX_IDLE_CONNECTIONS = 8;
+/** Number of refused requests that are remembered for a target; its connections are replaced before any is forgotten. */
+const MAX_REFUSED_REQUESTS = 512;
 /** Time for which connections to a target are not reused after it sent unsolicited bytes, in milliseconds. */
 const REUSE_PAUSE_MILLISECONDS = 10_000;
 
 /** HTTP agent for one target that does not reuse a connection on which unsolicited bytes have arrived. */
 class TargetAgent extends Agent {
     #reusePausedUntil = 0;
+    readonly #refusedIds = new Set<string>();
     readonly #openConnection: OpenConnection;
 
     constructor(openConnection: OpenConnection) {
@@ -135,8 +148,26 @@
         this.#reusePausedUntil = performance.now() + REUSE_PAUSE_MILLISECONDS;
     }
 
+    /** Number of requests that the target has refused since the agent was created. */
+    get refusedRequests(): number {
+        return this.#refusedIds.size;
+    }
+
+    /** Records that the target has refused a request. */
+    recordRefusal(requestId: string): void {
+        this.#refusedIds.add(requestId);
+    }
+
+    /**
+     * Checks whether a request may be sent over an idle connection. A copy of an earlier refusal of the same request would
+     * name the right request.
+     */
+    isReusableFor(requestId: string): boolean {
+        return !this.#isReusePaused && !this.#refusedIds.has(requestId);
+    }
+
     override keepSocketAlive(socket: Socket): boolean {
-        const isReusable = performance.now() >= this.#reusePausedUntil && socket.readableLength === 0;
+        const isReusable = !this.#isReusePaused && socket.readableLength === 0;
         if (!isReusable || !(super.keepSocketAlive as (socket: Socket) => boolean).call(this, socket)) {
             return false;
         }
@@ -149,6 +180,10 @@
         return true;
     }
 
+    get #isReusePaused(): boolean {
+        return performance.now() < this.#reusePausedUntil;
+    }
+
     override createConnection(options: { host: string; port: number; }): Socket {
         const socket = this.#openConnection(options);
         const timer = setTimeout(
@@ -194,6 +229,8 @@
     onData: () => void = () => undefined;
     /** Called when a target has accepted no connection. */
     onConnectFailure: (targetId: string) => void = () => undefined;
+    /** Called when a response has arrived that proves nothing about its request. */
+    onDoubtfulResponse: (response: DoubtfulResponse) => void = () => undefined;
 
     /** @param openConnection Opens a connection to a target. Defaults to one over TCP. */
     constructor(openConnection: OpenConnection = openObservedConnection) {
@@ -244,10 +281,12 @@
         const agent = this.#getAgent(call.targetId);
         return new Promise((resolve, reject) => {
             let progress: AttemptProgress = "not-connected";
-            const headers: [string, string][] = [...call.headers, ["Connection", "keep-alive"]];
+            const address = parseAddress(call.address);
+            const isKept = agent.isReusableFor(call.requestId);
+            const headers: [string, string][] = [...call.headers, ["Connection", isKept ? "keep-alive" : "close"]];
             const request = startRequest({
-                ...parseAddress(call.address),
-                agent,
+                ...address,
+                ...isKept ? { agent } : { createConnection: () => agent.createConnection(address) },
                 method: call.method,
                 path: call.path,
                 headers: headers.flat() as unknown as Record<string, string>,
@@ -292,21 +331,23 @@
                 progress = "answering";
                 pending.isAnswered = true;
                 this.onData();
-                // A late copy of an earlier refusal would say "not run" of a request that may have run.
-                if (head.isRefusal && head.requestId === undefined && request.reusedSocket) {
-                    agent.pauseReuse();
-                    progress = "sent";
-                    fail(`refusal with ${head.status} names no request on a reused connection`);
-                    return;
-                }
-                if (head.requestId !== undefined && head.requestId !== call.requestId) {
+                const doubt = findResponseDoubt({
+                    requestId: call.requestId,
+                    namedRequestId: head.requestId,
+                    isReusedConnection: request.reusedSocket,
+                });
+                if (doubt !== undefined) {
                     agent.pauseReuse();
                     progress = "sent";
-                    fail(`answer belongs to another request "${head.requestId}"`);
+                    this.onDoubtfulResponse({ call, head, reason: doubt });
+                    fail(`response with ${head.status} ${doubt}`);
                     return;
                 }
                 response.on("error", () => undefined);
                 const { socket } = response;
+                if (head.isRefusal) {
+                    this.#recordRefusal(agent, call);
+                }
                 resolve({
                     head,
                     response,
@@ -339,6 +380,14 @@
         }, OVERHEAD_CHECK_INTERVAL_MILLISECONDS);
     }
 
+    /** Records a refusal; an agent that remembers enough of them is replaced together with its connections. */
+    #recordRefusal(agent: TargetAgent, { targetId, requestId }: TargetCall): void {
+        agent.recordRefusal(requestId);
+        if (agent.refusedRequests >= MAX_REFUSED_REQUESTS && this.#agents.get(targetId) === agent) {
+            this.closeIdleConnections(targetId);
+        }
+    }
+
     #getAgent(targetId: string): TargetAgent {
         const agent = this.#agents.get(targetId) ?? new TargetAgent(this.#openConnection);
         this.#agents.set(targetId, agent);
