--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -13,6 +13,7 @@
 import { CallerServer } from "./caller_server.ts";
 import { EngineClient } from "./engine_client.ts";
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
+import { MalformedObjectLog } from "./malformed_object_log.ts";
 import { MoveCoordinator } from "./move_coordinator.ts";
 import { PartitionMonitor } from "./partition_monitor.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -105,9 +106,10 @@
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
         });
+        const malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
             address: settings.storeAddress,
-            onMalformed: (kind, reason) => log.record("belief", "store object unreadable", { kind, reason }),
+            onMalformed: object => malformedObjects.record(object),
         });
         const shared = { state: this.#state, log, metrics: this.#metrics, clock, random };
         this.#storeWatcher = new StoreWatcher({
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -18,6 +18,7 @@
     type StoreReply,
 } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
+import { MalformedObjectLog } from "./malformed_object_log.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState, StateSource } from "./serving_state.ts";
 
@@ -85,10 +86,12 @@
     readonly #positions = new Map<string, StorePosition>();
     /** Start and number of the current consecutive failures, by kind. */
     readonly #outages = new Map<string, { since: number; failures: number; }>();
+    readonly #malformedObjects: MalformedObjectLog;
     #isStopped = false;
 
     constructor(options: StoreWatcherOptions) {
         this.#options = options;
+        this.#malformedObjects = new MalformedObjectLog(options.log);
         this.#handlers = {
             [StoreKind.configuration]: {
                 applyList: list => this.#applyConfigurations(list.objects, "store list"),
@@ -326,11 +329,7 @@
         this.#options.state.applyZones({ era, revision, changeRevision, zones: [...zones].sort() }, "store");
     }
 
-    #logMalformed(kind: string, object: StoreObject): void {
-        this.#options.log.record("belief", "store object unusable", {
-            kind,
-            name: object.name,
-            revision: object.revision,
-        });
+    #logMalformed(kind: string, { name, revision }: StoreObject): void {
+        this.#malformedObjects.record({ kind, name, revision });
     }
 }
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -35,6 +35,8 @@
 interface StoredObject {
     metadata: { name: string; revision: number; };
     spec: unknown;
+    /** JSON text with which lists and watches show the object; `undefined` for that of its metadata and content. */
+    text?: string;
 }
 
 /** Body of a write; with a revision, the write succeeds only if that is the current one. */
@@ -110,8 +112,22 @@
 
     /** Writes an object, as an operator or a target does. */
     putObject(kind: string, name: string, spec: unknown): void {
+        this.#put(kind, { metadata: { name, revision: this.#revision + 1 }, spec });
+    }
+
+    /** Writes an object whose text may be one that no encoder writes; `formatText` gets its metadata. */
+    putText(
+        kind: string,
+        name: string,
+        formatText: (metadata: { name: string; revision: number; }) => string,
+    ): void {
+        const metadata = { name, revision: this.#revision + 1 };
+        this.#put(kind, { metadata, spec: {}, text: formatText(metadata) });
+    }
+
+    #put(kind: string, object: StoredObject): void {
+        const { name } = object.metadata;
         this.#revision += 1;
-        const object = { metadata: { name, revision: this.#revision }, spec };
         const objects = this.#objects.get(kind) ?? new Map<string, StoredObject>();
         objects.set(name, object);
         this.#objects.set(kind, objects);
@@ -202,7 +218,7 @@
         const remaining = sorted.filter(object => object.metadata.name > list.after);
         const items = remaining.slice(0, this.faults.pageSize);
         const more = remaining.length > items.length;
-        sendJson(response, { status: 200, value: { items, more, as_of: this.#revision } });
+        sendText(response, `{"items":[${items.map(formatObject).join()}],"more":${more},"as_of":${this.#revision}}`);
     }
 
     async #answerWatch(response: ServerResponse, watch: { kind: string; url: URL; }): Promise<void> {
@@ -221,8 +237,10 @@
         if (response.destroyed) {
             return;
         }
-        const events = listChanges().map(({ object, deleted }) => ({ object, deleted }));
-        sendJson(response, { status: 200, value: { events, as_of: this.#revision } });
+        const events = listChanges().map(({ object, deleted }) =>
+            `{"object":${formatObject(object)},"deleted":${deleted}}`
+        );
+        sendText(response, `{"events":[${events.join()}],"as_of":${this.#revision}}`);
     }
 
     #answerChange(
@@ -273,3 +291,12 @@
         });
     }
 }
+
+function formatObject({ text, ...object }: StoredObject): string {
+    return text ?? JSON.stringify(object);
+}
+
+function sendText(response: ServerResponse, text: string): void {
+    response.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+    response.end(text);
+}
