Use no target whose entry holds a value out of range

Callers would see 502 for requests that no target got, and an instance could lose its place: an entry of another writer with a port above 65535 or an address such as 300.1.1.1 passed, and parseAddress threw at probes, polls, checks for a partition and in sendRequest, whose verdict then was "may have run". Slots without end drew every request, a cold time without end kept a target cold for ever, and an identifier with a line break threw where the header is built.

Cause: the entry's values were checked for their types alone, each use checked the rest.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -19,6 +19,19 @@
             | fault                             |
             | a very deep value                 |
             | a very deep address               |
+            | a port out of range               |
+            | port 0                            |
+            | an address out of range           |
+            | an infinite number of slots       |
+            | more slots than a target has      |
+            | a part of a slot                  |
+            | an infinite cold time             |
+            | a negative cold time              |
+            | a cold time of years              |
+            | an infinite start time            |
+            | a start time before all times     |
+            | a service of 2000 characters      |
+            | a line break in its name          |
             | a name that is no Unicode text    |
             | no name                           |
             | a deep value in place of metadata |
@@ -34,6 +47,8 @@
         Examples:
             | fault                       |
             | a very deep value           |
+            | a port out of range         |
+            | an infinite number of slots |
             | an infinite revision        |
 
     # A page that ends with such an object was taken for the last one.
--- a/network/address.ts
+++ b/network/address.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { isIPv4 } from "node:net";
+
 /** Address to connect to or to listen on. */
 export interface Address {
     /** IPv4 address. */
@@ -12,6 +14,10 @@
     port: number;
 }
 
+const MAX_PORT = 65_535;
+/** Length to which a text that is no address is truncated in an error message. */
+const MAX_SHOWN_CHARACTERS = 64;
+
 /**
  * Parses an address.
  *
@@ -25,10 +31,21 @@
  * ```
  */
 export function parseAddress(text: string): Address {
-    const match = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(text);
-    const port = Number(match?.[2]);
-    if (match?.[1] === undefined || port > 65_535) {
-        throw new SyntaxError(`Cannot parse address: received "${text}", expected IP:port.`);
+    const address = findAddress(text);
+    if (address === undefined) {
+        const shown = text.slice(0, MAX_SHOWN_CHARACTERS);
+        throw new SyntaxError(`Cannot parse address: received "${shown}", expected IP:port.`);
     }
-    return { host: match[1], port };
+    return address;
+}
+
+/** Checks whether a text is an address, as `IP:port`, to which connections can be opened. */
+export function isTargetAddress(text: string): boolean {
+    return (findAddress(text)?.port ?? 0) > 0;
+}
+
+function findAddress(text: string): Address | undefined {
+    const [, host = "", portText = ""] = /^([\d.]{7,15}):(\d{1,5})$/.exec(text) ?? [];
+    const port = Number(portText);
+    return isIPv4(host) && port <= MAX_PORT ? { host, port } : undefined;
 }
