Check the addresses and values of peers where their messages are decoded

Callers of an instance would see refused connections: its process ended by itself when the store listed, or a peer named, an instance whose address is none, since PeerConnectionPool.send throws within the timer that sends digests. Targets and numbers that a peer forwards were not checked at all, so that an odd entry which an instance of an earlier release reads from the store reached all others; a revision without end made them ask for state for ever.

Cause: addresses were checked for being text, and the state in messages for being an object, which null is too.

Registrations and messages are now decoded with the bounds of the store's adapter. An odd target or peer is left out, a changed target that is odd counts as removed, an odd load counts as none, and a message without a usable revision, address or configuration is dropped, with its kind and sender in the log. A connection that is closed for its data (such as a value of 200 000 levels, at which the decoder runs out of stack) gets a line too; before, it was closed without one.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -63,3 +63,43 @@
             | no name                        |
             | a name that is no Unicode text |
             | a very deep value              |
+
+    # An odd address threw where a timer sends to the peer, which ended the process.
+    Scenario Outline: an instance lives and serves beside a <source> with the address "<address>"
+        Given a serving site
+        When an instance receives a <source> with the address "<address>"
+        Then the instance sends digests to its other peers for 1000 ms
+        And a "stamp" gets the status 200 within 100 ms
+
+        Examples:
+            | source           | address         |
+            | registration     | 127.0.0.1:99999 |
+            | registration     | no address      |
+            | digest           | 127.0.0.1:99999 |
+            | digest           | 300.1.1.1:80    |
+            | request of state | 127.0.0.1:99999 |
+            | list of peers    | 127.0.0.1:99999 |
+            | relay address    | 127.0.0.1:99999 |
+
+    Scenario: a peer's message that is too deeply nested closes its connection alone
+        Given a serving site
+        When a peer sends an instance a message of 200000 levels
+        Then one line of the log tells of the failed connection
+        And a "stamp" gets the status 200 within 100 ms
+
+    Scenario Outline: of a peer's message with <fault>, <rest> is used
+        When a peer's message with <fault> is parsed
+        Then of the message <rest> is used
+
+        Examples:
+            | fault                           | rest                     |
+            | no fault                        | everything               |
+            | an odd address of a peer        | all but that peer        |
+            | a target with an odd address    | all but that target      |
+            | a target with infinite slots    | all but that target      |
+            | a changed target without end    | the target's removal     |
+            | an infinite load of a target    | no load of that target   |
+            | an infinite revision of targets | nothing                  |
+            | a digest of an infinite era     | nothing                  |
+            | no targets where a list belongs | nothing                  |
+            | a configuration of infinite limits | nothing               |
--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -3,11 +3,15 @@
  *
  * @module
  */
-import { Then, When } from "@cucumber/cucumber";
+import { After, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { TargetSnapshot } from "../../core/serving/mod.ts";
-import { waitMilliseconds } from "../../network/mod.ts";
+import { connect } from "node:net";
+import type { ServingTarget, TargetSnapshot } from "../../core/serving/mod.ts";
+import { FrameServer, parseAddress, PeerConnectionPool, waitMilliseconds } from "../../network/mod.ts";
+import { encodeFrame } from "../../protocol/mod.ts";
+import { parsePeerMessage, type PeerMessage } from "../../serving/mod.ts";
 import type { SiteTarget } from "../../support/platform/mod.ts";
+import { findAddresses } from "../../support/processes/mod.ts";
 import { createRequestId, getInstance, getSite, getTarget, siteContext } from "../support/site_context.ts";
 
 /** Name of the odd entry; it sorts between those of the services `engines` and `ledger`. */
@@ -183,3 +187,183 @@
 Then("all targets but that entry's are listed within {int} ms", async function(milliseconds: number) {
     await waitForTargets(milliseconds);
 });
+
+/** Name of the peer with the odd address, and of one that listens. */
+const ODD_PEER = "instance-7";
+const SOUND_PEER = "instance-8";
+const NO_VERSIONS = { configuration: -1, targets: 0, zones: -1 };
+
+let peerConnections: PeerConnectionPool | undefined;
+let peerServer: FrameServer | undefined;
+/** Kinds of the messages that the sound peer has received. */
+let receivedKinds: string[] = [];
+
+After(() => {
+    peerConnections?.close();
+    peerServer?.close();
+    peerConnections = undefined;
+    peerServer = undefined;
+});
+
+function buildDigest(instance: string, address: string): { kind: string; } {
+    return {
+        kind: "digest",
+        instance,
+        address,
+        work: {},
+        unreachable: [],
+        versions: NO_VERSIONS,
+        isWatching: false,
+    } as { kind: string; };
+}
+
+/** Builds the message that tells an instance an address, by its source. */
+const MESSAGES: Record<string, (address: string, soundAddress: string) => { kind: string; }> = {
+    digest: address => buildDigest(ODD_PEER, address),
+    "request of state": address => ({ kind: "ask", address, versions: NO_VERSIONS }) as { kind: string; },
+    "list of peers": address =>
+        ({ kind: "belief", instance: SOUND_PEER, peers: { [ODD_PEER]: address } }) as { kind: string; },
+    "relay address": (address, soundAddress) => ({
+        ...buildDigest(SOUND_PEER, soundAddress),
+        relayAddress: address,
+    }),
+};
+
+When(
+    /^an instance receives a (registration|digest|request of state|list of peers|relay address) with the address "(.*)"$/,
+    async function(source: string, address: string) {
+        const [soundAddress = ""] = await findAddresses(1);
+        receivedKinds = [];
+        peerServer = new FrameServer({ onMessage: (_, { kind }) => receivedKinds.push(kind) });
+        await peerServer.open(parseAddress(soundAddress));
+        if (source === "registration") {
+            getSite().store.putObject("knapweed-instances", ODD_PEER, { address });
+            await getSite().restartInstances();
+            await getSite().waitUntilReady();
+        }
+        const { host, port } = getInstance(1).settings.peerAddress;
+        peerConnections = new PeerConnectionPool({ self: SOUND_PEER });
+        peerConnections.send(`${host}:${port}`, buildDigest(SOUND_PEER, soundAddress));
+        const message = MESSAGES[source]?.(address, soundAddress);
+        if (message !== undefined) {
+            peerConnections.send(`${host}:${port}`, message);
+        }
+    },
+);
+
+Then("the instance sends digests to its other peers for {int} ms", async function(milliseconds: number) {
+    await waitMilliseconds(milliseconds);
+    const count = receivedKinds.length;
+    await waitUntil(() => receivedKinds.length > count, {
+        milliseconds: 1000,
+        message: () => `no digest has arrived after the first ${count}`,
+    });
+});
+
+When("a peer sends an instance a message of {int} levels", async function(levels: number) {
+    const { host, port } = getInstance(1).settings.peerAddress;
+    const body = Buffer.concat([Buffer.alloc(levels, 0x81), Buffer.of(0)]);
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(body.length);
+    const socket = connect({ host, port });
+    socket.on("error", () => undefined);
+    socket.end(Buffer.concat([encodeFrame({ kind: "hello", from: ODD_PEER }), length, body]));
+    await waitMilliseconds(100);
+});
+
+Then("one line of the log tells of the failed connection", function() {
+    assert.equal(getInstance(1).lines.filter(({ event }) => event === "peer connection failed").length, 1);
+});
+
+const SOUND_TARGET: ServingTarget = {
+    id: "ledger-1",
+    service: "ledger",
+    address: "127.0.0.1:80",
+    zone: "zone-a",
+    slots: 8,
+    isLeaving: false,
+    coldMilliseconds: 0,
+    startedAt: 1000,
+    softwareVersion: "v1",
+    revision: 12,
+};
+const SOUND_LIMITS = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMilliseconds: 1,
+    idleTimeoutMilliseconds: 1,
+};
+const SOUND_STATE = {
+    kind: "belief",
+    instance: "instance-2",
+    configuration: { version: 5, routes: [], services: [], limits: SOUND_LIMITS, accounts: undefined },
+    targets: { era: 1, revision: 12, changeRevision: 12, targets: [SOUND_TARGET] },
+    peers: { "instance-3": "127.0.0.1:81" },
+};
+
+function addToSnapshot(changes: Partial<ServingTarget>): unknown {
+    const odd = { ...SOUND_TARGET, id: "ledger-2", ...changes };
+    return { ...SOUND_STATE, targets: { ...SOUND_STATE.targets, targets: [odd, SOUND_TARGET] } };
+}
+
+const PEER_MESSAGES: Record<string, unknown> = {
+    "no fault": SOUND_STATE,
+    "an odd address of a peer": { ...SOUND_STATE, peers: { ...SOUND_STATE.peers, "instance-4": "127.0.0.1:99999" } },
+    "a target with an odd address": addToSnapshot({ address: "300.1.1.1:80" }),
+    "a target with infinite slots": addToSnapshot({ slots: Infinity }),
+    "a changed target without end": {
+        kind: "news",
+        instance: "instance-2",
+        targets: {
+            from: 1,
+            changeRevision: 2,
+            revision: 2,
+            changed: [{ ...SOUND_TARGET, id: "ledger-2", coldMilliseconds: Infinity }, SOUND_TARGET],
+            removed: [],
+        },
+    },
+    "an infinite load of a target": { ...buildDigest("instance-2", "127.0.0.1:80"), work: { a: [1, Infinity, 2] } },
+    "an infinite revision of targets": { ...SOUND_STATE, targets: { ...SOUND_STATE.targets, revision: Infinity } },
+    "a digest of an infinite era": {
+        ...buildDigest("instance-2", "127.0.0.1:80"),
+        versions: { ...NO_VERSIONS, targetsEra: Infinity },
+    },
+    "no targets where a list belongs": { ...SOUND_STATE, targets: JSON.parse("null") as unknown },
+    "a configuration of infinite limits": {
+        ...SOUND_STATE,
+        configuration: {
+            ...SOUND_STATE.configuration,
+            limits: { ...SOUND_LIMITS, idleTimeoutMilliseconds: Infinity },
+        },
+    },
+};
+
+/** Checks what is used of a message, by the result in the feature file. */
+const USED: Record<string, (message: PeerMessage | undefined) => void> = {
+    everything: message => assert.deepEqual(message, SOUND_STATE),
+    "all but that peer": message => assert.deepEqual(message, SOUND_STATE),
+    "all but that target": message => assert.deepEqual(message, SOUND_STATE),
+    "the target's removal": message => {
+        assert.ok(message?.kind === "news");
+        assert.deepEqual(message.targets?.changed, [SOUND_TARGET]);
+        assert.deepEqual(message.targets?.removed, ["ledger-2"]);
+    },
+    "no load of that target": message => {
+        assert.ok(message?.kind === "digest");
+        assert.deepEqual(message.work, { a: [0, 0, 0] });
+    },
+    nothing: message => assert.equal(message, undefined),
+};
+
+let parsed: PeerMessage | undefined;
+
+When(/^a peer's message with (.+) is parsed$/, function(fault: string) {
+    assert.ok(fault in PEER_MESSAGES, `no fault is called "${fault}"`);
+    parsed = parsePeerMessage(PEER_MESSAGES[fault]);
+});
+
+Then(/^of the message (.+) is used$/, function(rest: string) {
+    const check = USED[rest];
+    assert.ok(check !== undefined, `no result is called "${rest}"`);
+    check(parsed);
+});
--- a/network/frame_connection.ts
+++ b/network/frame_connection.ts
@@ -12,6 +12,8 @@
 export interface FrameConnectionOptions {
     /** Called with each received message; heartbeats are not passed on. */
     onMessage: (message: { kind: string; }) => void;
+    /** Called when received data or the handling of a message has failed, before the connection is closed. */
+    onError?: ((error: Error) => void) | undefined;
     /** Called once, when the connection is closed by either end. */
     onClose: () => void;
     /**
@@ -98,7 +100,8 @@
                 }
             }
         }
-        catch {
+        catch (error) {
+            this.#options.onError?.(error instanceof Error ? error : new Error(String(error)));
             this.close();
         }
         this.#startTimer();
--- a/network/frame_server.ts
+++ b/network/frame_server.ts
@@ -22,6 +22,8 @@
     onOpen?: (client: FrameClient) => void;
     /** Called with each message after the identifying one. */
     onMessage: (client: FrameClient, message: { kind: string; }) => void;
+    /** Called when data from a client or the handling of its message has failed; its connection is closed. */
+    onError?: (error: Error) => void;
     /** Called when the connection of an identified client is closed. */
     onClose?: (client: FrameClient) => void;
 }
@@ -51,6 +53,7 @@
             let client: FrameClient | undefined;
             const connection: FrameConnection = new FrameConnection(socket, {
                 suppressesIdleHeartbeats: this.#options.suppressesIdleHeartbeats ?? false,
+                onError: this.#options.onError,
                 onMessage: message => {
                     if (client !== undefined) {
                         this.#options.onMessage(client, message);
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -109,6 +109,9 @@
 /** Minimum interval between state requests, in milliseconds. */
 const STATE_REQUEST_INTERVAL_MILLISECONDS = 250;
 
+/** Length to which texts of unusable messages are truncated in log lines. */
+const MAX_REASON_CHARACTERS = 200;
+
 /** Exchanges digests, updates and state with the other instances. */
 export class PeerExchange {
     readonly #options: PeerExchangeOptions;
@@ -136,7 +139,11 @@
         this.#connections = new PeerConnectionPool({ self: options.instance });
         this.#server = new FrameServer({
             suppressesIdleHeartbeats: true,
-            onMessage: (_, message) => this.#handleMessage(message),
+            onMessage: (client, message) => this.#handleMessage(message, client.from),
+            onError: error => {
+                const reason = String(error).slice(0, MAX_REASON_CHARACTERS);
+                options.log.record("process", "peer connection failed", { reason });
+            },
         });
         options.state.setPositionFinder(() => this.#isPeerListKnown ? this.#findPosition() : undefined);
         options.state.storeUpdateListeners.push(update => this.#sendUpdate(update));
@@ -314,7 +321,7 @@
         this.#scheduleDigest(DigestReason.storeChanged);
     }
 
-    #handleMessage(raw: unknown): void {
+    #handleMessage(raw: { kind: string; }, from: string): void {
         const message = parsePeerMessage(raw);
         switch (message?.kind) {
             case "digest":
@@ -330,7 +337,10 @@
                 this.#handleState(message);
                 return;
             default:
-                this.#options.log.record("belief", "peer message unusable", {});
+                this.#options.log.record("belief", "peer message unusable", {
+                    peer: String(from).slice(0, MAX_REASON_CHARACTERS),
+                    kind: raw.kind.slice(0, MAX_REASON_CHARACTERS),
+                });
         }
     }
 
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -15,6 +15,14 @@
     type ToldRateStatement,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
+import {
+    ColdTimeSchema,
+    IdentifierSchema,
+    NameSchema,
+    SlotsSchema,
+    TargetAddressSchema,
+    UnixTimeSchema,
+} from "../platform/mod.ts";
 import type { StoreUpdate } from "./serving_state.ts";
 
 /** Versions of the state that an instance has. */
@@ -100,41 +108,104 @@
 /** Any message between instances. */
 export type PeerMessage = DigestMessage | UpdateMessage | StateRequestMessage | StateMessage;
 
+/** Version or revision; -1 if there is none. */
+const VersionSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(-1));
+const CountSchema = v.pipe(v.number(), v.finite(), v.minValue(0));
+const FiniteSchema = v.pipe(v.number(), v.finite());
+
 const VersionsSchema = v.object({
-    configuration: v.number(),
-    targets: v.number(),
-    targetsEra: v.optional(v.number(), 0),
-    zones: v.number(),
-    zonesEra: v.optional(v.number(), 0),
+    configuration: VersionSchema,
+    targets: VersionSchema,
+    targetsEra: v.optional(VersionSchema, 0),
+    zones: VersionSchema,
+    zonesEra: v.optional(VersionSchema, 0),
 });
 const QuarantinedSchema = v.array(
-    v.object({ part: v.string(), remainingMilliseconds: v.number(), crashes: v.number() }),
+    v.object({ part: v.string(), remainingMilliseconds: FiniteSchema, crashes: CountSchema }),
 );
 const CrashEvidenceSchema = v.object({
     crashes: v.array(v.object({
         part: v.string(),
-        position: v.number(),
+        position: FiniteSchema,
         target: v.string(),
-        startedAt: v.number(),
-        ageMilliseconds: v.number(),
+        startedAt: FiniteSchema,
+        ageMilliseconds: FiniteSchema,
     })),
     sound: v.array(v.string()),
     quarantined: QuarantinedSchema,
 });
 const RateStatementsSchema = v.array(v.object({
     id: v.string(),
-    startedAt: v.number(),
-    requestsPerSecond: v.optional(v.number()),
-    sentAgoMilliseconds: v.number(),
-    heardAgoMilliseconds: v.number(),
+    startedAt: FiniteSchema,
+    requestsPerSecond: v.optional(CountSchema),
+    sentAgoMilliseconds: FiniteSchema,
+    heardAgoMilliseconds: FiniteSchema,
 }));
-const LoadDigestSchema = v.record(v.string(), v.tuple([v.number(), v.number(), v.number()]));
+/** Load on each target; one that is no load counts as none. */
+const LoadDigestSchema = v.record(
+    v.string(),
+    v.fallback(v.tuple([CountSchema, CountSchema, CountSchema]), [0, 0, 0]),
+);
+
+/** Targets; a peer of an earlier release may forward one that the store's adapter does not accept. */
+const TargetsSchema = v.array(v.looseObject({ id: v.string() }));
+const TargetSchema = v.object({
+    id: IdentifierSchema,
+    service: NameSchema,
+    address: TargetAddressSchema,
+    zone: NameSchema,
+    slots: SlotsSchema,
+    isLeaving: v.boolean(),
+    coldMilliseconds: ColdTimeSchema,
+    startedAt: UnixTimeSchema,
+    softwareVersion: v.optional(v.string()),
+    revision: v.optional(VersionSchema),
+});
+const SnapshotSchema = v.object({
+    era: v.optional(VersionSchema),
+    revision: VersionSchema,
+    changeRevision: v.optional(VersionSchema),
+    targets: v.pipe(TargetsSchema, v.filterItems(isUsableTarget)),
+});
+const TargetEventsSchema = v.pipe(
+    v.object({
+        era: v.optional(VersionSchema),
+        from: VersionSchema,
+        changeRevision: VersionSchema,
+        revision: VersionSchema,
+        changed: TargetsSchema,
+        removed: v.array(v.string()),
+    }),
+    v.transform(events => {
+        const changed = events.changed.filter(isUsableTarget);
+        const unusable = events.changed.filter(target => !isUsableTarget(target)).map(({ id }) => id);
+        return { ...events, changed, removed: [...events.removed, ...unusable] };
+    }),
+);
+const ZonesSchema = v.object({
+    era: v.optional(VersionSchema),
+    revision: VersionSchema,
+    changeRevision: VersionSchema,
+    zones: v.array(v.string()),
+    held: v.optional(v.array(v.string())),
+});
+const ConfigurationSchema = v.looseObject({
+    version: VersionSchema,
+    routes: v.array(v.looseObject({ name: v.string(), host: v.string(), pathPrefix: v.string() })),
+    services: v.array(v.looseObject({ name: v.string() })),
+    limits: v.object({
+        maxHeaderBytes: CountSchema,
+        maxBodyBytes: CountSchema,
+        headerTimeoutMilliseconds: CountSchema,
+        idleTimeoutMilliseconds: CountSchema,
+    }),
+});
 
 const MessageSchema = v.variant("kind", [
     v.object({
         kind: v.literal("digest"),
         instance: v.string(),
-        address: v.string(),
+        address: TargetAddressSchema,
         work: LoadDigestSchema,
         unreachable: v.array(v.string()),
         leaving: v.optional(v.array(v.object({ id: v.string(), startedAt: v.number() })), []),
@@ -144,27 +215,36 @@
         baselines: v.optional(v.record(v.string(), v.string()), {}),
         versions: VersionsSchema,
         isWatching: v.boolean(),
-        relayAddress: v.optional(v.string(), ""),
+        relayAddress: v.fallback(v.union([v.literal(""), TargetAddressSchema]), ""),
     }),
     v.object({
         kind: v.literal("news"),
         instance: v.string(),
-        configuration: v.optional(v.custom<ServingConfiguration>(value => typeof value === "object")),
-        targets: v.optional(v.custom<NonNullable<StoreUpdate["targets"]>>(value => typeof value === "object")),
-        zones: v.optional(v.custom<ZoneSnapshot>(value => typeof value === "object")),
+        configuration: v.optional(ConfigurationSchema),
+        targets: v.optional(TargetEventsSchema),
+        zones: v.optional(ZonesSchema),
     }),
-    v.object({ kind: v.literal("ask"), address: v.string(), versions: VersionsSchema }),
+    v.object({ kind: v.literal("ask"), address: TargetAddressSchema, versions: VersionsSchema }),
     v.object({
         kind: v.literal("belief"),
         instance: v.string(),
-        configuration: v.optional(v.custom<ServingConfiguration>(value => typeof value === "object")),
-        targets: v.optional(v.custom<TargetSnapshot>(value => typeof value === "object")),
-        zones: v.optional(v.custom<ZoneSnapshot>(value => typeof value === "object")),
+        configuration: v.optional(ConfigurationSchema),
+        targets: v.optional(SnapshotSchema),
+        zones: v.optional(ZonesSchema),
         quarantined: v.optional(QuarantinedSchema),
-        peers: v.record(v.string(), v.string()),
+        peers: v.pipe(v.record(v.string(), v.string()), v.transform(filterPeers)),
     }),
 ]);
 
+function isUsableTarget(target: unknown): boolean {
+    return v.is(TargetSchema, target);
+}
+
+/** Filters the peers with an address to which connections can be opened. */
+function filterPeers(peers: Record<string, string>): Record<string, string> {
+    return Object.fromEntries(Object.entries(peers).filter(([, address]) => v.is(TargetAddressSchema, address)));
+}
+
 /** Parses a message from a peer; returns `undefined` if it is malformed. */
 export function parsePeerMessage(message: unknown): PeerMessage | undefined {
     const result = v.safeParse(MessageSchema, message);
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -7,7 +7,15 @@
 import type { Clock } from "../core/clock/mod.ts";
 import { DigestReason } from "../core/serving/mod.ts";
 import { type OpenConnection, openHttpServer, openObservedConnection, waitMilliseconds } from "../network/mod.ts";
-import { decodePeer, encodePeer, type InstanceSettings, StoreClient, StoreKind } from "../platform/mod.ts";
+import {
+    decodePeer,
+    encodePeer,
+    type InstanceSettings,
+    type PeerRegistration,
+    StoreClient,
+    StoreKind,
+    type StoreObject,
+} from "../platform/mod.ts";
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import { CallerServer } from "./caller_server.ts";
@@ -74,6 +82,7 @@
     readonly #clock: Clock;
     readonly #state: ServingState;
     readonly #store: StoreClient;
+    readonly #malformedObjects: MalformedObjectLog;
     readonly #storeWatcher: StoreWatcher;
     readonly #peerExchange: PeerExchange;
     readonly #quarantineStore: QuarantineStore;
@@ -106,10 +115,10 @@
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
         });
-        const malformedObjects = new MalformedObjectLog(log);
+        this.#malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
             address: settings.storeAddress,
-            onMalformed: object => malformedObjects.record(object),
+            onMalformed: object => this.#malformedObjects.record(object),
         });
         const shared = { state: this.#state, log, metrics: this.#metrics, clock, random };
         this.#storeWatcher = new StoreWatcher({
@@ -375,7 +384,7 @@
             }
             const listed = isRegistered ? await this.#store.listObjects(StoreKind.instances) : undefined;
             if (listed?.kind === "ok") {
-                const peers = listed.value.objects.flatMap(object => decodePeer(object) ?? []);
+                const peers = listed.value.objects.flatMap(object => this.#decodePeers(object));
                 this.#peerExchange.addListedPeers(peers);
                 this.#log.record("process", "instances listed", {
                     count: peers.length,
@@ -386,4 +395,13 @@
             await waitMilliseconds(REGISTRATION_RETRY_MILLISECONDS);
         }
     }
+    #decodePeers(object: StoreObject): PeerRegistration[] {
+        const peer = decodePeer(object);
+        if (peer === undefined) {
+            const { name, revision } = object;
+            this.#malformedObjects.record({ kind: StoreKind.instances, name, revision });
+            return [];
+        }
+        return [peer];
+    }
 }
