--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -103,3 +103,33 @@
             | a digest of an infinite era     | nothing                  |
             | no targets where a list belongs | nothing                  |
             | a configuration of infinite limits | nothing               |
+
+    # "100" and "2" are what a sound report states of its waiting requests and of the events of its only generation.
+    Scenario Outline: an engine's report with <fault> counts as <result>
+        When an engine answers a call for its report with <fault>
+        Then the report counts as <result>
+
+        Examples:
+            | fault                          | result                                   |
+            | no fault                       | sound                                    |
+            | a very deep value              | sound                                    |
+            | an infinite time until it ends | one without a time until it ends         |
+            | a negative time until it ends  | one that ends at once                    |
+            | infinite waiting requests      | none                                     |
+            | a deep value in place of runs  | none                                     |
+            | a generation of infinite size  | one without that generation              |
+            | a generation that is a number  | one without that generation              |
+
+    # A handle is sent in a header and in a path, where it threw.
+    Scenario Outline: an answer to a step of a move with <fault> counts as <result>
+        When an engine answers a step of a move with <fault>
+        Then the step counts as "<result>"
+
+        Examples:
+            | fault                              | result     |
+            | no fault                           | copied     |
+            | a handle with a line break         | unanswered |
+            | a handle that is no Unicode text   | unanswered |
+            | a very deep handle                 | unanswered |
+            | infinite events                    | unanswered |
+            | a negative number of events        | unanswered |
--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -5,12 +5,23 @@
  */
 import { After, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
 import { connect } from "node:net";
-import type { ServingTarget, TargetSnapshot } from "../../core/serving/mod.ts";
-import { FrameServer, parseAddress, PeerConnectionPool, waitMilliseconds } from "../../network/mod.ts";
+import type { RunningGeneration, ServingTarget, TargetSnapshot } from "../../core/serving/mod.ts";
+import { FrameServer, openHttpServer, parseAddress, PeerConnectionPool, waitMilliseconds } from "../../network/mod.ts";
+import {
+    type CallerRequest,
+    decodeCallerRequest,
+    decodeTargetNotice,
+    type EngineReport,
+    fetchReport,
+    type MoveStepResponse,
+    sendMoveStep,
+    type TargetNotice,
+} from "../../platform/mod.ts";
 import { encodeFrame } from "../../protocol/mod.ts";
 import { parsePeerMessage, type PeerMessage } from "../../serving/mod.ts";
-import type { SiteTarget } from "../../support/platform/mod.ts";
+import { buildSiteConfiguration, type SiteTarget } from "../../support/platform/mod.ts";
 import { findAddresses } from "../../support/processes/mod.ts";
 import { createRequestId, getInstance, getSite, getTarget, siteContext } from "../support/site_context.ts";
 
@@ -22,6 +33,9 @@
 /** Time within which the first line about an odd entry is logged, in milliseconds. */
 const LOG_WAIT_MILLISECONDS = 500;
 
+/** Time within which an instance has applied the limits of a configuration, in milliseconds. */
+const LIMITS_WAIT_MILLISECONDS = 200;
+
 /** JSON texts of the parts of an object. */
 interface ObjectTexts {
     name: string;
@@ -367,3 +381,163 @@
     assert.ok(check !== undefined, `no result is called "${rest}"`);
     check(parsed);
 });
+
+/** Text in the JSON of a configuration that a value replaces, by the value. */
+const CONFIGURATION_PATTERNS: Record<string, { pattern: RegExp; format: (text: string) => string; }> = {
+    "idle timeout": { pattern: /"idle_timeout_ms":\d+/, format: text => `"idle_timeout_ms":${text}` },
+    "time to read headers": { pattern: /"header_timeout_ms":\d+/, format: text => `"header_timeout_ms":${text}` },
+    "largest body": { pattern: /"max_body_bytes":\d+/, format: text => `"max_body_bytes":${text}` },
+    "version": { pattern: /"version":\d+/, format: text => `"version":${text}` },
+    "list of routes": { pattern: /"routes":\[/, format: text => `"routes":[${text},` },
+    "number of engine slots": { pattern: /"slots":\d+/, format: text => `"slots":${text}` },
+    "timeout of the routes": { pattern: /"timeout_ms":\d+/g, format: text => `"timeout_ms":${text}` },
+    "weight of a split": {
+        pattern: /"service":"ledger"/,
+        format: text => `"split":[{"service":"ledger","weight":${text}}]`,
+    },
+};
+
+When(
+    /^another writer writes configuration version (\d+) whose (.+) is (.+)$/,
+    function(version: string, value: string, text: string) {
+        const replacement = CONFIGURATION_PATTERNS[value];
+        assert.ok(replacement !== undefined, `no value is called "${value}"`);
+        const sound = JSON.stringify(buildSiteConfiguration(Number(version)));
+        const odd = replacement.format(text === "a very deep value" ? DEEP_TEXT : text);
+        const spec = sound.replace(replacement.pattern, odd);
+        assert.notEqual(spec, sound);
+        getSite().store.putText(
+            "config",
+            "main",
+            ({ name, revision }) => formatObject({ name: JSON.stringify(name), revision: String(revision), spec }),
+        );
+    },
+);
+
+Then("one line of the log tells of the configuration", async function() {
+    await waitUntil(() => countOddLines() === 1, {
+        milliseconds: LOG_WAIT_MILLISECONDS,
+        message: () => `${countOddLines()} lines tell of the configuration`,
+    });
+});
+
+Then(
+    "{int} callers of a {string} are served, and the version in force is {int}",
+    async function(count: number, kind: string, version: number) {
+        // The limits of a configuration are applied periodically.
+        await waitMilliseconds(LIMITS_WAIT_MILLISECONDS);
+        for (let index = 0; index < count; index += 1) {
+            const { status } = await getSite().call({ kind, id: createRequestId() });
+            assert.equal(status, 200);
+        }
+        assert.equal(getInstance(1).process.dumpState().configuration, version);
+    },
+);
+
+const SOUND_REPORT = "{\"leaves_ms\":900,\"queued\":100,\"active\":1,\"runs\":[[\"a\",30,2,5]]}";
+const SOUND_GENERATION: RunningGeneration = { requestId: "a", tokens: 30, events: 2 };
+
+const REPORTS: Record<string, string> = {
+    "no fault": SOUND_REPORT,
+    "a very deep value": SOUND_REPORT.replace("{", `{"models":${DEEP_TEXT},`),
+    "an infinite time until it ends": SOUND_REPORT.replace("900", "1e999"),
+    "a negative time until it ends": SOUND_REPORT.replace("900", "-1"),
+    "infinite waiting requests": SOUND_REPORT.replace("100", "1e999"),
+    "a deep value in place of runs": SOUND_REPORT.replace(/\[\[.*\]\]/, "{\"a\":7}"),
+    "a generation of infinite size": SOUND_REPORT.replace("30", "1e999"),
+    "a generation that is a number": SOUND_REPORT.replace(/\[\[.*\]\]/, "[7]"),
+};
+
+const SOUND_STEP = "{\"handle\":\"h-1\",\"created\":3}";
+const STEPS: Record<string, string> = {
+    "no fault": SOUND_STEP,
+    "a handle with a line break": SOUND_STEP.replace("h-1", "h\\r\\nx: y"),
+    "a handle that is no Unicode text": SOUND_STEP.replace("h-1", "h\\ud800"),
+    "a very deep handle": SOUND_STEP.replace("\"h-1\"", DEEP_TEXT),
+    "infinite events": SOUND_STEP.replace("3", "1e999"),
+    "a negative number of events": SOUND_STEP.replace("3", "-3"),
+};
+
+/** Calls an engine that answers with a text. */
+async function callEngine<Result>(text: string, call: (address: string) => Promise<Result>): Promise<Result> {
+    const [address = ""] = await findAddresses(1);
+    const server = await openHttpServer({
+        address: parseAddress(address),
+        handler: (_, response) => {
+            response.writeHead(200, { "content-type": "application/json" });
+            response.end(text);
+        },
+    });
+    const result = await call(address);
+    server.close();
+    server.closeAllConnections();
+    return result;
+}
+
+let report: EngineReport | undefined;
+let stepResponse: MoveStepResponse | undefined;
+let notice: TargetNotice | undefined;
+let callerRequest: CallerRequest | undefined;
+
+When(/^an engine answers a call for its report with (.+)$/, async function(fault: string) {
+    const text = REPORTS[fault];
+    assert.ok(text !== undefined, `no fault is called "${fault}"`);
+    report = await callEngine(text, address => fetchReport(address, { timeoutMilliseconds: 2000 }));
+});
+
+Then(/^the report counts as (.+)$/, function(result: string) {
+    const sound = { isLeaving: false, waitingRequests: 100, leavesInMilliseconds: 900, runs: [SOUND_GENERATION] };
+    const expected: Record<string, EngineReport | undefined> = {
+        "sound": sound,
+        "one without a time until it ends": { ...sound, leavesInMilliseconds: undefined },
+        "one that ends at once": { ...sound, leavesInMilliseconds: 0 },
+        // The generation still occupies a slot.
+        "one without that generation": { ...sound, runs: [] },
+        "none": undefined,
+    };
+    assert.ok(result in expected, `no result is called "${result}"`);
+    assert.deepEqual(report, expected[result]);
+});
+
+When(/^an engine answers a step of a move with (.+)$/, async function(fault: string) {
+    const text = STEPS[fault];
+    assert.ok(text !== undefined, `no fault is called "${fault}"`);
+    const step = { destination: "127.0.0.1:80", requestId: "a", isFinal: false, timeoutMilliseconds: 2000 };
+    stepResponse = await callEngine(text, source => sendMoveStep({ ...step, source }));
+});
+
+Then("the step counts as {string}", function(kind: string) {
+    assert.equal(stepResponse?.kind, kind);
+});
+
+function buildMessage(name: string, value: string): IncomingMessage {
+    const headers = { [name]: value === "400 digits" ? "9".repeat(400) : value };
+    return { statusCode: 503, headers, rawHeaders: [] } as unknown as IncomingMessage;
+}
+
+When("a response of a target with the header {string} of {string} is decoded", function(name: string, value: string) {
+    notice = decodeTargetNotice(buildMessage(name, value));
+});
+
+Then(/^it states (.+)$/, function(result: string) {
+    const { backpressureMilliseconds: pause, requestsPerSecond: limit } = notice ?? {};
+    const stated = [
+        pause === undefined ? "no pause" : `a pause of ${pause} ms`,
+        limit === undefined ? "no limit" : `a limit of ${limit}`,
+    ];
+    assert.ok(stated.includes(result), `it states ${stated.join()}`);
+});
+
+When("a caller's request with the header {string} of {string} is decoded", function(name: string, value: string) {
+    callerRequest = decodeCallerRequest(buildMessage(name, value), Buffer.alloc(0));
+});
+
+Then(/^of the caller's header (.+) is used$/, function(result: string) {
+    const { size, timeoutMilliseconds } = callerRequest ?? {};
+    const used = timeoutMilliseconds !== undefined
+        ? `a timeout of ${timeoutMilliseconds} ms`
+        : size === undefined
+        ? "no size"
+        : `a size of ${size.promptTokens} and ${size.maxOutputTokens}`;
+    assert.equal(used, result);
+});
