Bound the pause and the rate that a target's headers state

Callers of a service would be refused for good: a Retry-After of 400 digits is an infinite pause of its target, and one of eleven digits a pause of years. A Server-Limit of 400 digits was told to all peers as an infinite number.

A pause holds for ten minutes at most, after which the target may ask again; a limit beyond all rates counts as none.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -133,3 +133,16 @@
             | a very deep handle                 | unanswered |
             | infinite events                    | unanswered |
             | a negative number of events        | unanswered |
+
+    Scenario Outline: a target's response with the header "<name>" of "<value>" states <result>
+        When a response of a target with the header "<name>" of "<value>" is decoded
+        Then it states <result>
+
+        Examples:
+            | name         | value | result                       |
+            | retry-after  | 0.5   | a pause of 500 ms            |
+            | retry-after  | 1e9   | no pause                     |
+            | retry-after  | 400 digits | a pause of 600000 ms    |
+            | retry-after  | 99999999999 | a pause of 600000 ms   |
+            | server-limit | 20    | a limit of 20                |
+            | server-limit | 400 digits | no limit                |
