Take no negative or endless sizes and timeouts from callers' headers

A Deadline-Ms of more than 2^32 ms threw where the timer is set, if the route has no timeout of its own.

Sizes out of range count as not stated, as text that is no number did before; timeouts are cut to what a timer takes.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -146,3 +146,17 @@
             | retry-after  | 99999999999 | a pause of 600000 ms   |
             | server-limit | 20    | a limit of 20                |
             | server-limit | 400 digits | no limit                |
+
+    Scenario Outline: a caller's header "<name>" of "<value>" counts as <result>
+        When a caller's request with the header "<name>" of "<value>" is decoded
+        Then of the caller's header <result> is used
+
+        Examples:
+            | name         | value       | result                    |
+            | token-counts | 100,48      | a size of 100 and 48      |
+            | token-counts | -100,48     | no size                   |
+            | token-counts | 1e300,48    | no size                   |
+            | token-counts | 100,1e999   | no size                   |
+            | deadline-ms  | 3000        | a timeout of 3000 ms      |
+            | deadline-ms  | 1e300       | a timeout of 2147483647 ms |
+            | deadline-ms  | -5          | a timeout of 0 ms         |
