Keep the former configuration if a new one holds a number that no timer or count takes

Callers would see refused connections: by reading, an idle timeout without end throws in Node.js when the next response finishes, which ends the process, and a version without end is never followed by a newer one, here and at all peers.

Cause: the numbers of a configuration were checked for being numbers, which includes infinite ones.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -104,6 +104,27 @@
             | no targets where a list belongs | nothing                  |
             | a configuration of infinite limits | nothing               |
 
+    # An idle timeout that no timer takes ended the process with the next response.
+    Scenario Outline: a configuration whose <value> is <text> is not adopted, and the former stays in force
+        Given a serving site
+        When another writer writes configuration version 9 whose <value> is <text>
+        Then one line of the log tells of the configuration
+        And 6 callers of a "stamp" are served, and the version in force is 5
+        When the operator writes configuration version 12 without the route "lookup"
+        Then a "lookup" gets the status 404 within 1500 ms
+
+        Examples:
+            | value                    | text              |
+            | idle timeout             | 1e999             |
+            | idle timeout             | -1                |
+            | time to read headers     | 1e999             |
+            | largest body             | 1e999             |
+            | version                  | 1e999             |
+            | list of routes           | a very deep value |
+            | number of engine slots   | 1e999             |
+            | timeout of the routes    | -1e999            |
+            | weight of a split        | 1e999             |
+
     # "100" and "2" are what a sound report states of its waiting requests and of the events of its only generation.
     Scenario Outline: an engine's report with <fault> counts as <result>
         When an engine answers a call for its report with <fault>
