--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -7,12 +7,21 @@
 import type { Clock } from "../core/clock/mod.ts";
 import { DigestReason } from "../core/serving/mod.ts";
 import { type OpenConnection, openHttpServer, openObservedConnection, waitMilliseconds } from "../network/mod.ts";
-import { decodePeer, encodePeer, type InstanceSettings, StoreClient, StoreKind } from "../platform/mod.ts";
+import {
+    decodePeer,
+    encodePeer,
+    type InstanceSettings,
+    type PeerRegistration,
+    StoreClient,
+    StoreKind,
+    type StoreObject,
+} from "../platform/mod.ts";
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
 import { CallerServer } from "./caller_server.ts";
 import { EngineClient } from "./engine_client.ts";
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
+import { MalformedObjectLog } from "./malformed_object_log.ts";
 import { MoveCoordinator } from "./move_coordinator.ts";
 import { PartitionMonitor } from "./partition_monitor.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -73,6 +82,7 @@
     readonly #clock: Clock;
     readonly #state: ServingState;
     readonly #store: StoreClient;
+    readonly #malformedObjects: MalformedObjectLog;
     readonly #storeWatcher: StoreWatcher;
     readonly #peerExchange: PeerExchange;
     readonly #quarantineStore: QuarantineStore;
@@ -113,9 +123,10 @@
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
         });
+        this.#malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
             address: settings.storeAddress,
-            onMalformed: (kind, reason) => log.record("belief", "store object unreadable", { kind, reason }),
+            onMalformed: object => this.#malformedObjects.record(object),
         });
         const shared = { state: this.#state, log, metrics: this.#metrics, clock, random };
         this.#storeWatcher = new StoreWatcher({
@@ -386,7 +397,7 @@
             }
             const listed = isRegistered ? await this.#store.listObjects(StoreKind.instances) : undefined;
             if (listed?.kind === "ok") {
-                const peers = listed.value.objects.flatMap(object => decodePeer(object) ?? []);
+                const peers = listed.value.objects.flatMap(object => this.#decodePeers(object));
                 this.#peerExchange.addListedPeers(peers);
                 this.#log.record("process", "instances listed", {
                     count: peers.length,
@@ -397,4 +408,13 @@
             await waitMilliseconds(REGISTRATION_RETRY_MILLISECONDS);
         }
     }
+    #decodePeers(object: StoreObject): PeerRegistration[] {
+        const peer = decodePeer(object);
+        if (peer === undefined) {
+            const { name, revision } = object;
+            this.#malformedObjects.record({ kind: StoreKind.instances, name, revision });
+            return [];
+        }
+        return [peer];
+    }
 }
