Do not take another generation's refusal for a refusal of the request

What callers would see on the own interface: "not run" for a generation that its engine may be running, if the engine writes a refusal that names another generation.

Cause: the client of engines compared the generation only with that of the events. It opens a connection for each call, so that no earlier refusal can be copied there, but a faulty engine may write one to the wrong connection.

Change: the client asks findResponseDoubt, as the serving process does. A refusal that names no generation is believed as before.

Evidence: npm test -- @one-generation: before 34 passed, 1 failed ("refuses another generation": progress "refused"); 35 passed, 0 failed with the change. The client of services compares its echoed id already (contract scenarios).

--- a/features/contracts/engine.feature
+++ b/features/contracts/engine.feature
@@ -11,6 +11,7 @@
             | sends two tokens and the end           | 2      | done   | none          |
             | refuses the connection                 | 0      | broken | not-connected |
             | refuses the request                    | 0      | broken | refused       |
+            | refuses another generation             | 0      | broken | answering     |
             | does not know the generation           | 0      | broken | refused       |
             | fails                                  | 0      | broken | answering     |
             | closes the connection after one token  | 1      | broken | answering     |
--- a/features/steps/gateway_client_steps.ts
+++ b/features/steps/gateway_client_steps.ts
@@ -31,6 +31,7 @@
         response.end("data: [DONE]\n\n");
     },
     "refuses the request": response => void response.writeHead(503).end(),
+    "refuses another generation": response => void response.writeHead(503, { "x-generation-id": "other" }).end(),
     "does not know the generation": response => void response.writeHead(404).end(),
     "fails": response => void response.writeHead(500).end(),
     "closes the connection after one token": response => {
@@ -94,7 +95,7 @@
 }
 
 When(
-    /^an engine (sends two tokens and the end|refuses the connection|refuses the request|does not know the generation|fails|closes the connection after one token|ends the stream without the last event|stops sending after one token|accepts the request and never responds|sends invalid lines and then a token)$/,
+    /^an engine (sends two tokens and the end|refuses the connection|refuses the request|refuses another generation|does not know the generation|fails|closes the connection after one token|ends the stream without the last event|stops sending after one token|accepts the request and never responds|sends invalid lines and then a token)$/,
     async function(fault: string) {
         const [address = ""] = await findAddresses(1);
         const respond = ENGINE_RESPONSES[fault];
--- a/gateway/engine_client.ts
+++ b/gateway/engine_client.ts
@@ -6,7 +6,7 @@
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { type IncomingMessage, request as startRequest } from "node:http";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
-import { AttemptProgress } from "../core/verdict/mod.ts";
+import { AttemptProgress, findResponseDoubt } from "../core/verdict/mod.ts";
 import { parseAddress } from "../network/mod.ts";
 
 /** An event of an engine's stream: a token, or the end of the generation. */
@@ -54,6 +54,8 @@
 /** Data of the event that ends a stream. */
 const DONE_DATA = "[DONE]";
 const STATUS_OK = 200;
+/** Header that carries the identifier of the generation, in requests and in responses. */
+const GENERATION_HEADER = "x-generation-id";
 /** Statuses with which an engine refuses a request before running any of it. */
 const REFUSAL_STATUSES = new Set([400, 404, 409, 422, 429, 503]);
 
@@ -69,10 +71,16 @@
     if (response.statusCode !== STATUS_OK) {
         response.destroy();
         const status = response.statusCode ?? 0;
-        const statusProgress = REFUSAL_STATUSES.has(status) ? AttemptProgress.refused : AttemptProgress.answering;
+        const doubt = findResponseDoubt({
+            requestId: request.generation,
+            namedRequestId: response.headers[GENERATION_HEADER]?.toString(),
+            isReusedConnection: false,
+        });
+        const isRefusal = REFUSAL_STATUSES.has(status) && doubt === undefined;
+        const statusProgress = isRefusal ? AttemptProgress.refused : AttemptProgress.answering;
         throw new EngineStreamError(`The engine answered with status ${status}.`, { progress: statusProgress, status });
     }
-    const generation = String(response.headers["x-generation-id"] ?? "");
+    const generation = String(response.headers[GENERATION_HEADER] ?? "");
     const events: EngineEvent[] = [];
     const parser = createParser({ onEvent: event => events.push(parseEvent(event, generation)) });
     const decoder = new TextDecoder();
@@ -116,7 +124,7 @@
             headers: {
                 "content-type": "application/json",
                 "content-length": body?.length ?? 0,
-                "x-generation-id": generation,
+                [GENERATION_HEADER]: generation,
                 "x-priority": String(priority),
                 ...resumeHeaders,
             },
