Test the ends of streams: each framing with each end of a target, on each path

What callers would see: a stream of a target without a length and chunks that was replaced, restarted or went silent in the middle of it looks complete, at the first target, at the second, after the caller's resumption, after a move and through another instance. An answer without an event completes a stream of which more is left; the text of an error that reads like an event is relayed in the middle of a stream; a signed answer that is no stream reaches nobody.

The callers read to the end and compare the bytes with the list of events that targets make. Targets are child processes, so that a kill and a stop are those of the system. All callers of a path read side by side on one site, each at a service of its own; a scenario checks one of them.

--- a/support/platform/mod.ts
+++ b/support/platform/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from "./ending_site.ts";
+export * from "./ending_target.ts";
 export * from "./serving_site.ts";
 export * from "./settings_text.ts";
 export * from "./store_stand_in.ts";
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -84,6 +84,10 @@
 /** First event of each stream. */
 const FIRST_EVENT = formatEvent(1);
 
+/** An error response as a whole, which a faulty target writes in the middle of another response. */
+const ERROR_RESPONSE = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 30\r\n\r\n"
+    + "error: the worker has failed\n\n";
+
 /** Size of one write of an endless response, in bytes. */
 const ENDLESS_WRITE_BYTES = 16 * 1024;
 /** Interval between the bytes of a response that trickles, in milliseconds. */
@@ -218,6 +222,38 @@
         void request.socket.end(
             formatSignedHead(readRequestId(request), "transfer-encoding: identity\r\nconnection: close"),
         ),
+    "an error that the request has no such path": (target, request, response) =>
+        target.sendResponse(request, response, { status: 404 }),
+    "an answer that is no stream": (target, request, response) => {
+        response.setHeader("content-type", "application/json");
+        target.sendResponse(request, response, { status: 200 });
+    },
+    "an answer that reads like an event": (target, request, response) => {
+        target.writeHead(request, response, { "content-type": "text/plain" });
+        response.end("error: the worker has failed\n\n");
+    },
+    "an empty answer with a length": (target, request, response) => {
+        target.writeHead(request, response, { "content-type": "text/event-stream", "content-length": "0" });
+        response.end();
+    },
+    "an empty answer in chunks": (target, request, response) => {
+        target.writeHead(request, response, { "content-type": "text/event-stream" });
+        response.end();
+    },
+    "an error between two chunks": (_, request) =>
+        void request.socket.write(
+            formatSignedHead(readRequestId(request), "content-type: text/event-stream\r\ntransfer-encoding: chunked")
+                + formatChunk(formatEvent(Number(request.headers["last-event-id"] ?? 0) + 1)) + ERROR_RESPONSE,
+        ),
+    "an error between two events without a length": (_, request) =>
+        void request.socket.end(
+            formatSignedHead(readRequestId(request), "content-type: text/event-stream\r\nconnection: close")
+                + formatEvent(Number(request.headers["last-event-id"] ?? 0) + 1) + ERROR_RESPONSE,
+        ),
+    "a stream with an error in a chunk": (target, request, response) => {
+        target.writeHead(request, response, { "content-type": "text/event-stream" });
+        response.end(formatEvent(Number(request.headers["last-event-id"] ?? 0) + 1) + ERROR_RESPONSE);
+    },
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
