Test errors in the first response of a stream, and the text of an error in the middle of a stream

What callers would see: text that a faulty target writes between two events and that reads like a field ("error: ...") is relayed as an event, and the stream ends as a complete one. An empty 200 response to a narrative looks complete.

--- a/features/platform/answer_ends.feature
+++ b/features/platform/answer_ends.feature
@@ -206,70 +206,88 @@
         And the caller gets the rest when it resumes the stream
 
         Examples:
-            | answer                                       |
-            | a failure                                    |
-            | a failure that looks like a promise          |
-            | a refusal                                    |
-            | an error that the request has no such path   |
-            | an answer that is no stream                  |
-            | an answer that reads like an event           |
-            | an empty answer with a length                |
-            | an empty answer in chunks                    |
-            | an error between two chunks                  |
-            | an error between two events without a length |
-            | a stream with an error in a chunk            |
+            | answer                                        |
+            | a failure                                     |
+            | a failure that looks like a promise           |
+            | a refusal                                     |
+            | an error that the request has no such path    |
+            | an answer that is no stream                   |
+            | an answer that reads like an event            |
+            | an empty answer with a length                 |
+            | an empty answer in chunks                     |
+            | an error between two chunks                   |
+            | an error between two events without a length  |
+            | a stream with an error in a chunk             |
+            | a stream with the text of an error in a chunk |
 
     Scenario Outline: a verdict whose events wait for a slow store while its target breaks off, and whose second target sends <answer>, contains none of it
         When callers read verdicts that wait for a slow store to the end
         Then the caller whose target sends <answer> has got fewer events, not as a complete response
 
         Examples:
-            | answer                                       |
-            | a failure                                    |
-            | a failure that looks like a promise          |
-            | a refusal                                    |
-            | an error that the request has no such path   |
-            | an answer that is no stream                  |
-            | an answer that reads like an event           |
-            | an empty answer with a length                |
-            | an empty answer in chunks                    |
-            | an error between two chunks                  |
-            | an error between two events without a length |
-            | a stream with an error in a chunk            |
+            | answer                                        |
+            | a failure                                     |
+            | a failure that looks like a promise           |
+            | a refusal                                     |
+            | an error that the request has no such path    |
+            | an answer that is no stream                   |
+            | an answer that reads like an event            |
+            | an empty answer with a length                 |
+            | an empty answer in chunks                     |
+            | an error between two chunks                   |
+            | an error between two events without a length  |
+            | a stream with an error in a chunk             |
+            | a stream with the text of an error in a chunk |
 
     Scenario Outline: a verdict through another instance whose second target sends <answer> contains none of it
         When callers read verdicts through another instance to the end
         Then the caller whose target sends <answer> has got fewer events, not as a complete response
 
         Examples:
-            | answer                                       |
-            | a failure                                    |
-            | a failure that looks like a promise          |
-            | a refusal                                    |
-            | an error that the request has no such path   |
-            | an answer that is no stream                  |
-            | an answer that reads like an event           |
-            | an empty answer with a length                |
-            | an empty answer in chunks                    |
-            | an error between two chunks                  |
-            | an error between two events without a length |
-            | a stream with an error in a chunk            |
+            | answer                                        |
+            | a failure                                     |
+            | a failure that looks like a promise           |
+            | a refusal                                     |
+            | an error that the request has no such path    |
+            | an answer that is no stream                   |
+            | an answer that reads like an event            |
+            | an empty answer with a length                 |
+            | an empty answer in chunks                     |
+            | an error between two chunks                   |
+            | an error between two events without a length  |
+            | a stream with an error in a chunk             |
+            | a stream with the text of an error in a chunk |
 
     Scenario Outline: a narrative that is moved to a target that sends <answer> contains none of it
         When callers read narratives that are moved to them to the end
         Then the caller whose target sends <answer> has got fewer events, not as a complete response
 
         Examples:
-            | answer                                       |
-            | a failure                                    |
-            | a failure that looks like a promise          |
-            | an error that the request has no such path   |
-            | an answer that is no stream                  |
-            | an answer that reads like an event           |
-            | an empty answer with a length                |
-            | an error between two chunks                  |
-            | an error between two events without a length |
-            | a stream with an error in a chunk            |
+            | answer                                        |
+            | a failure                                     |
+            | a failure that looks like a promise           |
+            | an error that the request has no such path    |
+            | an answer that is no stream                   |
+            | an answer that reads like an event            |
+            | an empty answer with a length                 |
+            | an error between two chunks                   |
+            | an error between two events without a length  |
+            | a stream with an error in a chunk             |
+            | a stream with the text of an error in a chunk |
+
+    Scenario Outline: a narrative whose target sends <answer> contains none of it
+        When callers read narratives that do not begin to the end
+        Then the caller whose target sends <answer> has got fewer events, not as a complete response
+
+        Examples:
+            | answer                                        |
+            | a failure                                     |
+            | an empty answer with a length                 |
+            | an empty answer in chunks                     |
+            | an error between two chunks                   |
+            | an error between two events without a length  |
+            | a stream with an error in a chunk             |
+            | a stream with the text of an error in a chunk |
 
     Scenario: a narrative whose target answers with no stream gets the answer
         When callers read narratives that do not begin to the end
--- a/features/steps/platform_answer_end_steps.ts
+++ b/features/steps/platform_answer_end_steps.ts
@@ -53,6 +53,7 @@
     "an error between two chunks",
     "an error between two events without a length",
     "a stream with an error in a chunk",
+    "a stream with the text of an error in a chunk",
 ].map(answer => ({ answer }));
 
 /** What callers do, for each of a list of targets. */
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -84,9 +84,11 @@
 /** First event of each stream. */
 const FIRST_EVENT = formatEvent(1);
 
+/** Text of an error, which reads like an event with an unknown field. */
+const ERROR_TEXT = "error: the worker has failed\n\n";
 /** An error response as a whole, which a faulty target writes in the middle of another response. */
-const ERROR_RESPONSE = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\ncontent-length: 30\r\n\r\n"
-    + "error: the worker has failed\n\n";
+const ERROR_RESPONSE = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\n"
+    + `content-length: ${ERROR_TEXT.length}\r\n\r\n${ERROR_TEXT}`;
 
 /** Size of one write of an endless response, in bytes. */
 const ENDLESS_WRITE_BYTES = 16 * 1024;
@@ -230,7 +232,7 @@
     },
     "an answer that reads like an event": (target, request, response) => {
         target.writeHead(request, response, { "content-type": "text/plain" });
-        response.end("error: the worker has failed\n\n");
+        response.end(ERROR_TEXT);
     },
     "an empty answer with a length": (target, request, response) => {
         target.writeHead(request, response, { "content-type": "text/event-stream", "content-length": "0" });
@@ -254,6 +256,10 @@
         target.writeHead(request, response, { "content-type": "text/event-stream" });
         response.end(formatEvent(Number(request.headers["last-event-id"] ?? 0) + 1) + ERROR_RESPONSE);
     },
+    "a stream with the text of an error in a chunk": (target, request, response) => {
+        target.writeHead(request, response, { "content-type": "text/event-stream" });
+        response.end(formatEvent(Number(request.headers["last-event-id"] ?? 0) + 1) + ERROR_TEXT);
+    },
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
