Take a block without a field of server-sent events for malformed

What callers would see: the text of an error ("error: ...") in the middle of their stream, as an event without an identifier and data, and behind it the end of a complete stream.

Cause: the splitter checks that each line is formed like a field, with any name; a text with a colon behind its first word is. Such a block has no identifier, so that it also counts as new.

Change: an event that is no comment needs at least one of the fields data, event, id and retry; others may stand beside them. The attempt fails and the stream goes on at another target or is broken off.

--- a/core/serving/event_splitter.ts
+++ b/core/serving/event_splitter.ts
@@ -36,8 +36,12 @@
 const CARRIAGE_RETURN = 0x0d;
 /** Maximum length of the blank line that ends an event, with the line ending before it: LF CR LF. */
 const EVENT_END_BYTES = 3;
+/** Maximum length of received text in an error message. */
+const MAX_QUOTED_CHARACTERS = 40;
 /** A line of an event: empty, a comment, a field name, or a field name and a value. */
 const LINE_PATTERN = /^(?::.*|[\w-]{1,64}(?::.*)?|)$/;
+/** A line with a field of server-sent events; an event may have others beside them. */
+const STANDARD_FIELD_PATTERN = /^(?:data|event|id|retry)(?::|$)/;
 
 /** Buffers received bytes and returns events as they become complete. */
 export class EventSplitter {
@@ -117,12 +121,15 @@
     const lines = decoder.decode(bytes).split(/\r?\n/);
     const malformed = lines.find(line => !LINE_PATTERN.test(line));
     if (malformed !== undefined) {
-        throw new MalformedEventError(`Cannot read an event: ${JSON.stringify(malformed.slice(0, 40))} is no field.`);
+        throw new MalformedEventError(
+            `Cannot read an event: ${JSON.stringify(malformed.slice(0, MAX_QUOTED_CHARACTERS))} is no field.`,
+        );
+    }
+    const isComment = lines.every(line => line === "" || line.startsWith(":"));
+    if (!isComment && !lines.some(line => STANDARD_FIELD_PATTERN.test(line))) {
+        const text = JSON.stringify(lines.join("\n").slice(0, MAX_QUOTED_CHARACTERS));
+        throw new MalformedEventError(`Cannot read an event: ${text} has no field of an event.`);
     }
     const idLine = lines.find(line => line.startsWith("id:"));
-    return {
-        id: idLine?.slice("id:".length).replace(/^ /, ""),
-        isComment: lines.every(line => line === "" || line.startsWith(":")),
-        bytes,
-    };
+    return { id: idLine?.slice("id:".length).replace(/^ /, ""), isComment, bytes };
 }
