--- a/features/platform/broken_streams.feature
+++ b/features/platform/broken_streams.feature
@@ -129,7 +129,7 @@
             | an unframed stream that ends inside an event        |
             | a response in chunks without an event               |
             | a response with the length 0                        |
-            | a signed response that is no stream                 |
+            | an answer that is no stream                         |
 
     Scenario: a verdict that its caller resumes after the last event is complete
         Given a serving site
@@ -209,7 +209,7 @@
     # A 200 that is no stream is an answer, as long as the caller has received nothing else.
     Scenario: a narrative that is answered with something else than a stream gets that answer
         Given a serving site
-        When the targets respond with "a signed response that is no stream" 1 times
+        When the targets respond with "an answer that is no stream" 1 times
         And a caller sends a "narrative"
         Then the response has the status 200 and is whole
 
