Break off a moved generation that goes on without an event

What callers would see: a moved stream whose destination sent an empty response was framed as complete. Cause: a response without an event was taken for the rest of a moved generation. But a final copy shows that the generation was running, so that events are missing. Change: only a caller that has resumed the stream may get a response without an event as its rest.

--- a/core/serving/response_end.ts
+++ b/core/serving/response_end.ts
@@ -32,7 +32,7 @@
     events: number;
     /** Number of bytes after the last complete event. */
     unfinishedBytes: number;
-    /** True if the answer may end without a further event: its caller or a moved generation may have had the last one. */
+    /** True if the answer may end without a further event: its caller may have had the last one before. */
     mayBeEmpty: boolean;
     /** True if the caller has all the tokens that it allows. */
     hasAllTokens: boolean;
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -52,8 +52,6 @@
     reservation: Reservation;
     attemptAbort: AbortController;
     stallDetector: StallDetector;
-    /** True if a moved generation goes on from a copy of its KV cache. */
-    isMoved: boolean;
     /** Time at which the request was sent, on the monotonic clock in milliseconds. */
     sentAt: number;
 }
@@ -374,7 +372,6 @@
                 reservation,
                 attemptAbort,
                 stallDetector,
-                isMoved: copy !== undefined,
                 sentAt,
             });
         }
@@ -472,7 +469,7 @@
             isClosedInOrder: failure === undefined && targetResponse.isComplete(),
             events: eventCount,
             unfinishedBytes: splitter.getPendingBytes().length,
-            mayBeEmpty: attempt.isMoved || this.#mayBeEmpty(),
+            mayBeEmpty: this.#mayBeEmpty(),
             hasAllTokens: this.#hasAllTokens(),
         };
         // The stream also ends if a move has stopped the generation; only the result of the move shows whether it has.
