Tests: a caller that is refused resumes its stream again

Cause: ten rows of resumed verdicts failed in two of six runs beside a load average of 14: the instance had not read the baselines of its services yet, and refused the resumption as not run, with a time to come back. Change: the caller of the fixture comes back, as callers do. What it has to get stays the same.

--- a/support/platform/ending_site.ts
+++ b/support/platform/ending_site.ts
@@ -77,6 +77,12 @@
 /** Interval between the events of a stream that is moved, in milliseconds. */
 const SLOW_EVENT_MILLISECONDS = 60;
 
+/** Status of a request that has not run and may come back. */
+const REFUSED_STATUS = 503;
+/** Number of times that a caller resumes a stream again after a refusal, and the pause before it, in milliseconds. */
+const RESUMPTION_TRIES = 5;
+const RESUMPTION_PAUSE_MILLISECONDS = 300;
+
 function buildConfiguration(count: number): Record<string, unknown> {
     const { routes, services, ...rest } = buildSiteConfiguration(6) as {
         routes: Record<string, unknown>[];
@@ -221,6 +227,18 @@
         this.#targets.filter(target => target.service === service).forEach(target => target.remove());
         await this.#site.addTarget(service);
         await waitMilliseconds(LIST_LAG_MILLISECONDS);
+        // An instance refuses a resumption until it knows which software version began the stream.
+        for (let tries = 0; tries < RESUMPTION_TRIES; tries += 1) {
+            const resumed = await this.#resumeOnce(first, index);
+            if (resumed.status !== REFUSED_STATUS) {
+                return resumed;
+            }
+            await waitMilliseconds(RESUMPTION_PAUSE_MILLISECONDS);
+        }
+        return this.#resumeOnce(first, index);
+    }
+
+    #resumeOnce(first: ReadStream, index: number): Promise<ReadStream> {
         const ids = [...first.text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
         return this.#readStream({ kind: "verdict", index, after: ids.at(-1) ?? 0 });
     }
