Resume a stream elsewhere without waiting long for a silent target

What callers would see: a resumable stream whose target fell silent went on after more than a second, or not within its deadline. Cause: the check of the target was as patient for streams that go on at another target as for those that are lost without it. Change: the check is brief where the request may be repeated.

--- a/serving/response_end_check.ts
+++ b/serving/response_end_check.ts
@@ -5,6 +5,7 @@
  */
 import {
     decideResponseOutcome,
+    isRepeatable,
     type ResponseEnd,
     ResponseOutcome,
     type ServingTarget,
@@ -35,7 +36,7 @@
  */
 export async function checkResponseEnd(
     context: ServingContext,
-    exchange: Pick<CallerExchange, "request" | "service" | "signal">,
+    exchange: Pick<CallerExchange, "request" | "route" | "service" | "signal">,
     { target, end, reason }: EndedResponse,
 ): Promise<ResponseOutcome> {
     let presence: TargetPresence | undefined;
@@ -62,7 +63,7 @@
 /** Finds out whether a target still runs; not known if the caller leaves or the deadline passes meanwhile. */
 async function findPresence(
     { targetProbe }: ServingContext,
-    { service, signal }: Pick<CallerExchange, "service" | "signal">,
+    { route, service, signal }: Pick<CallerExchange, "route" | "service" | "signal">,
     target: ServingTarget,
 ): Promise<TargetPresence> {
     if (signal.aborted) {
@@ -71,5 +72,5 @@
     const aborted = new Promise<TargetPresence>(resolve => {
         signal.addEventListener("abort", () => resolve(TargetPresence.unknown), { once: true });
     });
-    return Promise.race([targetProbe.findPresence(target, service), aborted]);
+    return Promise.race([targetProbe.findPresence(target, { service, isPatient: !isRepeatable(route) }), aborted]);
 }
--- a/serving/target_probe.ts
+++ b/serving/target_probe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { type ServiceDefinition, type ServingTarget, TargetPresence, type TargetStart } from "../core/serving/mod.ts";
+import { type ServiceDefinition, type ServingTarget, TargetPresence } from "../core/serving/mod.ts";
 import {
     checkListener,
     type ListenerState,
@@ -28,10 +28,10 @@
 
 /** Time within which a target of a plain service accepts a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 100;
-/** Check for the end of a target, while its requests wait to be retried. */
-const END_CHECK: PresenceCheck = { callMilliseconds: 200, withinMilliseconds: 0 };
-/** Check whether a target runs on after its response, which is lost to its caller if the target does not show it. */
-const PRESENCE_CHECK: PresenceCheck = { callMilliseconds: 400, withinMilliseconds: 1000 };
+/** Check of a target whose requests may be retried at another one meanwhile. */
+const BRIEF_CHECK: PresenceCheck = { callMilliseconds: 200, withinMilliseconds: 0 };
+/** Check of a target whose response is lost to its caller unless the target responds. */
+const PATIENT_CHECK: PresenceCheck = { callMilliseconds: 400, withinMilliseconds: 1000 };
 /** Pause between two connections to a target that accepts none, in milliseconds. */
 const CONNECT_PAUSE_MILLISECONDS = 50;
 
@@ -44,10 +44,8 @@
 /** Finds out whether targets still run. */
 export class TargetProbe {
     readonly #options: TargetProbeOptions;
-    /** Checks for the end of targets that are not finished yet, by target. */
-    readonly #pendingEnds = new Map<string, Promise<TargetPresence>>();
-    /** Checks for the presence of targets that are not finished yet, by target. */
-    readonly #pendingPresences = new Map<string, Promise<TargetPresence>>();
+    /** Checks that are not finished yet, by start of the target and time limit. */
+    readonly #pending = new Map<string, Promise<TargetPresence>>();
 
     constructor(options: TargetProbeOptions) {
         this.#options = options;
@@ -55,29 +53,34 @@
 
     /** Checks whether a target has ended. A target that does not respond at once is not known to have ended. */
     async hasEnded(target: ServingTarget, service: Pick<ServiceDefinition, "engine">): Promise<boolean> {
-        const presence = await startSharedCall(
-            this.#pendingEnds,
-            formatKey(target),
-            () => this.#checkPresence(target, { service, check: END_CHECK }),
-        );
-        return presence === TargetPresence.gone;
+        return await this.#startCheck(target, { service, check: BRIEF_CHECK }) === TargetPresence.gone;
     }
 
-    /** Finds out whether a target still runs; one that does not respond is asked repeatedly for a second. */
+    /**
+     * Finds out whether a target still runs. One that does not respond is asked repeatedly if `isPatient` is true.
+     */
     async findPresence(
         target: ServingTarget,
-        service: Pick<ServiceDefinition, "engine">,
+        { service, isPatient }: { service: Pick<ServiceDefinition, "engine">; isPatient: boolean; },
     ): Promise<TargetPresence> {
-        const presence = await startSharedCall(
-            this.#pendingPresences,
-            formatKey(target),
-            () => this.#checkPresence(target, { service, check: PRESENCE_CHECK }),
-        );
+        const presence = await this.#startCheck(target, { service, check: isPatient ? PATIENT_CHECK : BRIEF_CHECK });
         const listed = this.#options.findTarget(target.id);
         const hasRestarted = target.startedAt !== 0 && (listed?.startedAt ?? 0) > target.startedAt;
         return hasRestarted && presence === TargetPresence.running ? TargetPresence.replaced : presence;
     }
 
+    /** Starts a check, or returns the one that is pending for the same start of the target. */
+    #startCheck(
+        target: ServingTarget,
+        options: { service: Pick<ServiceDefinition, "engine">; check: PresenceCheck; },
+    ): Promise<TargetPresence> {
+        const key = `${target.id} ${target.startedAt} ${options.check.withinMilliseconds}`;
+        const pending = this.#pending.get(key)
+            ?? this.#checkPresence(target, options).finally(() => this.#pending.delete(key));
+        this.#pending.set(key, pending);
+        return pending;
+    }
+
     async #checkPresence(
         target: ServingTarget,
         { service, check }: { service: Pick<ServiceDefinition, "engine">; check: PresenceCheck; },
@@ -99,19 +102,3 @@
         }
     }
 }
-
-/** Formats the key of a start of a target. */
-function formatKey({ id, startedAt }: TargetStart): string {
-    return `${id} ${startedAt}`;
-}
-
-/** Starts a call, or returns the one that is pending for the same key. */
-function startSharedCall<Value>(
-    pending: Map<string, Promise<Value>>,
-    key: string,
-    startCall: () => Promise<Value>,
-): Promise<Value> {
-    const call = pending.get(key) ?? startCall().finally(() => pending.delete(key));
-    pending.set(key, call);
-    return call;
-}
