Tests: give the step of an engine's report a name of its own

Cause: two steps matched the same text in the whole set of scenarios, so that nine of them failed; alone they passed. Change: the step is renamed.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -157,7 +157,7 @@
 
     Scenario Outline: a target's response with the header "<name>" of "<value>" states <result>
         When a response of a target with the header "<name>" of "<value>" is decoded
-        Then it states <result>
+        Then the target has stated <result>
 
         Examples:
             | name         | value | result                       |
--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -519,13 +519,13 @@
     notice = decodeTargetNotice(buildMessage(name, value));
 });
 
-Then(/^it states (.+)$/, function(result: string) {
+Then(/^the target has stated (.+)$/, function(result: string) {
     const { backpressureMilliseconds: pause, requestsPerSecond: limit } = notice ?? {};
     const stated = [
         pause === undefined ? "no pause" : `a pause of ${pause} ms`,
         limit === undefined ? "no limit" : `a limit of ${limit}`,
     ];
-    assert.ok(stated.includes(result), `it states ${stated.join()}`);
+    assert.ok(stated.includes(result), `it has stated ${stated.join()}`);
 });
 
 When("a caller's request with the header {string} of {string} is decoded", function(name: string, value: string) {
