Count a request that cannot be built as not sent

Callers would get 502 or 504, which promise nothing, for a request that no target got: an address or a header that Node.js refuses (such as an account's name with a line break) threw outside of the call's error, and any other error than the call's own counts as "may have run".

Evidence: both rows of "a request that cannot be sent" failed before (SyntaxError, ERR_INVALID_CHAR); both pass now.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -181,3 +181,13 @@
             | deadline-ms  | 3000        | a timeout of 3000 ms      |
             | deadline-ms  | 1e300       | a timeout of 2147483647 ms |
             | deadline-ms  | -5          | a timeout of 0 ms         |
+
+    # Nothing was sent, but the verdict was "may have run".
+    Scenario Outline: a request that cannot be sent for its <part> is known not to have run
+        When a request to a target is sent with an odd <part>
+        Then the request failed before it was connected
+
+        Examples:
+            | part    |
+            | address |
+            | header  |
--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -17,12 +17,15 @@
     fetchReport,
     type MoveStepResponse,
     sendMoveStep,
+    StoreClient,
     type TargetNotice,
 } from "../../platform/mod.ts";
 import { encodeFrame } from "../../protocol/mod.ts";
-import { parsePeerMessage, type PeerMessage } from "../../serving/mod.ts";
+import { parsePeerMessage, type PeerMessage, ServingMetrics, ServingState, StoreWatcher } from "../../serving/mod.ts";
+import { TargetCallError, TargetConnections } from "../../serving/target_connections.ts";
 import { buildSiteConfiguration, type SiteTarget } from "../../support/platform/mod.ts";
 import { findAddresses } from "../../support/processes/mod.ts";
+import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { createRequestId, getInstance, getSite, getTarget, siteContext } from "../support/site_context.ts";
 
 /** Name of the odd entry; it sorts between those of the services `engines` and `ledger`. */
@@ -541,3 +544,87 @@
         : `a size of ${size.promptTokens} and ${size.maxOutputTokens}`;
     assert.equal(used, result);
 });
+
+let sendError: unknown;
+
+When(/^a request to a target is sent with an odd (address|header)$/, async function(part: string) {
+    const connections = new TargetConnections();
+    sendError = await connections.sendRequest({
+        targetId: "ledger-1",
+        address: part === "address" ? "127.0.0.1:99999" : "127.0.0.1:9",
+        requestId: "a",
+        method: "GET",
+        path: "/",
+        headers: part === "header" ? [["Tenant", "a\r\nb"]] : [],
+        body: Buffer.alloc(0),
+        signal: new AbortController().signal,
+    }).catch((error: unknown) => error);
+    connections.close();
+});
+
+Then("the request failed before it was connected", function() {
+    assert.ok(sendError instanceof TargetCallError, String(sendError));
+    assert.equal(sendError.progress, "not-connected");
+});
+
+/** A watcher of the store outside of the site's instances. */
+let watcher: { storeWatcher: StoreWatcher; store: StoreClient; state: ServingState; events: string[]; } | undefined;
+
+After(() => {
+    watcher?.storeWatcher.stop();
+    watcher?.store.close();
+    watcher = undefined;
+});
+
+When("a listener of a watcher fails once while a target entry is applied", async function() {
+    const { settings } = getInstance(1);
+    const events: string[] = [];
+    const log = new DecisionLog({
+        name: "test",
+        clock: systemClock,
+        writeLine: line => events.push((JSON.parse(line) as { event: string; }).event) > 0,
+    });
+    const store = new StoreClient({ address: settings.storeAddress });
+    const state = new ServingState({ settings, clock: systemClock, log });
+    const storeWatcher = new StoreWatcher({
+        store,
+        state,
+        log,
+        metrics: new ServingMetrics({
+            countActive: () => 0,
+            countDroppedLines: () => 0,
+            getConfigurationVersion: () => 0,
+            countLimitedTargets: () => 0,
+        }),
+        clock: systemClock,
+        random: () => 0.5,
+        decideWatching: () => true,
+        waitForPeerState: () => Promise.resolve(),
+        isFirstWatcher: () => true,
+        hasWatchingPeer: () => false,
+    });
+    watcher = { storeWatcher, store, state, events };
+    storeWatcher.start();
+    await waitUntil(() => state.unreadyReason === "", { milliseconds: 1000, message: () => state.unreadyReason });
+    state.targetListeners.push(() => {
+        state.targetListeners.pop();
+        throw new Error("the listener has failed");
+    });
+    await getSite().addTarget("ledger");
+    await waitMilliseconds(100);
+    await getSite().addTarget("ledger");
+});
+
+Then(
+    "the watcher has logged the failed update and knows all targets within {int} ms",
+    async function(milliseconds: number) {
+        assert.ok(watcher !== undefined);
+        const { state, events } = watcher;
+        const count = getSite().targets.length;
+        await waitUntil(() => state.directory.getSnapshot().targets.length === count, {
+            milliseconds,
+            message: () => `${state.directory.getSnapshot().targets.length} of ${count} targets are known`,
+        });
+        assert.ok(events.includes("store update failed"), events.join());
+    },
+);
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -281,18 +281,27 @@
         const agent = this.#getAgent(call.targetId);
         return new Promise((resolve, reject) => {
             let progress: AttemptProgress = "not-connected";
-            const address = parseAddress(call.address);
             const isKept = agent.isReusableFor(call.requestId);
             const headers: [string, string][] = [...call.headers, ["Connection", isKept ? "keep-alive" : "close"]];
-            const request = startRequest({
-                ...address,
-                ...isKept ? { agent } : { createConnection: () => agent.createConnection(address) },
-                method: call.method,
-                path: call.path,
-                headers: headers.flat() as unknown as Record<string, string>,
-                setHost: false,
-                signal: call.signal,
-            });
+            let request: ClientRequest;
+            try {
+                const address = parseAddress(call.address);
+                request = startRequest({
+                    ...address,
+                    ...isKept ? { agent } : { createConnection: () => agent.createConnection(address) },
+                    method: call.method,
+                    path: call.path,
+                    headers: headers.flat() as unknown as Record<string, string>,
+                    setHost: false,
+                    signal: call.signal,
+                });
+            }
+            catch (error) {
+                // An address or a header is not valid, so nothing has been sent.
+                const state = { progress, isAborted: call.signal.aborted, isConnectionLost: false };
+                reject(new TargetCallError(error instanceof Error ? error.message : String(error), state));
+                return;
+            }
             const fail = (message: string, { isConnectionLost = false } = {}): void => {
                 request.destroy();
                 if (progress === "not-connected" && !call.signal.aborted) {
