Follow the store after an update that could not be applied

Callers would see refusals hours later: the loop that watches a kind of object ended for good with the first error that it did not expect, with an "unhandled rejection" in the log, while the instance stayed ready and elected to watch.

Such an error is logged with its kind, and the kind is listed again after the usual delay, since the update is lost.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -191,3 +191,9 @@
             | part    |
             | address |
             | header  |
+
+    # The watch of a kind ended for good with the first error that was not expected.
+    Scenario: the store is followed after an update that could not be applied
+        Given a serving site
+        When a listener of a watcher fails once while a target entry is applied
+        Then the watcher has logged the failed update and knows all targets within 1500 ms
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -78,6 +78,9 @@
 /** Maximum delay after failed calls while a peer watches the store, in milliseconds. */
 const MAX_BACKOFF_BESIDE_WATCHER_MILLISECONDS = 2000;
 
+/** Length to which the reason of a failed update is truncated in log lines. */
+const MAX_REASON_CHARACTERS = 200;
+
 /** Watches the store and applies its changes to the state. */
 export class StoreWatcher {
     readonly #options: StoreWatcherOptions;
@@ -150,7 +153,9 @@
                 await waitMilliseconds(ELECTION_INTERVAL_MILLISECONDS);
                 continue;
             }
-            const failure = await this.#listOrWatch(kind);
+            const failure = await this.#listOrWatch(kind).catch((error: unknown) =>
+                this.#recordFailedUpdate(kind, error)
+            );
             this.#options.metrics.countStoreCall(kind, failure?.kind ?? "ok");
             if (failure === undefined) {
                 this.#recordRecovery(kind);
@@ -167,6 +172,13 @@
         }
     }
 
+    /** Logs an update that could not be applied; the kind is listed again, since the update is lost. */
+    #recordFailedUpdate(kind: string, error: unknown): StoreFailure {
+        const reason = String(error).slice(0, MAX_REASON_CHARACTERS);
+        this.#options.log.record("process", "store update failed", { kind, reason });
+        return { kind: "unanswered", reason };
+    }
+
     async #listOrWatch(kind: string): Promise<StoreFailure | undefined> {
         const { store } = this.#options;
         const handler = this.#handlers[kind];
