Answer the requests that still run at the end of the grace

What callers saw: a request that an instance had accepted after SIGTERM, and that no target had answered at the end of the grace, ended with a closed connection, which says nothing. By reading, one that still waited for a target ended so too, although it had not run. Cause: the process exited 350 ms before the end of its grace without ending the active requests. Change: it aborts them first and waits up to 150 ms for their handlers. A request without a response gets 502 ("may have run"), or 503 if no target has received it; a stream that has begun is broken off, as before. The line "stopped" counts the requests aborted and those still cut.

--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -23,6 +23,31 @@
         Then the response of the serving process has the status 503
         And the caller is told to retry soon, and no engine has received the request
 
+    @cling
+    Scenario: callers that keep coming to a stopping instance are answered until its process has ended
+        Given a running serving process
+        When 9 callers cling to the serving process for 400 ms
+        And the serving process receives SIGTERM
+        Then the serving process exits with code 0 within 3000 ms
+        And the clinging callers were served after SIGTERM
+        And each of their requests that reached a target was answered completely
+        And none of their requests ran twice, or although its caller was told that it had not run
+
+    # Guards against requests whose connection was closed at the end of the grace.
+    @cling
+    Scenario Outline: a <kind> that no target has answered at the end of the grace is answered and not cut off
+        Given a running serving process
+        When the targets answer nothing
+        And the serving process receives SIGTERM
+        And a caller sends a "<kind>" to the serving process
+        Then the response of the serving process has the status 502
+        And the serving process exits with code 0 within 3000 ms
+
+        Examples:
+            | kind      |
+            | stamp     |
+            | narrative |
+
     Scenario Outline: a request with <bytes> bytes of headers gets the status <status> if the configuration allows 16384
         Given a serving site
         When a caller sends a "stamp" with a header of <bytes> bytes
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -9,7 +9,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { VirtualClock } from "../../core/clock/mod.ts";
-import { waitMilliseconds } from "../../network/mod.ts";
+import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { formatSettingsText, ServingSite, SITE_API_KEY } from "../../support/platform/mod.ts";
 import {
     callHttp,
@@ -20,6 +20,7 @@
     waitUntil,
 } from "../../support/processes/mod.ts";
 import { DecisionLog, DEFAULT_LINES_PER_SECOND, LineClass } from "../../telemetry/mod.ts";
+import { callUntilEnded, type ClingingRequest } from "../support/clinging_callers.ts";
 
 interface ServingProcessState {
     site: ServingSite;
@@ -38,6 +39,9 @@
 let servingProcess: ServingProcessState | undefined;
 let stream: Promise<HttpResult | undefined> | undefined;
 let response: HttpResult | undefined;
+let clingingRequests: Promise<ClingingRequest[][]> | undefined;
+/** Time at which the serving process handled SIGTERM, on the monotonic clock in milliseconds. */
+let stoppingAt = 0;
 let checkResult: { code: number; output: string; } | undefined;
 let clock = new VirtualClock();
 let logLines: string[] = [];
@@ -91,23 +95,26 @@
 }
 
 function callServingProcess(kind: "stamp" | "narrative", maxTokens = 48): Promise<HttpResult> {
-    const isStream = kind === "narrative";
     return callHttp({
         address: getServingProcess().caller,
         method: "POST",
         path: `/${kind}/1`,
-        headers: {
-            host: "site.example",
-            "attempt-id": "00000000000000aa",
-            "deadline-ms": "5000",
-            authorization: `Bearer ${SITE_API_KEY}`,
-            connection: "keep-alive",
-            ...isStream ? { model: "m", "token-counts": `100,${maxTokens}` } : {},
-        },
+        headers: { ...buildCallerHeaders(kind, maxTokens), "attempt-id": "00000000000000aa" },
         body: "the body",
     });
 }
 
+/** Builds the headers of a caller's request, without its identifier. */
+function buildCallerHeaders(kind: string, maxTokens = 48): Record<string, string> {
+    return {
+        host: "site.example",
+        "deadline-ms": "5000",
+        authorization: `Bearer ${SITE_API_KEY}`,
+        connection: "keep-alive",
+        ...kind === "narrative" ? { model: "m", "token-counts": `100,${maxTokens}` } : {},
+    };
+}
+
 When("a caller starts a {string} at the serving process", async function(kind: "stamp" | "narrative") {
     stream = callServingProcess(kind).catch(() => undefined);
     await waitMilliseconds(200);
@@ -141,6 +148,68 @@
 When("the serving process receives SIGTERM", async function() {
     getServingProcess().child.sendSignal("SIGTERM");
     await waitForEvent("stopping");
+    stoppingAt = performance.now();
+});
+
+When("the targets answer nothing", function() {
+    for (const { standIn: { faults } } of getServingProcess().site.targets) {
+        faults.answer = "silence";
+        faults.faultyAnswers = Infinity;
+    }
+});
+
+/** Kinds of the requests that clinging callers send, in turn. */
+const CLINGING_KINDS = ["stamp", "lookup", "narrative"] as const;
+/** Time within which a caller whose connection was closed without an answer may have sent its request. */
+const CLOSE_SLACK_MILLISECONDS = 200;
+
+When(
+    "{int} callers cling to the serving process for {int} ms",
+    async function(callers: number, milliseconds: number) {
+        const { caller, child } = getServingProcess();
+        clingingRequests = Promise.all(Array.from({ length: callers }, (_, index) => {
+            const kind = CLINGING_KINDS[index % CLINGING_KINDS.length] ?? "stamp";
+            return callUntilEnded({
+                ...parseAddress(caller),
+                path: `/${kind}/1`,
+                headers: buildCallerHeaders(kind),
+                prefix: `c${index}`,
+            }, () => !child.isRunning());
+        }));
+        await waitMilliseconds(milliseconds);
+    },
+);
+
+function listArrivals(): string[] {
+    return getServingProcess().site.targets.flatMap(({ standIn }) => standIn.arrivals).map(({ requestId }) =>
+        requestId
+    );
+}
+
+Then("the clinging callers were served after SIGTERM", async function() {
+    const served = (await clingingRequests ?? []).map(requests =>
+        requests.filter(({ status, endedAt }) => status === 200 && endedAt > stoppingAt).length
+    );
+    assert.ok(served.every(count => count > 0), `the callers were served ${served.join(", ")} times`);
+});
+
+Then("each of their requests that reached a target was answered completely", async function() {
+    const arrived = new Set(listArrivals());
+    const cut = (await clingingRequests ?? []).flat().filter(({ id, isComplete, end, milliseconds }) =>
+        !isComplete && (arrived.has(id) || end === "answered" || milliseconds > CLOSE_SLACK_MILLISECONDS)
+    );
+    assert.deepEqual(cut, []);
+});
+
+Then("none of their requests ran twice, or although its caller was told that it had not run", async function() {
+    const arrivals = listArrivals();
+    const arrived = new Set(arrivals);
+    assert.equal(arrived.size, arrivals.length);
+    const refused = (await clingingRequests ?? []).flat().filter(({ status, verdict }) =>
+        status === 503 || verdict === "not-run"
+    );
+    assert.ok(refused.length > 0, "no request was refused");
+    assert.deepEqual(refused.filter(({ id, status }) => status !== 503 || arrived.has(id)), []);
 });
 
 Then("the serving process is not ready after {int} ms", async function(milliseconds: number) {
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -57,6 +57,8 @@
 export class CallerServer {
     readonly #context: ServingContext;
     readonly #activeStreams = new Set<ActiveStream>();
+    /** Aborts the active requests when the process is about to end. */
+    readonly #stopAbort = new AbortController();
     #server: Server | undefined;
     #activeRequests = 0;
 
@@ -115,6 +117,19 @@
         }
     }
 
+    /**
+     * Aborts the active requests, and waits until their callers have been answered, at the latest until `until`.
+     *
+     * A request without a response gets an error that tells whether it may have run; one whose response has begun is
+     * broken off.
+     */
+    async abortRequests({ until }: { until: number; }): Promise<void> {
+        this.#stopAbort.abort(new Error("this instance stops"));
+        while (this.#activeRequests > 0 && this.#context.clock.getMonotonic() < until) {
+            await waitMilliseconds(DRAIN_POLL_INTERVAL_MILLISECONDS);
+        }
+    }
+
     /** Stops listening and closes idle connections. */
     close(): void {
         this.#server?.close();
@@ -248,7 +263,7 @@
             priority,
             version,
             deadline,
-            signal: AbortSignal.any([call.disconnected, timeout]),
+            signal: AbortSignal.any([call.disconnected, timeout, this.#stopAbort.signal]),
             isCallerDisconnected: () => call.disconnected.aborted,
         };
         if (this.#context.partitionMonitor.isPartitioned && await sendThroughPeer(this.#context, exchange)) {
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -48,6 +48,8 @@
 const BALANCER_REMOVAL_MILLISECONDS = 2600;
 /** Time before it is killed at which a stopping process abandons its active requests, in milliseconds. */
 const STOP_RESERVE_MILLISECONDS = 350;
+/** Time for which a stopping process waits until the callers of abandoned requests are answered, in milliseconds. */
+const ABORT_MILLISECONDS = 150;
 /** Time without a request after which a stopping process ends, in milliseconds: longer than a request is in transit. */
 const IDLE_BEFORE_STOP_MILLISECONDS = 150;
 /**
@@ -228,7 +230,11 @@
         await waitMilliseconds(Math.min(BALANCER_REMOVAL_MILLISECONDS, stopGraceMilliseconds / 2));
         const latest = this.#stopRequestedAt + stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
         await this.#callerServer.drain({ idleMilliseconds: IDLE_BEFORE_STOP_MILLISECONDS, until: latest });
-        this.#log.record("process", "stopped", { cut: this.#callerServer.activeRequests });
+        const aborted = this.#callerServer.activeRequests;
+        if (aborted > 0) {
+            await this.#callerServer.abortRequests({ until: latest + ABORT_MILLISECONDS });
+        }
+        this.#log.record("process", "stopped", { aborted, cut: this.#callerServer.activeRequests });
         this.close();
     }
 
