--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -106,6 +106,8 @@
 const MAX_DIGEST_AGE_MILLISECONDS = 2000;
 /** Number of configurations of any size that an instance sends to peers in one interval of their requests. */
 const MIN_CONFIGURATIONS_PER_INTERVAL = 4;
+/** Length to which the kind of an unusable message is cut in the log. */
+const MAX_LOGGED_KIND_CHARACTERS = 40;
 /** Minimum interval between state requests, in milliseconds. */
 const STATE_REQUEST_INTERVAL_MILLISECONDS = 250;
 
@@ -314,7 +316,7 @@
         this.#scheduleDigest(DigestReason.storeChanged);
     }
 
-    #handleMessage(raw: unknown): void {
+    #handleMessage(raw: { kind: string; }): void {
         const message = parsePeerMessage(raw);
         switch (message?.kind) {
             case "digest":
@@ -330,7 +332,9 @@
                 this.#handleState(message);
                 return;
             default:
-                this.#options.log.record("belief", "peer message unusable", {});
+                this.#options.log.record("belief", "peer message unusable", {
+                    kind: raw.kind.slice(0, MAX_LOGGED_KIND_CHARACTERS),
+                });
         }
     }
 
