Give each active request its own signal for the end of the grace

What operators would see: memory that grows with the number of requests served. Change: one controller for each active request, dropped with it.

--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -57,8 +57,13 @@
 export class CallerServer {
     readonly #context: ServingContext;
     readonly #activeStreams = new Set<ActiveStream>();
-    /** Aborts the active requests when the process is about to end. */
-    readonly #stopAbort = new AbortController();
+    /**
+     * One controller for each active request, which aborts it when the process is about to end. A signal that all
+     * requests share would keep a reference to each of them.
+     */
+    readonly #stopAborts = new Set<AbortController>();
+    /** True once the process is about to end. */
+    #isAborting = false;
     #server: Server | undefined;
     #activeRequests = 0;
 
@@ -124,7 +129,8 @@
      * broken off.
      */
     async abortRequests({ until }: { until: number; }): Promise<void> {
-        this.#stopAbort.abort(new Error("this instance stops"));
+        this.#isAborting = true;
+        this.#stopAborts.forEach(stopAbort => stopAbort.abort(new Error("this instance stops")));
         while (this.#activeRequests > 0 && this.#context.clock.getMonotonic() < until) {
             await waitMilliseconds(DRAIN_POLL_INTERVAL_MILLISECONDS);
         }
@@ -141,6 +147,11 @@
         const disconnect = new AbortController();
         response.on("close", () => disconnect.abort());
         response.on("error", () => disconnect.abort());
+        const stopAbort = new AbortController();
+        this.#stopAborts.add(stopAbort);
+        if (this.#isAborting) {
+            stopAbort.abort(new Error("this instance stops"));
+        }
         if (this.#context.getRemainingGraceMilliseconds() !== undefined) {
             response.shouldKeepAlive = false;
         }
@@ -148,7 +159,13 @@
         try {
             const request = await this.#readRequest(incoming, response);
             if (request !== undefined) {
-                await this.#serve({ request, response, arrivedAt, disconnected: disconnect.signal });
+                await this.#serve({
+                    request,
+                    response,
+                    arrivedAt,
+                    disconnected: disconnect.signal,
+                    stopped: stopAbort.signal,
+                });
             }
         }
         catch (error) {
@@ -160,6 +177,7 @@
         }
         finally {
             this.#activeRequests -= 1;
+            this.#stopAborts.delete(stopAbort);
         }
     }
 
@@ -199,7 +217,13 @@
     }
 
     async #serve(
-        call: { request: CallerRequest; response: ServerResponse; arrivedAt: number; disconnected: AbortSignal; },
+        call: {
+            request: CallerRequest;
+            response: ServerResponse;
+            arrivedAt: number;
+            disconnected: AbortSignal;
+            stopped: AbortSignal;
+        },
     ): Promise<void> {
         const { request } = call;
         const { state } = this.#context;
@@ -263,7 +287,7 @@
             priority,
             version,
             deadline,
-            signal: AbortSignal.any([call.disconnected, timeout, this.#stopAbort.signal]),
+            signal: AbortSignal.any([call.disconnected, call.stopped, timeout]),
             isCallerDisconnected: () => call.disconnected.aborted,
         };
         if (this.#context.partitionMonitor.isPartitioned && await sendThroughPeer(this.#context, exchange)) {
