--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -57,6 +57,13 @@
 export class CallerServer {
     readonly #context: ServingContext;
     readonly #activeStreams = new Set<ActiveStream>();
+    /**
+     * One controller for each active request, which aborts it when the process is about to end. A signal that all
+     * requests share would keep a reference to each of them.
+     */
+    readonly #stopAborts = new Set<AbortController>();
+    /** True once the process is about to end. */
+    #isAborting = false;
     #server: Server | undefined;
     #activeRequests = 0;
 
@@ -115,6 +122,20 @@
         }
     }
 
+    /**
+     * Aborts the active requests, and waits until their callers have been answered, at the latest until `until`.
+     *
+     * A request without a response gets an error that tells whether it may have run; one whose response has begun is
+     * broken off.
+     */
+    async abortRequests({ until }: { until: number; }): Promise<void> {
+        this.#isAborting = true;
+        this.#stopAborts.forEach(stopAbort => stopAbort.abort(new Error("this instance stops")));
+        while (this.#activeRequests > 0 && this.#context.clock.getMonotonic() < until) {
+            await waitMilliseconds(DRAIN_POLL_INTERVAL_MILLISECONDS);
+        }
+    }
+
     /** Stops listening and closes idle connections. */
     close(): void {
         this.#server?.close();
@@ -126,6 +147,11 @@
         const disconnect = new AbortController();
         response.on("close", () => disconnect.abort());
         response.on("error", () => disconnect.abort());
+        const stopAbort = new AbortController();
+        this.#stopAborts.add(stopAbort);
+        if (this.#isAborting) {
+            stopAbort.abort(new Error("this instance stops"));
+        }
         if (this.#context.getRemainingGraceMilliseconds() !== undefined) {
             response.shouldKeepAlive = false;
         }
@@ -133,7 +159,13 @@
         try {
             const request = await this.#readRequest(incoming, response);
             if (request !== undefined) {
-                await this.#serve({ request, response, arrivedAt, disconnected: disconnect.signal });
+                await this.#serve({
+                    request,
+                    response,
+                    arrivedAt,
+                    disconnected: disconnect.signal,
+                    stopped: stopAbort.signal,
+                });
             }
         }
         catch (error) {
@@ -145,6 +177,7 @@
         }
         finally {
             this.#activeRequests -= 1;
+            this.#stopAborts.delete(stopAbort);
         }
     }
 
@@ -184,7 +217,13 @@
     }
 
     async #serve(
-        call: { request: CallerRequest; response: ServerResponse; arrivedAt: number; disconnected: AbortSignal; },
+        call: {
+            request: CallerRequest;
+            response: ServerResponse;
+            arrivedAt: number;
+            disconnected: AbortSignal;
+            stopped: AbortSignal;
+        },
     ): Promise<void> {
         const { request } = call;
         const { state } = this.#context;
@@ -248,7 +287,7 @@
             priority,
             version,
             deadline,
-            signal: AbortSignal.any([call.disconnected, timeout]),
+            signal: AbortSignal.any([call.disconnected, call.stopped, timeout]),
             isCallerDisconnected: () => call.disconnected.aborted,
         };
         if (this.#context.partitionMonitor.isPartitioned && await sendThroughPeer(this.#context, exchange)) {
