Bound the requests that brittle targets refuse

Callers of a service whose targets state `Server-Brittle` would see these targets fall over in a burst: nothing read the header, every instance knew its own requests only, and each refused request was sent to the next full target.

The bound is told, merged and divided by the core of the limits on request rates, with its own window. Requests beyond an instance's share of the slots take turns within the stated number. A refusal is told at once, in a new field of digests that older builds drop; from then on each instance sends a part of its own recent rate, which grows again, and refuses what it holds back instead of sending it to the next target. A refusal by such a target is no failure of it any more, and no generation is moved there for 6 s. Sends are kept for 12 s, since the rate of an instance among many is low.

Evidence: "targets that survive 3 refusals in a second survive a burst beyond their room" failed on (a target had fallen over) and passes.

Health checks are not counted, nor is an engine's KV cache.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -30,5 +30,6 @@
 export * from "./target_health.ts";
 export * from "./target_rate_limits.ts";
 export * from "./target_reachability.ts";
+export * from "./target_refusal_limits.ts";
 export * from "./target_selection.ts";
 export * from "./watcher_election.ts";
--- a/core/serving/recent_sends.ts
+++ b/core/serving/recent_sends.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-/** Time for which a send is kept, in milliseconds: the longest window in which sends are counted. */
-const RETENTION_MILLISECONDS = 4000;
+/** Time for which a send is kept, in milliseconds: the longest interval over which sends are counted. */
+const RETENTION_MILLISECONDS = 12_000;
 
 /** Times of requests that were sent, by target. All times are on the monotonic clock in milliseconds. */
 export class RecentSends {
@@ -26,9 +26,9 @@
         return (this.#times.get(target) ?? []).filter(time => time > since);
     }
 
-    /** Finds the time of the last request to a target; `undefined` if there was none. */
-    findLast(target: string): number | undefined {
-        return this.#times.get(target)?.at(-1);
+    /** Finds the time of the last request to a target, or of the `position`-th last; `undefined` if there was none. */
+    findLast(target: string, position = 1): number | undefined {
+        return this.#times.get(target)?.at(-position);
     }
 
     /** Removes the times of a target that no longer exists. */
--- a/core/serving/target_rate_limits.ts
+++ b/core/serving/target_rate_limits.ts
@@ -34,7 +34,7 @@
     heardAgoMilliseconds: number;
 }
 
-/** Input of {@linkcode TargetRateLimits.computeDelay}. */
+/** Position of an instance among those that share a limit, at one time. */
 export interface RateShareInput extends SharePosition {
     /** Time on the monotonic clock, in milliseconds. */
     now: number;
@@ -42,6 +42,12 @@
     wallTime: number;
 }
 
+/** Input of {@linkcode TargetRateLimits.computeDelay}. */
+export interface RateDelayInput extends RateShareInput {
+    /** Limit that is divided, in requests per second. Defaults to the one that the target states. */
+    requestsPerSecond?: number | undefined;
+}
+
 /** Latest statement of a target, and the start of the target that made it. */
 interface KnownStatement extends RateStatement {
     startedAt: number;
@@ -49,14 +55,28 @@
     isOwn: boolean;
 }
 
-/** Window in which the sends of an instance are counted, in milliseconds. */
-const WINDOW_MILLISECONDS = 4000;
-/**
- * What a target takes for a moment beyond its limit: this share of what the limit allows in a window, and some requests.
- * Instances that have their turns at different times may send their requests together within this bound.
- */
-const EXCESS_SHARE = 0.4;
-const EXCESS_REQUESTS = 3;
+/** Window in which a limit holds, and what a target takes beyond it for a moment. */
+export interface RateWindow {
+    /** Window in which the sends of an instance are counted, in milliseconds. */
+    milliseconds: number;
+    /**
+     * What a target takes for a moment beyond its limit: this share of what the limit allows in a window, and some
+     * requests. Instances that have their turns at different times may send their requests together within this bound.
+     */
+    excessShare: number;
+    /** Requests that a target takes beyond this share. */
+    excessRequests: number;
+    /** Longest cycle in which an instance may send at any time: its share is at least one request in the window. */
+    maxOpenCycleMilliseconds: number;
+}
+
+/** Window in which limits on all requests hold. */
+const REQUEST_WINDOW: RateWindow = {
+    milliseconds: 4000,
+    excessShare: 0.4,
+    excessRequests: 3,
+    maxOpenCycleMilliseconds: 0,
+};
 /** Shortest interval between the turns of an instance; a turn has several requests if the limit allows more. */
 const MIN_TURN_INTERVAL_MILLISECONDS = 1000;
 /** Rate of requests to a target that takes fewer or none: their answers show when the limit has ended. */
@@ -70,10 +90,15 @@
 export class TargetRateLimits {
     readonly #statements = new Map<string, KnownStatement>();
     readonly #sends: RecentSends;
+    readonly #window: RateWindow;
 
-    /** @param sends Requests that this instance has sent. */
-    constructor(sends: RecentSends) {
+    /**
+     * @param sends Requests that this instance has sent.
+     * @param window Window in which the limits hold. Defaults to that of limits on all requests.
+     */
+    constructor(sends: RecentSends, window: RateWindow = REQUEST_WINDOW) {
         this.#sends = sends;
+        this.#window = window;
     }
 
     /**
@@ -102,10 +127,14 @@
         });
     }
 
-    /** Lists the statements that the other instances need to know, the latest first. */
-    listTold(now: number): ToldRateStatement[] {
+    /**
+     * Lists the statements that the other instances need to know, the latest first.
+     *
+     * @param news Targets of which this instance has more to tell than their statements, whoever has heard these.
+     */
+    listTold(now: number, news: ReadonlySet<string> = new Set()): ToldRateStatement[] {
         return [...this.#statements]
-            .filter(([, { isOwn, heardAt }]) => isOwn && now - heardAt <= TELLING_MILLISECONDS)
+            .filter(([id, { isOwn, heardAt }]) => (isOwn || news.has(id)) && now - heardAt <= TELLING_MILLISECONDS)
             .sort(([, a], [, b]) => b.heardAt - a.heardAt)
             .slice(0, MAX_TOLD_STATEMENTS)
             .map(([id, { startedAt, requestsPerSecond, sentAt, heardAt }]) => ({
@@ -131,14 +160,20 @@
         );
     }
 
-    /** Computes the time for which this instance has to wait until it may send a target a request; 0 if it may now. */
-    computeDelay(id: string, input: RateShareInput): number {
-        const limit = this.findLimit(id);
-        if (limit === undefined) {
+    /**
+     * Computes the time for which this instance has to wait until it may send a target a request; 0 if it may now.
+     */
+    computeDelay(id: string, { requestsPerSecond = this.findLimit(id), ...input }: RateDelayInput): number {
+        if (requestsPerSecond === undefined) {
             return 0;
         }
-        const share = { ...input, target: id, requestsPerSecond: Math.max(MIN_REQUESTS_PER_SECOND, limit) };
-        const recent = this.#sends.listSince(id, input.now - WINDOW_MILLISECONDS);
+        const share = {
+            ...input,
+            target: id,
+            requestsPerSecond: Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond),
+            window: this.#window,
+        };
+        const recent = this.#sends.listSince(id, input.now - this.#window.milliseconds);
         return Math.max(computeWindowDelay(recent, share), computeTurnDelay(recent, share));
     }
 
@@ -166,25 +201,29 @@
 interface RateShare extends RateShareInput {
     target: string;
     requestsPerSecond: number;
+    window: RateWindow;
 }
 
 /** Computes the time until the instance has sent less in the window than its share of the limit. */
-function computeWindowDelay(recent: readonly number[], { now, instances, requestsPerSecond }: RateShare): number {
-    const allowed = Math.max(1, Math.ceil(requestsPerSecond * WINDOW_MILLISECONDS / 1000 / instances));
+function computeWindowDelay(
+    recent: readonly number[],
+    { now, instances, requestsPerSecond, window }: RateShare,
+): number {
+    const allowed = Math.max(1, Math.ceil(requestsPerSecond * window.milliseconds / 1000 / instances));
     const lastCounted = recent.at(-allowed);
-    return lastCounted === undefined ? 0 : lastCounted + WINDOW_MILLISECONDS - now;
+    return lastCounted === undefined ? 0 : lastCounted + window.milliseconds - now;
 }
 
 /** Computes the time until the instance has a turn that it has not used up. */
 function computeTurnDelay(recent: readonly number[], share: RateShare): number {
-    const { now, instances, requestsPerSecond } = share;
+    const { now, instances, requestsPerSecond, window } = share;
     const millisecondsPerRequest = instances * 1000 / requestsPerSecond;
     const requestsPerTurn = Math.max(1, Math.floor(MIN_TURN_INTERVAL_MILLISECONDS / millisecondsPerRequest));
     const cycleMilliseconds = requestsPerTurn * millisecondsPerRequest;
     const sinceTurn = computeTimeSinceTurn({ ...share, cycleMilliseconds });
-    const turnMilliseconds = Math.min(
-        WINDOW_MILLISECONDS,
-        WINDOW_MILLISECONDS * EXCESS_SHARE + EXCESS_REQUESTS * 1000 / requestsPerSecond,
+    const turnMilliseconds = cycleMilliseconds <= window.maxOpenCycleMilliseconds ? cycleMilliseconds : Math.min(
+        window.milliseconds,
+        window.milliseconds * window.excessShare + window.excessRequests * 1000 / requestsPerSecond,
     );
     const sentInTurn = recent.filter(time => time > now - sinceTurn).length;
     const hasTurn = sinceTurn <= turnMilliseconds && sentInTurn < requestsPerTurn;
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -34,6 +34,12 @@
      * clock; `undefined` if it may send a request.
      */
     limitedUntil?: number | undefined;
+    /**
+     * Time from which this instance may send a request to a target that has lately refused one for want of room, on the
+     * same clock; 0 if it may now, `undefined` if no such refusal is known. The requests held back are not sent to other
+     * targets instead, which would refuse them next.
+     */
+    crowdedUntil?: number | undefined;
 }
 
 /** Input of {@linkcode chooseLeastLoadedTarget}. */
@@ -108,6 +114,12 @@
         !input.avoid.has(target.id)
         && (input.softwareVersion === undefined || getSoftwareVersion(target) === input.softwareVersion)
     );
+    const refusedBy = candidates.find(({ target, crowdedUntil }) =>
+        crowdedUntil !== undefined && input.avoid.has(target.id)
+    );
+    if (untried.length > 0 && refusedBy !== undefined) {
+        return { kind: "limited", until: refusedBy.crowdedUntil ?? 0 };
+    }
     const accepting = untried.filter(candidate => findClosedUntil(candidate) === undefined);
     const usable = accepting.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
     let best: TargetCandidate | undefined;
@@ -122,6 +134,9 @@
             bestScore = score;
         }
     }
+    if (best?.crowdedUntil !== undefined && best.crowdedUntil > 0) {
+        return { kind: "limited", until: best.crowdedUntil };
+    }
     if (best !== undefined) {
         return { kind: "placed", target: best.target, score: bestScore };
     }
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -160,7 +160,8 @@
 /**
  * Applies what a target states about itself in the head of a response.
  *
- * Only a response that belongs to its request and is signed shows that the target no longer limits the request rate.
+ * Only a response that belongs to its request and is signed shows that the target no longer limits the request
+ * rate, or refusals.
  */
 export function applyResponseNotice(
     { state }: ServingContext,
@@ -169,9 +170,16 @@
 ): void {
     const { target, head, sentAt } = response;
     state.applyTargetNotice(target, head);
-    if (head.requestsPerSecond === undefined && head.isSigned && head.requestId === exchange.request.id) {
+    if (head.isForWantOfRoom) {
+        state.recordRefusal(target);
+    }
+    const isOwnAnswer = head.isSigned && head.requestId === exchange.request.id;
+    if (head.requestsPerSecond === undefined && isOwnAnswer) {
         state.recordRateStatement(target, { requestsPerSecond: undefined, sentAt });
     }
+    if (head.refusalsPerSecond === undefined && isOwnAnswer) {
+        state.recordRefusalStatement(target, { requestsPerSecond: undefined, sentAt });
+    }
 }
 
 /** Logs and counts a finished request. */
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -359,6 +359,7 @@
             this.#options.state.recordPausedForPeer(target);
         }
         this.#options.state.applyRateStatements(message.instance, message.rateStatements);
+        this.#options.state.applyRefusalStatements(message.instance, message.refusalStatements);
         this.#options.state.applyBaselines(message.baselines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
@@ -510,6 +511,7 @@
             leaving: state.directory.listAnnouncedLeaving(),
             paused: state.backpressure.listPaused(now),
             rateStatements: state.rateLimits.listTold(now),
+            refusalStatements: state.refusalLimits.listTold(now),
             promptEvidence: state.requestQuarantine.getEvidence(now),
             baselines: state.softwareVersions.listBaselines(),
             versions: this.#getVersions(),
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -13,6 +13,7 @@
     type TargetSnapshot,
     type TargetStart,
     type ToldRateStatement,
+    type ToldRefusalStatement,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
 import type { StoreUpdate } from "./serving_state.ts";
@@ -49,6 +50,8 @@
     paused: string[];
     /** What targets have lately stated to the sender about the request rate that they accept. */
     rateStatements: ToldRateStatement[];
+    /** What targets have lately stated to the sender about the requests that they refuse, and their latest refusals. */
+    refusalStatements: ToldRefusalStatement[];
     /** Crashes that the sender has observed, and what it knows of parts of prompts under suspicion. */
     promptEvidence: CrashEvidence;
     /** Software versions whose streams are not recorded, by service, as far as the sender relies on them. */
@@ -121,13 +124,17 @@
     sound: v.array(v.string()),
     quarantined: QuarantinedSchema,
 });
-const RateStatementsSchema = v.array(v.object({
+const RateStatementSchema = v.object({
     id: v.string(),
     startedAt: v.number(),
     requestsPerSecond: v.optional(v.number()),
     sentAgoMilliseconds: v.number(),
     heardAgoMilliseconds: v.number(),
-}));
+});
+const RefusalStatementSchema = v.object({
+    ...RateStatementSchema.entries,
+    refusedAgoMilliseconds: v.optional(v.number()),
+});
 const LoadDigestSchema = v.record(v.string(), v.tuple([v.number(), v.number(), v.number()]));
 
 const MessageSchema = v.variant("kind", [
@@ -139,7 +146,8 @@
         unreachable: v.array(v.string()),
         leaving: v.optional(v.array(v.object({ id: v.string(), startedAt: v.number() })), []),
         paused: v.optional(v.array(v.string()), []),
-        rateStatements: v.optional(RateStatementsSchema, []),
+        rateStatements: v.optional(v.array(RateStatementSchema), []),
+        refusalStatements: v.optional(v.array(RefusalStatementSchema), []),
         promptEvidence: v.optional(CrashEvidenceSchema, EMPTY_CRASH_EVIDENCE),
         baselines: v.optional(v.record(v.string(), v.string()), {}),
         versions: VersionsSchema,
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -259,6 +259,7 @@
             zones: this.#state.zones,
             targets: this.#state.directory.getSnapshot(),
             rateLimits: this.#state.rateLimits.listLimits(),
+            refusalLimits: this.#state.refusalLimits.listLimits(),
             baselines: this.#state.softwareVersions.listBaselines(),
             quarantined: this.#state.requestQuarantine.listQuarantined(this.#clock.getMonotonic()),
             work: this.#state.loadTracker.getDigest(),
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -31,9 +31,11 @@
     TargetDirectory,
     TargetHealth,
     TargetRateLimits,
+    TargetRefusalLimits,
     type TargetSnapshot,
     type TargetStart,
     type ToldRateStatement,
+    type ToldRefusalStatement,
     UNREACHABLE_WEIGHT,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
@@ -115,6 +117,8 @@
     readonly recentSends = new RecentSends();
     /** Limits that targets state for their request rates, and this instance's share of them. */
     readonly rateLimits = new TargetRateLimits(this.recentSends);
+    /** Bounds that targets state for the requests that they refuse, and this instance's share of them. */
+    readonly refusalLimits = new TargetRefusalLimits(this.recentSends);
     /** Software versions at which streams began. */
     readonly softwareVersions = new SoftwareVersions();
     /** This instance's share of the request rate of cold targets. */
@@ -260,8 +264,9 @@
             this.#unreachable.delete(id);
             return;
         }
-        // A target that has asked for a pause is to get its share of the requests again once the pause has ended.
-        if (this.backpressure.findPauseEnd(id, now) !== undefined) {
+        // A target that has asked for a pause is to get its share of the requests again once the pause has ended;
+        // one that has refused a request, and survives few refusals, gets this instance's share.
+        if (this.backpressure.findPauseEnd(id, now) !== undefined || this.refusalLimits.isCrowded(id, now)) {
             return;
         }
         this.health.recordFailure(id, { now, weight: outcome.isUnreachable ? UNREACHABLE_WEIGHT : 1 });
@@ -273,13 +278,16 @@
 
     /**
      * Applies what a target states about itself in a response: that it is about to shut down, that it wants no requests
-     * from this instance for a time, or that it limits the rate of requests.
+     * from this instance for a time, or that it limits the rate of requests or of refusals.
      */
     applyTargetNotice(target: TargetStart, notice: TargetNotice): void {
-        const { isLeaving, backpressureMilliseconds, requestsPerSecond } = notice;
+        const { isLeaving, backpressureMilliseconds, requestsPerSecond, refusalsPerSecond } = notice;
         if (requestsPerSecond !== undefined) {
             this.recordRateStatement(target, { requestsPerSecond, sentAt: this.#now() });
         }
+        if (refusalsPerSecond !== undefined) {
+            this.recordRefusalStatement(target, { requestsPerSecond: refusalsPerSecond, sentAt: this.#now() });
+        }
         if (isLeaving) {
             this.markLeaving(target, "target");
         }
@@ -324,6 +332,36 @@
         }
     }
 
+    /** Records what a target states in an answer about the requests that it refuses: a bound per second, or none. */
+    recordRefusalStatement(
+        target: TargetStart,
+        statement: { requestsPerSecond: number | undefined; sentAt: number; },
+    ): void {
+        const isCurrent = this.#isCurrentStart(target);
+        if (isCurrent && this.refusalLimits.recordStatement(target, { ...statement, heardAt: this.#now() })) {
+            this.#logRefusalLimit(target, { refusalsPerSecond: statement.requestsPerSecond, source: "target" });
+            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+        }
+    }
+
+    /** Records that a target has refused a request for want of room; peers are informed if it survives few refusals. */
+    recordRefusal(target: TargetStart): void {
+        if (this.#isCurrentStart(target) && this.refusalLimits.recordRefusal(target.id, this.#now())) {
+            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+        }
+    }
+
+    /** Merges what targets have stated to a peer about the requests that they refuse, and their latest refusals. */
+    applyRefusalStatements(instance: string, statements: readonly ToldRefusalStatement[]): void {
+        for (const statement of statements) {
+            const isCurrent = this.#isCurrentStart(statement);
+            if (isCurrent && this.refusalLimits.applyToldStatement(statement, this.#now())) {
+                const refusalsPerSecond = statement.requestsPerSecond;
+                this.#logRefusalLimit(statement, { refusalsPerSecond, source: `peer ${instance}` });
+            }
+        }
+    }
+
     /** Records the software versions of the targets that are listed now. */
     recordListedVersions(): void {
         this.softwareVersions.recordListed(this.directory.listSoftwareVersions(), this.#now());
@@ -341,7 +379,7 @@
     /** Checks whether a running generation may be moved to an engine, which must be in no need of fewer requests. */
     isMoveDestination(id: string): boolean {
         return this.backpressure.findPauseEnd(id, this.#now()) === undefined
-            && this.rateLimits.findLimit(id) === undefined;
+            && this.rateLimits.findLimit(id) === undefined && !this.refusalLimits.isCrowded(id, this.#now());
     }
 
     /**
@@ -476,18 +514,33 @@
             penalty: this.health.computePenalty(target.id, now)
                 + (this.directory.isMissing(target.id) ? MISSING_PENALTY : 0),
             pausedUntil: this.backpressure.findPauseEnd(target.id, now),
-            limitedUntil: this.#findLimitEnd(target.id, share),
+            limitedUntil: this.#findLimitEnd(target, { share, isEngine: service.engine !== undefined }),
+            crowdedUntil: this.#findCrowdingEnd(target.id, share),
             isLimited: this.loadTracker.computeOwnLoad(target.id).requests >= connections
                 || this.coldRateShare.isUsedUp(target.id, cold),
         }));
     }
 
-    /** Finds the time until which this instance has used up its share of a target's request rate. */
-    #findLimitEnd(id: string, share: RateShareInput): number | undefined {
-        const delay = this.rateLimits.computeDelay(id, share);
+    /** Finds the time until which this instance has used up its share of a target's request rate, or of its refusals. */
+    #findLimitEnd(
+        { id, slots }: ServingTarget,
+        { share, isEngine }: { share: RateShareInput; isEngine: boolean; },
+    ): number | undefined {
+        const ownRequests = this.loadTracker.computeOwnLoad(id).requests;
+        const totalRequests = isEngine ? this.loadTracker.computeTotalLoad(id, share.now).requests : undefined;
+        const delay = Math.max(
+            this.rateLimits.computeDelay(id, share),
+            this.refusalLimits.computeDelay(id, { ...share, ownRequests, totalRequests, slots }),
+        );
         return delay > 0 ? share.now + delay : undefined;
     }
 
+    /** Finds the time from which a request may be sent to a target that has lately refused one. */
+    #findCrowdingEnd(id: string, share: RateShareInput): number | undefined {
+        const delay = this.refusalLimits.findCrowdedDelay(id, share);
+        return delay === undefined || delay === 0 ? delay : share.now + delay;
+    }
+
     /** Checks whether the directory lists this start of a target. */
     #isCurrentStart({ id, startedAt }: TargetStart): boolean {
         return this.directory.findTarget(id)?.startedAt === startedAt;
@@ -501,6 +554,14 @@
         this.#options.log.record("belief", event, { target: id, ...change });
     }
 
+    #logRefusalLimit(
+        { id }: TargetStart,
+        change: { refusalsPerSecond: number | undefined; source: StateSource; },
+    ): void {
+        const event = change.refusalsPerSecond === undefined ? "target refusal limit ended" : "target limits refusals";
+        this.#options.log.record("belief", event, { target: id, ...change });
+    }
+
     #publishQuarantined(quarantined: readonly QuarantinedPart[], source: StateSource): void {
         for (const { part, crashes, remainingMilliseconds } of quarantined) {
             this.#options.log.record(
@@ -549,6 +610,7 @@
                 this.recentSends.removeTarget(id);
                 this.backpressure.removeTarget(id);
                 this.rateLimits.removeTarget(id);
+                this.refusalLimits.removeTarget(id);
             }
             this.#markCold(change.target);
             for (const listener of this.targetListeners) {
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -37,6 +37,12 @@
     pauseSeconds: number;
     /** Requests per second that the target states as its limit in all responses, as the header's text; empty for none. */
     statedLimit: string;
+    /** Refusals per second beyond which the target crashes, as the header's text in all responses; empty for none. */
+    statedRefusals: string;
+    /** Plain requests that the target takes at the same time; it refuses the others. 0 for any number. */
+    room: number;
+    /** Time in which the target answers a plain request, in milliseconds. */
+    serviceMilliseconds: number;
     /** Part of prompts on which the target crashes when it begins to answer; empty for none. */
     crashingPart: string;
     /** Request that crashes the target when it runs, before the head of its answer: path and body; empty for none. */
@@ -238,6 +244,9 @@
         announcesLeaving: false,
         pauseSeconds: 0,
         statedLimit: "",
+        statedRefusals: "",
+        room: 0,
+        serviceMilliseconds: 0,
         crashingPart: "",
         crashingRequest: "",
         crashMilliseconds: 20,
@@ -255,6 +264,9 @@
     endlessBytes = 0;
     /** Number of endless responses whose connection the receiver has closed. */
     endedEndlessResponses = 0;
+    /** Times of the refusals for want of room, on the monotonic clock in milliseconds. */
+    readonly refusals: number[] = [];
+    #plainRequests = 0;
     readonly #generations = new Map<string, StandInGeneration>();
     /** Called right after the end of a whole stream was sent. */
     onStreamEnd: () => void = () => undefined;
@@ -280,6 +292,9 @@
         if (this.faults.statedLimit !== "") {
             response.setHeader("server-limit", this.faults.statedLimit);
         }
+        if (this.faults.statedRefusals !== "") {
+            response.setHeader("server-brittle", this.faults.statedRefusals);
+        }
         if (request.url === "/report") {
             if (this.faults.reportFault === "reset") {
                 request.socket.resetAndDestroy();
@@ -416,6 +431,10 @@
             await this.#resumeGeneration(request, response, handle);
             return;
         }
+        if (this.faults.room > 0 && this.#plainRequests >= this.faults.room) {
+            this.#refuseForWantOfRoom(request, response);
+            return;
+        }
         this.started.push(readRequestId(request));
         if (this.faults.crashingPart !== "" && listPromptParts(request).includes(this.faults.crashingPart)) {
             this.writeHead(request, response, { "content-type": "text/event-stream" });
@@ -428,6 +447,9 @@
             return;
         }
         if (request.headers["token-counts"] === undefined) {
+            this.#plainRequests += 1;
+            await waitMilliseconds(this.faults.serviceMilliseconds);
+            this.#plainRequests -= 1;
             this.sendResponse(request, response, { status: 200 });
             return;
         }
@@ -440,6 +462,26 @@
         });
     }
 
+    /** Refuses a request, and crashes if the refusals in a second exceed what the target states. */
+    #refuseForWantOfRoom(request: IncomingMessage, response: ServerResponse): void {
+        const now = performance.now();
+        this.refusals.push(now);
+        const { statedRefusals } = this.faults;
+        if (
+            statedRefusals !== "" && this.crashes.length === 0
+            && this.refusals.filter(time => time > now - 1000).length > Number(statedRefusals)
+        ) {
+            this.crashes.push(now);
+            this.closeServer();
+            return;
+        }
+        sendJson(response, {
+            status: 503,
+            value: {},
+            headers: { "attempt-id": readRequestId(request), "not-executed": "1" },
+        });
+    }
+
     /** Crashes after some time, unless the request's connection is closed before: a target drops such a request. */
     async #crash(response: ServerResponse): Promise<void> {
         const crashes = this.crashes.length;
