Cut an instance from all targets in the soak

The soak had no fault that cuts one instance from the targets alone. Its instances now run with a link to the targets that is reset, silent or closed for new connections and heals again; the file of a cut is read at a signal. It is one of the random faults, and each run ends with a cut beside which there is no other fault: from 1.5 s on, the instance must serve at least two thirds of the others' share of requests. Cuts beside a kill, a stop or a pause are not compared.

--- a/bin/serve_program.ts
+++ b/bin/serve_program.ts
@@ -6,7 +6,7 @@
 import { Command } from "commander";
 import { readFileSync } from "node:fs";
 import { decodeSettingsFile, findSettingsPath, InstanceSettingsError } from "../platform/mod.ts";
-import { ServingProcess } from "../serving/mod.ts";
+import { ServingProcess, type ServingProcessOptions } from "../serving/mod.ts";
 import { SETTING_EXIT_CODE } from "../settings/mod.ts";
 import { DecisionLog, systemClock } from "../telemetry/mod.ts";
 import { VERSION } from "./run_program.ts";
@@ -14,8 +14,11 @@
 /** Interval at which the settings file is polled, since it may change without a signal. */
 const RELOAD_INTERVAL_MILLISECONDS = 5000;
 
+/** Parts of the program that tests replace. */
+type ServeProgramOptions = Pick<ServingProcessOptions, "openTargetConnection">;
+
 /** Parses the command line and runs the program. */
-export async function runServeProgram(): Promise<void> {
+export async function runServeProgram(options: ServeProgramOptions = {}): Promise<void> {
     const program = new Command("knapweed-serve")
         .description("Serves callers in front of the platform's targets.")
         .version(VERSION)
@@ -23,7 +26,7 @@
         .option("--check", "check the settings file and exit");
     program.parse();
     try {
-        await runServing(program.opts<{ settings: string; check?: boolean; }>());
+        await runServing({ ...options, ...program.opts<{ settings: string; check?: boolean; }>() });
     }
     catch (error) {
         process.stderr.write(`knapweed-serve: ${error instanceof Error ? error.message : String(error)}\n`);
@@ -31,14 +34,16 @@
     }
 }
 
-async function runServing({ settings: path, check }: { settings: string; check?: boolean; }): Promise<void> {
+async function runServing(
+    { settings: path, check, ...options }: ServeProgramOptions & { settings: string; check?: boolean; },
+): Promise<void> {
     let text = readFileSync(path, "utf8");
     const settings = decodeSettingsFile(text);
     if (check === true) {
         return;
     }
     const log = new DecisionLog({ name: "knapweed-serve", clock: systemClock });
-    const serving = new ServingProcess({ settings, log });
+    const serving = new ServingProcess({ settings, log, ...options });
     const stop = (): void => {
         void serving.drain().then(() => process.exit(0));
     };
--- a/support/platform/soak/soak_recorder.ts
+++ b/support/platform/soak/soak_recorder.ts
@@ -23,6 +23,8 @@
     id: string;
     /** Kind of the request. */
     kind: string;
+    /** Index of the instance that got it. */
+    instance: number;
     /** Time at which it was sent. */
     sentAt: number;
     /** Time at which its response or its connection ended. */
@@ -56,10 +58,24 @@
 const FORGETTING_FAULTS = new Set(["SIGKILL", "SIGTERM", "SIGSTOP"]);
 const REQUESTS_PER_FORGETTING_FAULT = 4;
 
+/** The period in which an instance was cut off from all targets. */
+interface CutSpan extends FaultSpan {
+    /** Index of the instance. */
+    instance: number;
+}
+
+/** Time after the beginning of a cut from which requests are served through a peer, in milliseconds. */
+const CUT_CONTACT_MILLISECONDS = 1500;
+/** Requests at an instance from which its share of served ones is compared with that of the others. */
+const MIN_COMPARED_REQUESTS = 10;
+/** Share of the others' share of served requests that an instance must serve while it is cut off. */
+const CUT_SERVED_SHARE = 2 / 3;
+
 /** Records the requests and faults of a soak test. */
 export class SoakRecorder {
     readonly faults: FaultSpan[] = [];
     readonly requests: SoakRequest[] = [];
+    readonly #cuts: CutSpan[] = [];
     /** Streams that broke off and were resumed by their callers, with their text as the caller joins it. */
     readonly joinedStreams: { id: string; text: string; }[] = [];
 
@@ -72,6 +88,42 @@
         };
     }
 
+    /** Records that an instance is cut off from all targets. @returns A function that records the end of the cut. */
+    recordCut(instance: number, kind: string): () => void {
+        const cut = { instance, name: kind, startedAt: performance.now(), endedAt: Infinity };
+        this.#cuts.push(cut);
+        return () => {
+            cut.endedAt = performance.now();
+        };
+    }
+
+    /**
+     * Finds cuts during which an instance has served fewer of its requests than the others have, beside other faults that
+     * affect all of them alike. A cut during which an instance was killed, stopped or paused is not compared.
+     */
+    findCutViolations(): string[] {
+        return this.#cuts.flatMap(({ instance, name, startedAt, endedAt }) => {
+            const isAffected = this.faults.some(fault =>
+                FORGETTING_FAULTS.has(fault.name) && fault.startedAt <= endedAt
+                && fault.endedAt + FAULT_EFFECT_MILLISECONDS >= startedAt
+            );
+            const during = this.requests.filter(request =>
+                request.sentAt >= startedAt + CUT_CONTACT_MILLISECONDS && request.sentAt <= endedAt
+            );
+            const own = during.filter(request => request.instance === instance);
+            const others = during.filter(request => request.instance !== instance);
+            const [ownShare, othersShare] = [own, others].map(requests =>
+                requests.filter(({ result }) => result?.status === 200 && result.isComplete).length / requests.length
+            );
+            return isAffected || Math.min(own.length, others.length) < MIN_COMPARED_REQUESTS
+                    || (ownShare ?? 0) >= (othersShare ?? 0) * CUT_SERVED_SHARE
+                ? []
+                : [
+                    `an instance that was cut off (${name}) served ${ownShare} of ${own.length} requests, the others ${othersShare}`,
+                ];
+        });
+    }
+
     /** Finds violations. @param runs How often targets have run each request from the start, by identifier. */
     findViolations(runs: ReadonlyMap<string, number>): string[] {
         const violations = this.requests.flatMap(request => [
--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -17,7 +17,14 @@
     type RunningChild,
     startChild,
 } from "../../processes/mod.ts";
-import { buildSiteConfiguration, formatSettingsText, ServingSite, SITE_API_KEY, type SiteTarget } from "../mod.ts";
+import {
+    buildSiteConfiguration,
+    formatSettingsText,
+    LinkCut,
+    ServingSite,
+    SITE_API_KEY,
+    type SiteTarget,
+} from "../mod.ts";
 import { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { listEventNumbers, SoakRecorder } from "./soak_recorder.ts";
 
@@ -58,6 +65,8 @@
     isStopping: boolean;
     /** True while the process is stopped with SIGSTOP. */
     isPaused: boolean;
+    /** True while the process is cut off from all targets. */
+    isCut: boolean;
 }
 
 const REQUEST_KINDS = ["lookup", "stamp", "narrative", "verdict"];
@@ -69,7 +78,9 @@
 };
 /** Part of the line that an instance logs once its sockets are open. */
 const STARTED_EVENT = "\"event\":\"started\"";
-const PROGRAM_PATH = "dist/bin/knapweed_serve.js";
+const PROGRAM_PATH = "dist/support/platform/soak/run_cut_instance.js";
+/** Shortest cut of an instance from all targets, in milliseconds: requests must be served through a peer meanwhile. */
+const MIN_CUT_MILLISECONDS = 4000;
 /** Limit that one target states until the last fault, in requests per second. */
 const STATED_LIMIT = 1;
 /** Number of concurrent callers. */
@@ -157,6 +168,10 @@
             standIn.faults.statedLimit = "";
         }
         await waitMilliseconds(RECOVERY_MILLISECONDS);
+        // Other faults hide what a cut does; this one is alone.
+        const recordEnd = this.#recorder.recordFault("cut from all targets");
+        await this.#cutInstance(MIN_CUT_MILLISECONDS);
+        recordEnd();
         this.#isFinished = true;
         await Promise.all(callers);
         await this.#checkRecovery();
@@ -218,6 +233,7 @@
             started: waitForStart(child),
             isStopping: false,
             isPaused: false,
+            isCut: false,
         };
         this.#instances.push(instance);
         this.#watchExit(instance);
@@ -268,7 +284,8 @@
         const result = await callWithAgent({ instance, agent, id, kind });
         // A request that no instance has read has no outcome to check.
         if (result !== "not connected") {
-            this.#recorder.requests.push({ id, kind, sentAt, endedAt: performance.now(), result });
+            const index = this.#instances.indexOf(instance);
+            this.#recorder.requests.push({ id, kind, instance: index, sentAt, endedAt: performance.now(), result });
         }
         if (kind === "verdict" && typeof result === "object" && result.status === 200 && !result.isComplete) {
             await this.#resumeStream(id, result.body.toString());
@@ -364,6 +381,7 @@
                 instance.isPaused = false;
             }
         },
+        "cut from all targets": duration => this.#cutInstance(MIN_CUT_MILLISECONDS + duration),
         SIGHUP: async () => {
             const instance = this.#pick(this.#instances);
             const { child } = instance;
@@ -393,6 +411,22 @@
         proxy.setMode(ProxyMode.forward);
     }
 
+    /** Cuts a random instance off from all targets for a time, while the others reach them. */
+    async #cutInstance(duration: number): Promise<void> {
+        const instance = this.#pick(this.#instances);
+        const cut = this.#pick(Object.values(LinkCut));
+        if (this.#instances.some(({ isCut }) => isCut)) {
+            return;
+        }
+        instance.isCut = true;
+        const recordEnd = this.#recorder.recordCut(this.#instances.indexOf(instance), cut);
+        await setCut(instance, cut);
+        await waitMilliseconds(duration);
+        recordEnd();
+        await setCut(instance, "");
+        instance.isCut = false;
+    }
+
     /** Stops a random instance with a signal, and starts it again after `downTime` milliseconds. */
     async #restartInstance(signal: NodeJS.Signals, downTime: number): Promise<void> {
         await this.#restart(this.#pick(this.#instances), signal, downTime);
@@ -450,11 +484,20 @@
         }
         const { requests } = this.#recorder;
         const served = requests.filter(({ result }) => result?.status === 200 && result.isComplete).length;
+        this.#otherViolations.push(...this.#recorder.findCutViolations());
         const violations = [...this.#otherViolations, ...this.#recorder.findViolations(runs)];
         return { violations, requests: requests.length, served, faults };
     }
 }
 
+/** Tells the process of an instance how it is cut off from all targets; empty if it is not. */
+async function setCut(instance: SoakInstance, cut: LinkCut | ""): Promise<void> {
+    await writeFile(`${instance.settingsPath}.cut`, cut);
+    // A signal that arrives before Node.js runs the program ends the process.
+    await instance.started;
+    instance.child.sendSignal("SIGUSR2");
+}
+
 /** Waits until a process logs that it has started, or has exited. */
 async function waitForStart(child: RunningChild): Promise<void> {
     while (child.isRunning() && !child.getOutput().includes(STARTED_EVENT)) {
