Return requests in steps after a cut from all targets

After a cut an instance sent all requests to targets again as soon as two checks had succeeded, so that the first second fell on cold connections. Now an eighth of them goes to targets at once and an eighth more every 250 ms; the others go on through a peer. If connections to two targets fail meanwhile, none goes to targets until these failures are a second old or a check has decided.

Evidence: the scenario "an instance that reaches targets again takes its requests back in steps" failed with the former condition in the caller server, and passes; 13 examples of the decision. `npm test -- @partition`: 20 passed, 0 failed.

--- a/core/serving/target_reachability.ts
+++ b/core/serving/target_reachability.ts
@@ -4,7 +4,8 @@
  * Load pattern: some instances lose their links to all targets for seconds, while callers, the store and the other
  * instances still reach them. Connections are refused, are reset, hang, or live on while new ones are refused. What an
  * attempt shows is slow or ambiguous: a sound target may be silent for a second, and a refused connection may mean that
- * its target has ended. New connections to a few targets at once show it within a fraction of a second.
+ * its target has ended. New connections to a few targets at once show it within a fraction of a second. When the links are
+ * back, all requests at once would fall on cold connections: a share of them that grows in steps goes to targets again.
  *
  * @module
  */
@@ -27,6 +28,9 @@
 const CHECK_INTERVAL_MILLISECONDS = 500;
 /** Number of checks in a row that have to reach a target for a partition to have ended. */
 const CHECKS_TO_RECOVER = 2;
+/** Time after a partition in which all requests go to targets again, in milliseconds, and the number of steps. */
+const RETURN_MILLISECONDS = 2000;
+const RETURN_STEPS = 8;
 
 /** Tracks whether an instance reaches any target. */
 export class TargetReachability {
@@ -36,6 +40,7 @@
     #checkedAt = Number.NEGATIVE_INFINITY;
     #isPartitioned = false;
     #successes = 0;
+    #regainedAt = Number.NEGATIVE_INFINITY;
 
     /** True while this instance reaches no target. */
     get isPartitioned(): boolean {
@@ -52,6 +57,23 @@
         this.#failures.set(targetId, now);
     }
 
+    /**
+     * Decides whether a request goes to a target, and not through another instance.
+     *
+     * After a partition the share of these requests grows to all in steps; if connections to several targets fail again, it
+     * is none until a check has shown whether the partition goes on.
+     *
+     * @param random Random number from 0 (inclusive) to 1 (exclusive).
+     */
+    decideDirect(now: number, random: number): boolean {
+        const sinceRegained = now - this.#regainedAt;
+        if (this.#isPartitioned || sinceRegained < RETURN_MILLISECONDS && this.#hasRecentFailures(now)) {
+            return false;
+        }
+        const step = Math.floor(sinceRegained / RETURN_MILLISECONDS * RETURN_STEPS) + 1;
+        return random < step / RETURN_STEPS;
+    }
+
     /** Decides whether to check now whether any target accepts a connection. */
     decideCheck(waiting: readonly WaitingRequest[], now: number): boolean {
         if (now - this.#checkedAt < CHECK_INTERVAL_MILLISECONDS) {
@@ -69,6 +91,7 @@
             this.#isPartitioned = true;
         }
         else if (this.#successes >= CHECKS_TO_RECOVER) {
+            this.#regainedAt = this.#isPartitioned ? now : this.#regainedAt;
             this.#isPartitioned = false;
         }
         this.#failures.clear();
--- a/features/steps/platform_partition_steps.ts
+++ b/features/steps/platform_partition_steps.ts
@@ -5,6 +5,7 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { TargetReachability } from "../../core/serving/mod.ts";
 import { openObservedConnection, waitMilliseconds } from "../../network/mod.ts";
 import { PartitionMonitor, ServingState, TargetConnections } from "../../serving/mod.ts";
 import { LinkCut } from "../../support/platform/mod.ts";
@@ -175,3 +176,52 @@
         assert.ok(duration < milliseconds, `a ${kind} was refused after ${duration.toFixed(0)} ms`);
     }
 });
+
+/** Reachability that the scenario has brought about. */
+let reachability = new TargetReachability();
+
+When("an instance has seen {string}", function(history: string) {
+    reachability = new TargetReachability();
+    for (const entry of history.split(" ").filter(text => text !== "")) {
+        const [name = "", time = ""] = entry.split("@");
+        if (name === "lost" || name === "reached") {
+            reachability.recordCheck(name === "reached", Number(time));
+        }
+        else {
+            reachability.recordConnectFailure(name, Number(time));
+        }
+    }
+});
+
+Then(
+    /^a request with the random number ([\d.]+) at (\d+) ms goes to (a target|a peer)$/,
+    function(random: string, time: string, destination: string) {
+        const isDirect = reachability.decideDirect(Number(time), Number(random));
+        assert.equal(isDirect ? "a target" : "a peer", destination);
+    },
+);
+
+/** Lists the times from the end of an instance's partition to the requests that it handed over after it. */
+function listHandOversAfterReturn(number: number): number[] {
+    const { lines } = getInstance(number);
+    const regainedAt = lines.findLast(({ event }) => event === "targets regained")?.["time"];
+    assert.ok(regainedAt !== undefined, `instance ${number} has regained no targets`);
+    return lines.filter(({ event }) => event === "request handed over")
+        .map(line => Date.parse(String(line["time"])) - Number(line["milliseconds"]) - Date.parse(String(regainedAt)))
+        .filter(time => time >= 0);
+}
+
+Then(
+    "instances 1 and 2 have handed over some requests in the first {int} ms after they regained targets",
+    function(milliseconds: number) {
+        for (const number of [1, 2]) {
+            assert.ok(listHandOversAfterReturn(number).some(time => time <= milliseconds));
+        }
+    },
+);
+
+Then("they have handed over none later than {int} ms after that", function(milliseconds: number) {
+    for (const number of [1, 2]) {
+        assert.deepEqual(listHandOversAfterReturn(number).filter(time => time > milliseconds), []);
+    }
+});
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -251,7 +251,7 @@
             signal: AbortSignal.any([call.disconnected, timeout]),
             isCallerDisconnected: () => call.disconnected.aborted,
         };
-        if (this.#context.partitionMonitor.isPartitioned && await sendThroughPeer(this.#context, exchange)) {
+        if (!this.#context.partitionMonitor.decideDirect() && await sendThroughPeer(this.#context, exchange)) {
             return;
         }
         await (route.kind === "stream"
--- a/serving/partition_monitor.ts
+++ b/serving/partition_monitor.ts
@@ -53,6 +53,11 @@
         return this.#reachability.isPartitioned;
     }
 
+    /** Decides whether a request goes to a target now, and not through another instance. */
+    decideDirect(): boolean {
+        return this.#reachability.decideDirect(this.#options.clock.getMonotonic(), this.#options.random());
+    }
+
     /** Checks the reachability of targets if there is a doubt. */
     update(): void {
         const { connections, clock } = this.#options;
