--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -13,6 +13,7 @@
     type TargetSnapshot,
     type TargetStart,
     type ToldRateStatement,
+    type ToldRefusalStatement,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
 import {
@@ -57,6 +58,8 @@
     paused: string[];
     /** What targets have lately stated to the sender about the request rate that they accept. */
     rateStatements: ToldRateStatement[];
+    /** What targets have lately stated to the sender about the requests that they refuse, and their latest refusals. */
+    refusalStatements: ToldRefusalStatement[];
     /** Crashes that the sender has observed, and what it knows of parts of prompts under suspicion. */
     promptEvidence: CrashEvidence;
     /** Software versions whose streams are not recorded, by service, as far as the sender relies on them. */
@@ -134,13 +137,17 @@
     sound: v.array(v.string()),
     quarantined: QuarantinedSchema,
 });
-const RateStatementsSchema = v.array(v.object({
+const RateStatementSchema = v.object({
     id: v.string(),
     startedAt: FiniteSchema,
     requestsPerSecond: v.optional(CountSchema),
     sentAgoMilliseconds: FiniteSchema,
     heardAgoMilliseconds: FiniteSchema,
-}));
+});
+const RefusalStatementSchema = v.object({
+    ...RateStatementSchema.entries,
+    refusedAgoMilliseconds: v.optional(FiniteSchema),
+});
 /** Load on each target; one that is no load counts as none. */
 const LoadDigestSchema = v.record(
     v.string(),
@@ -210,7 +217,8 @@
         unreachable: v.array(v.string()),
         leaving: v.optional(v.array(v.object({ id: v.string(), startedAt: v.number() })), []),
         paused: v.optional(v.array(v.string()), []),
-        rateStatements: v.optional(RateStatementsSchema, []),
+        rateStatements: v.optional(v.array(RateStatementSchema), []),
+        refusalStatements: v.optional(v.array(RefusalStatementSchema), []),
         promptEvidence: v.optional(CrashEvidenceSchema, EMPTY_CRASH_EVIDENCE),
         baselines: v.optional(v.record(v.string(), v.string()), {}),
         versions: VersionsSchema,
