--- a/features/platform/broken_streams.feature
+++ b/features/platform/broken_streams.feature
@@ -177,6 +177,7 @@
             | is replaced at its address |
             | ends behind a gateway that answers in its place |
             | breaks off and falls silent |
+            | is replaced by a target of another service |
 
     Scenario: a verdict without a length whose engine breaks off and falls silent goes on at another engine
         Given a serving site with slow streams
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -24,7 +24,7 @@
     isUnframed: boolean;
     /**
      * How reports are answered: "" at once, "late" after 300 ms, "reset" by a reset of the connection, "gateway" by a 502
-     * of what lies between, or "silence" not at all.
+     * of what lies between, "missing" by a 404 of another service's target, or "silence" not at all.
      */
     reportFault: string;
     /** Number of events that a resumed generation leaves out at its beginning. */
@@ -250,6 +250,12 @@
         target.writeHead(request, response, { "content-length": String(RESPONSE_BODY.length) });
         response.write(RESPONSE_BODY.slice(0, 4), () => response.destroy());
     },
+    "an answer without content": (_, request) =>
+        void request.socket.end(
+            `HTTP/1.1 204 No Content\r\nattempt-id: ${
+                readRequestId(request)
+            }\r\nresponse-seal: seal\r\nconnection: close\r\n\r\n`,
+        ),
     "an unframed answer": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: RESPONSE_BODY }),
     "an unframed answer and the end of its process": (target, request, response) =>
@@ -412,6 +418,10 @@
             if (this.faults.reportFault === "silence") {
                 return;
             }
+            if (this.faults.reportFault === "missing") {
+                sendJson(response, { status: 404, value: {} });
+                return;
+            }
             if (this.faults.reportFault === "gateway") {
                 sendJson(response, { status: 502, value: { error: "no upstream" } });
                 return;
