Check a target after each doubtful end anew, and none after an answer without content

What callers would see: a response that broke off while its target was being asked for another response was judged by that earlier call; an answer without content (204, HEAD) waited for a call, and was lost in doubt. Cause: calls were shared with attempts whose responses had ended later than the call was sent; only a length or chunks counted as an end of its own. Found by review. Change: such a response waits for the next call, which all share; a response without a body shows its end. A patient call lasts for up to a second, so that slow reports count; refusals are not checked; a complete end is logged among the requests.

--- a/features/platform/response_ends.feature
+++ b/features/platform/response_ends.feature
@@ -27,3 +27,15 @@
             | 0/0    | in-order                 | running  | broken off |
             | 0/0    | in-order rest            | running  | complete   |
             | 0/0    | in-order rest            | unknown  | unknown    |
+
+    # A check that was sent before the end of a response shows nothing about the target after that end.
+    Scenario: a response that ends while its target is checked for another one is decided by a check of its own
+        When two responses of a target end one after the other, and the target ends between them
+        Then the target was found "running" for the first and "gone" for the second
+
+    Scenario: an answer without content needs no check of its target
+        Given a serving site
+        When the targets respond with "an answer without content" 1 times
+        And a caller sends a "stamp"
+        Then the response has the status 204 and is whole
+        And no line tells of the end of a response
--- a/features/steps/platform_refusal_limit_steps.ts
+++ b/features/steps/platform_refusal_limit_steps.ts
@@ -24,7 +24,7 @@
     function(statusCode: number, bound: string) {
         const headers = bound === "" ? {} : { "server-brittle": bound };
         const rawHeaders = Object.entries(headers).flat();
-        decodedHead = decodeResponseHead({ statusCode, headers, rawHeaders } as unknown as IncomingMessage);
+        decodedHead = decodeResponseHead({ statusCode, headers, rawHeaders } as unknown as IncomingMessage, "GET");
     },
 );
 
--- a/features/steps/platform_response_end_steps.ts
+++ b/features/steps/platform_response_end_steps.ts
@@ -5,7 +5,17 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { decideResponseOutcome, type ResponseOutcome, type TargetPresence } from "../../core/serving/mod.ts";
+import {
+    decideResponseOutcome,
+    type ResponseOutcome,
+    type ServingTarget,
+    TargetPresence,
+} from "../../core/serving/mod.ts";
+import { openObservedConnection, waitMilliseconds } from "../../network/mod.ts";
+import type { EngineClient } from "../../serving/engine_client.ts";
+import { TargetProbe } from "../../serving/target_probe.ts";
+import { systemClock } from "../../telemetry/mod.ts";
+import { getInstance } from "../support/site_context.ts";
 
 let outcome: ResponseOutcome | undefined;
 
@@ -28,3 +38,40 @@
 Then("the decision on its end is {string}", function(expected: string) {
     assert.equal(outcome, expected);
 });
+
+let presences: TargetPresence[] = [];
+
+When("two responses of a target end one after the other, and the target ends between them", async function() {
+    let presence: TargetPresence = TargetPresence.running;
+    const engines = {
+        isPaused: () => false,
+        // The answer is on its way for a while.
+        findPresence: async () => {
+            const answer = presence;
+            await waitMilliseconds(20);
+            return answer;
+        },
+    } as unknown as EngineClient;
+    const probe = new TargetProbe({
+        engines,
+        openConnection: openObservedConnection,
+        findTarget: () => undefined,
+        clock: systemClock,
+    });
+    const target = { id: "engine-1", startedAt: 1 } as ServingTarget;
+    const service = { engine: {} } as Parameters<TargetProbe["findPresence"]>[1]["service"];
+    const first = probe.findPresence(target, { service, isPatient: true });
+    presence = TargetPresence.gone;
+    presences = await Promise.all([first, probe.findPresence(target, { service, isPatient: true })]);
+});
+
+Then(
+    "the target was found {string} for the first and {string} for the second",
+    function(first: string, second: string) {
+        assert.deepEqual(presences, [first, second]);
+    },
+);
+
+Then("no line tells of the end of a response", function() {
+    assert.deepEqual(getInstance(1).lines.filter(({ event }) => event === "response ended"), []);
+});
--- a/serving/response_end_check.ts
+++ b/serving/response_end_check.ts
@@ -48,7 +48,7 @@
     const isShown = end.isFramed && end.events > 0 && outcome === ResponseOutcome.complete;
     context.metrics.countResponseEnd({ isFramed: end.isFramed, outcome });
     if (!isShown) {
-        context.log.record("trouble", "response ended", {
+        context.log.record(outcome === ResponseOutcome.complete ? "request" : "trouble", "response ended", {
             request: exchange.request.id,
             target: target.id,
             outcome,
@@ -69,8 +69,10 @@
     if (signal.aborted) {
         return TargetPresence.unknown;
     }
+    const finished = new AbortController();
     const aborted = new Promise<TargetPresence>(resolve => {
-        signal.addEventListener("abort", () => resolve(TargetPresence.unknown), { once: true });
+        signal.addEventListener("abort", () => resolve(TargetPresence.unknown), { signal: finished.signal });
     });
-    return Promise.race([targetProbe.findPresence(target, { service, isPatient: !isRepeatable(route) }), aborted]);
+    const presence = targetProbe.findPresence(target, { service, isPatient: !isRepeatable(route) });
+    return Promise.race([presence, aborted]).finally(() => finished.abort());
 }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -420,7 +420,7 @@
         }
         const outcome = await checkResponseEnd(this.#context, this.#exchange, {
             target,
-            end: buildBodyEnd({ isFramed: head.isFramed, isClosedInOrder: targetResponse.isComplete() }),
+            end: buildBodyEnd({ isFramed: head.hasOwnEnd, isClosedInOrder: targetResponse.isComplete() }),
         });
         if (outcome !== ResponseOutcome.complete) {
             return { kind: "failed", verdict: "may-have-run", reason: INCOMPLETE_REASONS[outcome] };
@@ -465,7 +465,7 @@
             targetResponse.close();
         }
         const end = {
-            isFramed: targetResponse.head.isFramed,
+            isFramed: targetResponse.head.hasOwnEnd,
             isClosedInOrder: failure === undefined && targetResponse.isComplete(),
             events: eventCount,
             unfinishedBytes: splitter.getPendingBytes().length,
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -336,7 +336,7 @@
             applyInterimResponseLimit(request);
             request.on("timeout", () => undefined);
             request.on("response", response => {
-                const head = decodeResponseHead(response);
+                const head = decodeResponseHead(response, call.method);
                 progress = "answering";
                 pending.isAnswered = true;
                 this.onData();
--- a/serving/target_probe.ts
+++ b/serving/target_probe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import { type ServiceDefinition, type ServingTarget, TargetPresence } from "../core/serving/mod.ts";
+import { type ServiceDefinition, type ServingTarget, TargetPresence, type TargetStart } from "../core/serving/mod.ts";
 import {
     checkListener,
     type ListenerState,
@@ -31,7 +31,7 @@
 /** Check of a target whose requests may be retried at another one meanwhile. */
 const BRIEF_CHECK: PresenceCheck = { callMilliseconds: 200, withinMilliseconds: 0 };
 /** Check of a target whose response is lost to its caller unless the target responds. */
-const PATIENT_CHECK: PresenceCheck = { callMilliseconds: 400, withinMilliseconds: 1000 };
+const PATIENT_CHECK: PresenceCheck = { callMilliseconds: 1000, withinMilliseconds: 600 };
 /** Pause between two connections to a target that accepts none, in milliseconds. */
 const CONNECT_PAUSE_MILLISECONDS = 50;
 
@@ -41,11 +41,19 @@
     unknown: TargetPresence.unknown,
 };
 
+/** How the presence of a target is checked. */
+interface CheckOptions {
+    service: Pick<ServiceDefinition, "engine">;
+    check: PresenceCheck;
+}
+
 /** Finds out whether targets still run. */
 export class TargetProbe {
     readonly #options: TargetProbeOptions;
     /** Checks that are not finished yet, by start of the target and time limit. */
     readonly #pending = new Map<string, Promise<TargetPresence>>();
+    /** Checks that start when the pending one has finished, by the same. */
+    readonly #queued = new Map<string, Promise<TargetPresence>>();
 
     constructor(options: TargetProbeOptions) {
         this.#options = options;
@@ -57,34 +65,44 @@
     }
 
     /**
-     * Finds out whether a target still runs. One that does not respond is asked repeatedly if `isPatient` is true.
+     * Finds out whether a target still runs. One that does not respond is asked repeatedly if `isPatient` is true. The call is
+     * sent after this one: an earlier one may have been answered before the response ended.
      */
     async findPresence(
         target: ServingTarget,
         { service, isPatient }: { service: Pick<ServiceDefinition, "engine">; isPatient: boolean; },
     ): Promise<TargetPresence> {
-        const presence = await this.#startCheck(target, { service, check: isPatient ? PATIENT_CHECK : BRIEF_CHECK });
+        const presence = await this.#queueCheck(target, { service, check: isPatient ? PATIENT_CHECK : BRIEF_CHECK });
         const listed = this.#options.findTarget(target.id);
         const hasRestarted = target.startedAt !== 0 && (listed?.startedAt ?? 0) > target.startedAt;
         return hasRestarted && presence === TargetPresence.running ? TargetPresence.replaced : presence;
     }
 
+    /** Starts a check, or returns the one that is to start after the one that is pending. */
+    #queueCheck(target: ServingTarget, options: CheckOptions): Promise<TargetPresence> {
+        const key = formatKey(target, options.check);
+        const pending = this.#pending.get(key);
+        if (pending === undefined) {
+            return this.#startCheck(target, options);
+        }
+        const queued = this.#queued.get(key) ?? pending.catch(() => undefined).then(() => {
+            this.#queued.delete(key);
+            return this.#startCheck(target, options);
+        });
+        this.#queued.set(key, queued);
+        return queued;
+    }
+
     /** Starts a check, or returns the one that is pending for the same start of the target. */
-    #startCheck(
-        target: ServingTarget,
-        options: { service: Pick<ServiceDefinition, "engine">; check: PresenceCheck; },
-    ): Promise<TargetPresence> {
-        const key = `${target.id} ${target.startedAt} ${options.check.withinMilliseconds}`;
+    #startCheck(target: ServingTarget, options: CheckOptions): Promise<TargetPresence> {
+        const key = formatKey(target, options.check);
         const pending = this.#pending.get(key)
             ?? this.#checkPresence(target, options).finally(() => this.#pending.delete(key));
         this.#pending.set(key, pending);
         return pending;
     }
 
-    async #checkPresence(
-        target: ServingTarget,
-        { service, check }: { service: Pick<ServiceDefinition, "engine">; check: PresenceCheck; },
-    ): Promise<TargetPresence> {
+    async #checkPresence(target: ServingTarget, { service, check }: CheckOptions): Promise<TargetPresence> {
         const { engines, clock } = this.#options;
         if (service.engine !== undefined && !engines.isPaused(target)) {
             return engines.findPresence(target, check);
@@ -102,3 +120,8 @@
         }
     }
 }
+
+/** Formats the key of a check of one start of a target. */
+function formatKey({ id, startedAt }: TargetStart, { withinMilliseconds }: PresenceCheck): string {
+    return `${id} ${startedAt} ${withinMilliseconds}`;
+}
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -176,10 +176,13 @@
             const body = await this.#context.connections.readResponseBody(targetResponse);
             const { head } = targetResponse;
             // The system closes the connections of a process that ends as a target does at the end of such a body.
-            const outcome = await checkResponseEnd(this.#context, this.#exchange, {
-                target: reservation.target,
-                end: buildBodyEnd({ isFramed: head.isFramed, isClosedInOrder: targetResponse.isComplete() }),
-            });
+            // The head of a refusal says all.
+            const outcome = head.isRefusal
+                ? ResponseOutcome.complete
+                : await checkResponseEnd(this.#context, this.#exchange, {
+                    target: reservation.target,
+                    end: buildBodyEnd({ isFramed: head.hasOwnEnd, isClosedInOrder: targetResponse.isComplete() }),
+                });
             return this.#classifyResponse({ head, body, outcome });
         }
         catch (error) {
