--- a/core/serving/target_refusal_limits.ts
+++ b/core/serving/target_refusal_limits.ts
@@ -2,11 +2,13 @@
  * Bounds the requests that targets refuse for want of room, for targets that fall over when they refuse too many.
  *
  * Load pattern: a burst beyond what the targets have room for. Each instance alone knows its own requests only, so that
- * all of them go on sending, and a target refuses more requests per second than it survives. A request has surely room
- * while an instance has fewer outstanding requests at the target than its share of the slots, or all together have fewer
- * than the slots where they tell each other, and no instance has been refused there lately. Beyond its share of the slots, instances share the number of refusals that the target states, as
- * they share a limit on the request rate. After a refusal, which they tell each other, each goes on at a part of its own
- * recent rate, which grows again.
+ * all of them go on sending, and a target refuses more requests per second than it survives.
+ *
+ * A request has surely room while an instance has fewer outstanding requests at the target than its share of the slots, or
+ * all together have fewer than the slots where they tell each other, and no instance has been refused there lately. Beyond
+ * its share of the slots, instances share the number of refusals that the target states, as they share a limit on the
+ * request rate. After a refusal, which they tell each other, each goes on at a part of its own recent rate, which grows
+ * again.
  *
  * @module
  */
