Tests: name three files after the platform whose messages they hold

Cause: the platform's wire names stand only in files of its adapter and of its tests, whose names say so. Change: two files of fixtures and one of steps are renamed.

--- a/features/steps/build_contract_steps.ts
+++ b/features/steps/platform_build_contract_steps.ts
@@ -36,7 +36,7 @@
     PRODUCTION_HANDED_OVER_HEADERS,
     PRODUCTION_STORE_OBJECTS,
     type ProductionPeer,
-} from "../support/production_messages.ts";
+} from "../support/platform_production_messages.ts";
 import { createRequestId, getInstance, getSite, getTarget } from "../support/site_context.ts";
 
 /** A peer of the build in production, which this process plays. */
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -20,7 +20,7 @@
     waitUntil,
 } from "../../support/processes/mod.ts";
 import { DecisionLog, DEFAULT_LINES_PER_SECOND, LineClass } from "../../telemetry/mod.ts";
-import { callUntilEnded, type ClingingRequest } from "../support/clinging_callers.ts";
+import { callUntilEnded, type ClingingRequest } from "../support/platform_clinging_callers.ts";
 
 interface ServingProcessState {
     site: ServingSite;
