Sum up the load of a target for its refusals only if it states a bound

Cause: each choice of a target summed the peers' digests of every candidate for the bound on refusals, which few targets state; and the records of both kinds of limits were two copies that differ in names. Change: the sums are made for targets with a bound only; one pair of functions records and logs both kinds.

--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -13,6 +13,7 @@
     LoadTracker,
     type QuarantinedPart,
     type RateShareInput,
+    type RateStatement,
     RecentSends,
     type ReleasedPart,
     ReleaseReason,
@@ -101,6 +102,27 @@
 /** Number of parts in the log line of a crash: the last ones, which fewest requests share. */
 const MAX_LOGGED_PARTS = 12;
 
+/** Names of a kind of limit in log lines. */
+interface LimitNames {
+    /** Field that holds the limit. */
+    field: string;
+    /** Event for a limit that a target has stated. */
+    stated: string;
+    /** Event for a limit that a target has ceased to state. */
+    ended: string;
+}
+
+const RATE_LIMIT: LimitNames = {
+    field: "requestsPerSecond",
+    stated: "target limits requests",
+    ended: "target limit ended",
+};
+const REFUSAL_LIMIT: LimitNames = {
+    field: "refusalsPerSecond",
+    stated: "target limits refusals",
+    ended: "target refusal limit ended",
+};
+
 /** Keeps the state of a serving process and notifies listeners of changes to it. */
 export class ServingState {
     /** List of targets. */
@@ -309,39 +331,23 @@
      * Records what a target states in an answer about the request rate that it accepts: a limit, or none. `sentAt` is the
      * time at which the request was sent.
      */
-    recordRateStatement(
-        target: TargetStart,
-        statement: { requestsPerSecond: number | undefined; sentAt: number; },
-    ): void {
-        const { requestsPerSecond } = statement;
-        const isCurrent = this.#isCurrentStart(target);
-        if (isCurrent && this.rateLimits.recordStatement(target, { ...statement, heardAt: this.#now() })) {
-            this.#logRateLimit(target, { requestsPerSecond, source: "target" });
-            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
-        }
+    recordRateStatement(target: TargetStart, statement: Omit<RateStatement, "heardAt">): void {
+        this.#recordStatement(RATE_LIMIT, { limits: this.rateLimits, target, statement });
     }
 
     /** Merges what targets have stated to a peer about the request rate that they accept. */
     applyRateStatements(instance: string, statements: readonly ToldRateStatement[]): void {
-        for (const statement of statements) {
-            const isCurrent = this.#isCurrentStart(statement);
-            if (isCurrent && this.rateLimits.applyToldStatement(statement, this.#now())) {
-                const { requestsPerSecond } = statement;
-                this.#logRateLimit(statement, { requestsPerSecond, source: `peer ${instance}` });
-            }
-        }
+        this.#applyStatements(RATE_LIMIT, { limits: this.rateLimits, instance, statements });
     }
 
     /** Records what a target states in an answer about the requests that it refuses: a bound per second, or none. */
-    recordRefusalStatement(
-        target: TargetStart,
-        statement: { requestsPerSecond: number | undefined; sentAt: number; },
-    ): void {
-        const isCurrent = this.#isCurrentStart(target);
-        if (isCurrent && this.refusalLimits.recordStatement(target, { ...statement, heardAt: this.#now() })) {
-            this.#logRefusalLimit(target, { refusalsPerSecond: statement.requestsPerSecond, source: "target" });
-            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
-        }
+    recordRefusalStatement(target: TargetStart, statement: Omit<RateStatement, "heardAt">): void {
+        this.#recordStatement(REFUSAL_LIMIT, { limits: this.refusalLimits, target, statement });
+    }
+
+    /** Merges what targets have stated to a peer about the requests that they refuse, and their latest refusals. */
+    applyRefusalStatements(instance: string, statements: readonly ToldRefusalStatement[]): void {
+        this.#applyStatements(REFUSAL_LIMIT, { limits: this.refusalLimits, instance, statements });
     }
 
     /** Records that a target has refused a request for want of room; peers are informed if it survives few refusals. */
@@ -351,17 +357,6 @@
         }
     }
 
-    /** Merges what targets have stated to a peer about the requests that they refuse, and their latest refusals. */
-    applyRefusalStatements(instance: string, statements: readonly ToldRefusalStatement[]): void {
-        for (const statement of statements) {
-            const isCurrent = this.#isCurrentStart(statement);
-            if (isCurrent && this.refusalLimits.applyToldStatement(statement, this.#now())) {
-                const refusalsPerSecond = statement.requestsPerSecond;
-                this.#logRefusalLimit(statement, { refusalsPerSecond, source: `peer ${instance}` });
-            }
-        }
-    }
-
     /** Records the software versions of the targets that are listed now. */
     recordListedVersions(): void {
         this.softwareVersions.recordListed(this.directory.listSoftwareVersions(), this.#now());
@@ -526,11 +521,14 @@
         { id, slots }: ServingTarget,
         { share, isEngine }: { share: RateShareInput; isEngine: boolean; },
     ): number | undefined {
-        const ownRequests = this.loadTracker.computeOwnLoad(id).requests;
-        const totalRequests = isEngine ? this.loadTracker.computeTotalLoad(id, share.now).requests : undefined;
         const delay = Math.max(
             this.rateLimits.computeDelay(id, share),
-            this.refusalLimits.computeDelay(id, { ...share, ownRequests, totalRequests, slots }),
+            this.refusalLimits.findLimit(id) === undefined ? 0 : this.refusalLimits.computeDelay(id, {
+                ...share,
+                ownRequests: this.loadTracker.computeOwnLoad(id).requests,
+                totalRequests: isEngine ? this.loadTracker.computeTotalLoad(id, share.now).requests : undefined,
+                slots,
+            }),
         );
         return delay > 0 ? share.now + delay : undefined;
     }
@@ -546,20 +544,46 @@
         return this.directory.findTarget(id)?.startedAt === startedAt;
     }
 
-    #logRateLimit(
-        { id }: TargetStart,
-        change: { requestsPerSecond: number | undefined; source: StateSource; },
+    #recordStatement(
+        names: LimitNames,
+        { limits, target, statement }: {
+            limits: Pick<TargetRateLimits, "recordStatement">;
+            target: TargetStart;
+            statement: Omit<RateStatement, "heardAt">;
+        },
+    ): void {
+        const isCurrent = this.#isCurrentStart(target);
+        if (isCurrent && limits.recordStatement(target, { ...statement, heardAt: this.#now() })) {
+            this.#logLimit(names, { id: target.id, limit: statement.requestsPerSecond, source: "target" });
+            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+        }
+    }
+
+    #applyStatements<Statement extends ToldRateStatement>(
+        names: LimitNames,
+        { limits, instance, statements }: {
+            limits: { applyToldStatement(told: Statement, now: number): boolean; };
+            instance: string;
+            statements: readonly Statement[];
+        },
     ): void {
-        const event = change.requestsPerSecond === undefined ? "target limit ended" : "target limits requests";
-        this.#options.log.record("belief", event, { target: id, ...change });
+        for (const statement of statements) {
+            if (this.#isCurrentStart(statement) && limits.applyToldStatement(statement, this.#now())) {
+                const { id, requestsPerSecond: limit } = statement;
+                this.#logLimit(names, { id, limit, source: `peer ${instance}` });
+            }
+        }
     }
 
-    #logRefusalLimit(
-        { id }: TargetStart,
-        change: { refusalsPerSecond: number | undefined; source: StateSource; },
+    #logLimit(
+        { field, stated, ended }: LimitNames,
+        { id, limit, source }: { id: string; limit: number | undefined; source: StateSource; },
     ): void {
-        const event = change.refusalsPerSecond === undefined ? "target refusal limit ended" : "target limits refusals";
-        this.#options.log.record("belief", event, { target: id, ...change });
+        this.#options.log.record("belief", limit === undefined ? ended : stated, {
+            target: id,
+            [field]: limit,
+            source,
+        });
     }
 
     #publishQuarantined(quarantined: readonly QuarantinedPart[], source: StateSource): void {
