Repeat calls that find out whether a target runs in one place

Cause: the checks of engines and of other targets had a loop each, with the same pause, and one of them a table of what can be derived. Change: one function repeats a call for as long as its latest result demands.

--- a/serving/engine_client.ts
+++ b/serving/engine_client.ts
@@ -6,7 +6,6 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import { type ServingTarget, TargetPresence } from "../core/serving/mod.ts";
-import { waitMilliseconds } from "../network/mod.ts";
 import {
     type EngineReport,
     fetchReport,
@@ -17,6 +16,7 @@
     releaseCopy,
     sendMoveStep,
 } from "../platform/mod.ts";
+import { runUntilFinal } from "./run_until_final.ts";
 import type { ServingState } from "./serving_state.ts";
 
 /** Options of an {@linkcode EngineClient}. */
@@ -29,8 +29,6 @@
 
 /** Time within which the call is repeated that finds out whether an engine has ended, in milliseconds. */
 const REPEAT_POLL_MILLISECONDS = 100;
-/** Pause between these calls, in milliseconds; an engine that ends may close its connections before its port. */
-const POLL_PAUSE_MILLISECONDS = 50;
 
 const PRESENCE_BY_POLL: Record<PollResult, TargetPresence> = {
     answered: TargetPresence.running,
@@ -39,14 +37,6 @@
     reset: TargetPresence.running,
     unanswered: TargetPresence.unknown,
 };
-/** Results after which an engine is not called again. */
-const POLL_FINALITY: Record<PollResult, boolean> = {
-    answered: true,
-    replaced: true,
-    gone: true,
-    reset: false,
-    unanswered: false,
-};
 
 /** How long the presence of a target is checked. */
 export interface PresenceCheck {
@@ -75,25 +65,22 @@
      * Finds out whether an engine still runs. One that does not respond is called again for `withinMilliseconds`, and in any
      * case for a moment: an engine that ends may close its connections before its port.
      */
-    async findPresence(engine: ServingTarget, options: PresenceCheck): Promise<TargetPresence> {
-        const { clock } = this.#options;
-        const startedAt = clock.getMonotonic();
-        for (;;) {
-            const result = this.isPaused(engine)
-                ? "unanswered"
-                : await pollEngine(engine.address, {
-                    startedAt: engine.startedAt,
-                    timeoutMilliseconds: options.callMilliseconds,
-                    onNotice: this.#buildNoticeHandler(engine),
-                });
-            const elapsed = clock.getMonotonic() - startedAt;
-            const isFinal = POLL_FINALITY[result] || elapsed >= REPEAT_POLL_MILLISECONDS
-                    && (result !== "unanswered" || elapsed >= options.withinMilliseconds);
-            if (isFinal) {
-                return PRESENCE_BY_POLL[result];
-            }
-            await waitMilliseconds(POLL_PAUSE_MILLISECONDS);
-        }
+    async findPresence(engine: ServingTarget, check: PresenceCheck): Promise<TargetPresence> {
+        const poll = (): Promise<PollResult> =>
+            this.isPaused(engine) ? Promise.resolve("unanswered") : pollEngine(engine.address, {
+                startedAt: engine.startedAt,
+                timeoutMilliseconds: check.callMilliseconds,
+                onNotice: this.#buildNoticeHandler(engine),
+            });
+        const repeatMilliseconds: Partial<Record<PollResult, number>> = {
+            reset: REPEAT_POLL_MILLISECONDS,
+            unanswered: Math.max(REPEAT_POLL_MILLISECONDS, check.withinMilliseconds),
+        };
+        const result = await runUntilFinal(poll, {
+            clock: this.#options.clock,
+            getRepeatMilliseconds: latest => repeatMilliseconds[latest] ?? 0,
+        });
+        return PRESENCE_BY_POLL[result];
     }
 
     /** Requests one step of a move from the engine that runs the generation. */
--- a/serving/run_until_final.ts
+++ b/serving/run_until_final.ts
@@ -6,8 +6,8 @@
 import type { Clock } from "../core/clock/mod.ts";
 import { waitMilliseconds } from "../network/mod.ts";
 
-/** Options of {@linkcode repeatCall}. */
-export interface RepeatCallOptions<Result> {
+/** Options of {@linkcode runUntilFinal}. */
+export interface RunUntilFinalOptions<Result> {
     /** Source of time. */
     clock: Clock;
     /** Gets the time for which a call with this result is repeated, from the first call on, in milliseconds. */
@@ -18,9 +18,9 @@
 const PAUSE_MILLISECONDS = 50;
 
 /** Repeats a call for as long as its latest result demands, and returns that result. */
-export async function repeatCall<Result>(
+export async function runUntilFinal<Result>(
     call: () => Promise<Result>,
-    { clock, getRepeatMilliseconds }: RepeatCallOptions<Result>,
+    { clock, getRepeatMilliseconds }: RunUntilFinalOptions<Result>,
 ): Promise<Result> {
     const startedAt = clock.getMonotonic();
     for (;;) {
--- a/serving/target_probe.ts
+++ b/serving/target_probe.ts
@@ -5,14 +5,9 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import { type ServiceDefinition, type ServingTarget, TargetPresence, type TargetStart } from "../core/serving/mod.ts";
-import {
-    checkListener,
-    type ListenerState,
-    type OpenConnection,
-    parseAddress,
-    waitMilliseconds,
-} from "../network/mod.ts";
+import { checkListener, type ListenerState, type OpenConnection, parseAddress } from "../network/mod.ts";
 import type { EngineClient, PresenceCheck } from "./engine_client.ts";
+import { runUntilFinal } from "./run_until_final.ts";
 
 /** Options of a {@linkcode TargetProbe}. */
 export interface TargetProbeOptions {
@@ -32,8 +27,6 @@
 const BRIEF_CHECK: PresenceCheck = { callMilliseconds: 200, withinMilliseconds: 0 };
 /** Check of a target whose response is lost to its caller unless the target responds. */
 const PATIENT_CHECK: PresenceCheck = { callMilliseconds: 1000, withinMilliseconds: 600 };
-/** Pause between two connections to a target that accepts none, in milliseconds. */
-const CONNECT_PAUSE_MILLISECONDS = 50;
 
 const PRESENCE_BY_LISTENER: Record<ListenerState, TargetPresence> = {
     listening: TargetPresence.running,
@@ -107,17 +100,16 @@
         if (service.engine !== undefined && !engines.isPaused(target)) {
             return engines.findPresence(target, check);
         }
-        const startedAt = clock.getMonotonic();
-        for (;;) {
-            const state = await checkListener(parseAddress(target.address), {
+        const connect = (): Promise<ListenerState> =>
+            checkListener(parseAddress(target.address), {
                 timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
                 openConnection: this.#options.openConnection,
             });
-            if (state !== "unknown" || clock.getMonotonic() - startedAt >= check.withinMilliseconds) {
-                return PRESENCE_BY_LISTENER[state];
-            }
-            await waitMilliseconds(CONNECT_PAUSE_MILLISECONDS);
-        }
+        const state = await runUntilFinal(connect, {
+            clock,
+            getRepeatMilliseconds: latest => latest === "unknown" ? check.withinMilliseconds : 0,
+        });
+        return PRESENCE_BY_LISTENER[state];
     }
 }
 
