Check in one place whether a response is an answer to its request

Cause: three places compared signature and request; the end of a stream was put together in two steps; the number of active requests was counted beside the set that holds one entry for each. Change: one function, one literal, and the size of the set.

--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -157,6 +157,11 @@
     return [408, 421, 429, 503].includes(head.status) && !head.isRefusal;
 }
 
+/** Checks whether a response is a target's answer to a request: it is signed, and names the request. */
+export function isOwnAnswer(head: TargetResponseHead, request: Pick<CallerRequest, "id">): boolean {
+    return head.isSigned && head.requestId === request.id;
+}
+
 /**
  * Applies what a target states about itself in the head of a response.
  *
@@ -173,11 +178,11 @@
     if (head.isForWantOfRoom) {
         state.recordRefusal(target);
     }
-    const isOwnAnswer = head.isSigned && head.requestId === exchange.request.id;
-    if (head.requestsPerSecond === undefined && isOwnAnswer) {
+    const isOwn = isOwnAnswer(head, exchange.request);
+    if (head.requestsPerSecond === undefined && isOwn) {
         state.recordRateStatement(target, { requestsPerSecond: undefined, sentAt });
     }
-    if (head.refusalsPerSecond === undefined && isOwnAnswer) {
+    if (head.refusalsPerSecond === undefined && isOwn) {
         state.recordRefusalStatement(target, { requestsPerSecond: undefined, sentAt });
     }
 }
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -65,7 +65,6 @@
     /** True once the process is about to end. */
     #isAborting = false;
     #server: Server | undefined;
-    #activeRequests = 0;
 
     constructor(context: ServingContext) {
         this.#context = context;
@@ -78,7 +77,7 @@
 
     /** Number of requests being served. */
     get activeRequests(): number {
-        return this.#activeRequests;
+        return this.#stopAborts.size;
     }
 
     /** Starts listening on an address. */
@@ -108,7 +107,7 @@
         const { clock } = this.#context;
         let idleSince: number | undefined;
         while (clock.getMonotonic() < options.until) {
-            if (this.#activeRequests > 0) {
+            if (this.activeRequests > 0) {
                 idleSince = undefined;
             }
             else if (idleSince === undefined) {
@@ -131,7 +130,7 @@
     async abortRequests({ until }: { until: number; }): Promise<void> {
         this.#isAborting = true;
         this.#stopAborts.forEach(stopAbort => stopAbort.abort(new Error("this instance stops")));
-        while (this.#activeRequests > 0 && this.#context.clock.getMonotonic() < until) {
+        while (this.activeRequests > 0 && this.#context.clock.getMonotonic() < until) {
             await waitMilliseconds(DRAIN_POLL_INTERVAL_MILLISECONDS);
         }
     }
@@ -155,7 +154,6 @@
         if (this.#context.getRemainingGraceMilliseconds() !== undefined) {
             response.shouldKeepAlive = false;
         }
-        this.#activeRequests += 1;
         try {
             const request = await this.#readRequest(incoming, response);
             if (request !== undefined) {
@@ -176,7 +174,6 @@
             abortResponse(response);
         }
         finally {
-            this.#activeRequests -= 1;
             this.#stopAborts.delete(stopAbort);
         }
     }
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -415,6 +415,8 @@
             await waitMilliseconds(REGISTRATION_RETRY_MILLISECONDS);
         }
     }
+
+    /** Decodes the registration of an instance, and logs one that cannot be used. */
     #decodePeers(object: StoreObject): PeerRegistration[] {
         const peer = decodePeer(object);
         if (peer === undefined) {
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -30,6 +30,7 @@
     type CallerExchange,
     describeAttempt,
     estimateRequestLoad,
+    isOwnAnswer,
     isUnconfirmedRefusal,
     recordOutcome,
     reserveForAttempt,
@@ -368,12 +369,7 @@
             }));
             quarantineWatch.stop();
             this.#headAt = this.#now;
-            return await this.#handleResponse(targetResponse, {
-                reservation,
-                attemptAbort,
-                stallDetector,
-                sentAt,
-            });
+            return await this.#handleResponse(targetResponse, { reservation, attemptAbort, stallDetector, sentAt });
         }
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
@@ -406,7 +402,7 @@
         const { head } = targetResponse;
         const { target } = attempt.reservation;
         applyResponseNotice(this.#context, this.#exchange, { target, head, sentAt: attempt.sentAt });
-        const isOwn = head.isSigned && head.requestId === this.#exchange.request.id;
+        const isOwn = isOwnAnswer(head, this.#exchange.request);
         if (head.status === 200 && isOwn && head.isEventStream) {
             this.#writeHead(head);
             return this.#relayEvents(targetResponse, attempt);
@@ -464,30 +460,33 @@
             this.#hasResponseEnded = true;
             targetResponse.close();
         }
-        const end = {
-            isFramed: targetResponse.head.hasOwnEnd,
-            isClosedInOrder: failure === undefined && targetResponse.isComplete(),
-            events: eventCount,
-            unfinishedBytes: splitter.getPendingBytes().length,
-            mayBeEmpty: this.#mayBeEmpty(),
-            hasAllTokens: this.#hasAllTokens(),
-        };
+        const isClosedInOrder = failure === undefined && targetResponse.isComplete();
         // The stream also ends if a move has stopped the generation; only the result of the move shows whether it has.
         const moved = await this.#waitForMove();
         if (moved !== undefined) {
             return moved;
         }
-        const outcome = await checkResponseEnd(this.#context, this.#exchange, {
+        const shown = await checkResponseEnd(this.#context, this.#exchange, {
             target: attempt.reservation.target,
-            end: { ...end, mayBeStopped: this.#mayBeStopped },
+            end: {
+                isFramed: targetResponse.head.hasOwnEnd,
+                isClosedInOrder,
+                events: eventCount,
+                unfinishedBytes: splitter.getPendingBytes().length,
+                mayBeEmpty: this.#mayBeEmpty(),
+                hasAllTokens: this.#hasAllTokens(),
+                mayBeStopped: this.#mayBeStopped,
+            },
             reason: failure,
         });
-        if (outcome === ResponseOutcome.complete && !this.#exchange.signal.aborted) {
+        const isTooLate = shown === ResponseOutcome.complete && this.#exchange.signal.aborted;
+        const outcome = isTooLate ? ResponseOutcome.unknown : shown;
+        if (outcome === ResponseOutcome.complete) {
             return { kind: "complete" };
         }
         const reason = attempt.attemptAbort.signal.aborted
             ? "stream is silent"
-            : failure ?? INCOMPLETE_REASONS[outcome === ResponseOutcome.complete ? ResponseOutcome.unknown : outcome];
+            : failure ?? INCOMPLETE_REASONS[outcome];
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -21,6 +21,7 @@
     buildTargetCall,
     type CallerExchange,
     describeAttempt,
+    isOwnAnswer,
     isUnconfirmedRefusal,
     recordOutcome,
     reserveForAttempt,
@@ -224,7 +225,7 @@
                 isConnectionLost: true,
             };
         }
-        if (!head.isSigned || head.requestId !== this.#exchange.request.id) {
+        if (!isOwnAnswer(head, this.#exchange.request)) {
             return { kind: "failed", verdict: "may-have-run", reason: `unsigned answer ${head.status}` };
         }
         if (head.status >= 500 && isRepeatable(this.#exchange.route)) {
