Tests: one fixture for metrics without a process, and one builder of earlier refusals

Cause: three tests built the same metrics, and one faulty response stood beside the builder of its kind. Change: buildIdleMetrics, and the builder for all; what is sent differs in the reason phrase alone, which nothing reads.

--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -21,9 +21,9 @@
     type TargetNotice,
 } from "../../platform/mod.ts";
 import { encodeFrame } from "../../protocol/mod.ts";
-import { parsePeerMessage, type PeerMessage, ServingMetrics, ServingState, StoreWatcher } from "../../serving/mod.ts";
+import { parsePeerMessage, type PeerMessage, ServingState, StoreWatcher } from "../../serving/mod.ts";
 import { TargetCallError, TargetConnections } from "../../serving/target_connections.ts";
-import { buildSiteConfiguration, type SiteTarget } from "../../support/platform/mod.ts";
+import { buildIdleMetrics, buildSiteConfiguration, type SiteTarget } from "../../support/platform/mod.ts";
 import { findAddresses } from "../../support/processes/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { createRequestId, getInstance, getSite, getTarget, siteContext } from "../support/site_context.ts";
@@ -590,12 +590,7 @@
         store,
         state,
         log,
-        metrics: new ServingMetrics({
-            countActive: () => 0,
-            countDroppedLines: () => 0,
-            getConfigurationVersion: () => 0,
-            countLimitedTargets: () => 0,
-        }),
+        metrics: buildIdleMetrics(),
         clock: systemClock,
         random: () => 0.5,
         decideWatching: () => true,
--- a/features/steps/store_watcher_steps.ts
+++ b/features/steps/store_watcher_steps.ts
@@ -8,8 +8,8 @@
 import { VirtualClock } from "../../core/clock/mod.ts";
 import { waitMilliseconds } from "../../network/mod.ts";
 import { StoreClient, StoreKind } from "../../platform/mod.ts";
-import { ServingMetrics, ServingState, StoreWatcher } from "../../serving/mod.ts";
-import { startServingSite } from "../../support/platform/mod.ts";
+import { ServingState, StoreWatcher } from "../../serving/mod.ts";
+import { buildIdleMetrics, startServingSite } from "../../support/platform/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { getSite, siteContext } from "../support/site_context.ts";
 
@@ -71,12 +71,7 @@
         store,
         state: new ServingState({ settings, clock, log }),
         log,
-        metrics: new ServingMetrics({
-            countActive: () => 0,
-            countDroppedLines: () => 0,
-            getConfigurationVersion: () => 0,
-            countLimitedTargets: () => 0,
-        }),
+        metrics: buildIdleMetrics(),
         clock,
         random: () => 0.5,
         decideWatching: () => watcher?.isElected === true,
--- a/support/platform/mod.ts
+++ b/support/platform/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./ending_site.ts";
 export * from "./ending_target.ts";
+export * from "./idle_metrics.ts";
 export * from "./serving_site.ts";
 export * from "./settings_text.ts";
 export * from "./store_stand_in.ts";
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -187,10 +187,7 @@
         setTimeout(() => request.socket.write(head + RESPONSE_BODY), 30);
     },
     // Accepts the request and runs it, but a copy of an earlier refusal arrives in place of the response.
-    "an earlier refusal": (target, request) => {
-        target.started.push(readRequestId(request));
-        request.socket.write("HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n");
-    },
+    "an earlier refusal": buildEarlierRefusal({ status: 503, headers: "not-executed: 1\r\n" }),
     "an earlier refusal with another name": buildEarlierRefusal({ status: 503, headers: FOREIGN_REFUSAL }),
     "an earlier refusal with another name and a pause": buildEarlierRefusal({
         status: 503,
--- a/support/platform/version_record_load.ts
+++ b/support/platform/version_record_load.ts
@@ -6,8 +6,9 @@
  */
 import { waitMilliseconds } from "../../network/mod.ts";
 import type { StoreObject, StoreReply } from "../../platform/mod.ts";
-import { ServingMetrics, ServingState, StreamVersionStore } from "../../serving/mod.ts";
+import { ServingState, StreamVersionStore } from "../../serving/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
+import { buildIdleMetrics } from "./idle_metrics.ts";
 
 /** Result of {@linkcode measureVersionRecords}. */
 export interface VersionRecordResult {
@@ -97,12 +98,7 @@
     const state = new ServingState({ settings: { bounds }, clock, log });
     state.setPositionFinder(() => ({ instances, rank: index }));
     state.softwareVersions.setBaseline("engines", { softwareVersion: BASELINE, now: clock.getMonotonic() });
-    const metrics = new ServingMetrics({
-        countActive: () => 0,
-        countDroppedLines: () => 0,
-        getConfigurationVersion: () => 0,
-        countLimitedTargets: () => 0,
-    });
+    const metrics = buildIdleMetrics();
     return new StreamVersionStore({
         instance: `instance-${index}`,
         store,
