Tests: an empty response ends after the next target is listed

The head of such a response is the whole of it, and came before the test had listed the second target, so that the retry found none. Change: the target of the fixture waits before that head, as it waits before the end of all others. What callers have to get stays.

--- a/support/platform/ending_target.ts
+++ b/support/platform/ending_target.ts
@@ -160,6 +160,11 @@
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
         }
+        this.#report("arrived");
+        if (framing === ResponseFraming.length && stated.length === 0) {
+            // Its head is the whole response.
+            await waitMilliseconds(startMilliseconds);
+        }
         response.writeHead(200, {
             "attempt-id": stream.requestId,
             "response-seal": "seal",
@@ -167,7 +172,6 @@
             ...framing === ResponseFraming.length ? { "content-length": String(stated.join("").length) } : {},
         });
         response.flushHeaders();
-        this.#report("arrived");
         await waitMilliseconds(startMilliseconds);
         for (const event of sent) {
             await new Promise<void>(resolve => void response.write(event, () => resolve()));
