--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -28,6 +28,7 @@
 export * from "./target_backpressure.ts";
 export * from "./target_directory.ts";
 export * from "./target_health.ts";
+export * from "./target_pace.ts";
 export * from "./target_presence.ts";
 export * from "./target_rate_limits.ts";
 export * from "./target_reachability.ts";
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -31,6 +31,7 @@
     type TargetCrash,
     TargetDirectory,
     TargetHealth,
+    TargetPace,
     TargetRateLimits,
     TargetRefusalLimits,
     type TargetSnapshot,
@@ -131,6 +132,8 @@
     readonly loadTracker = new LoadTracker();
     /** Recent failures of each target. */
     readonly health = new TargetHealth();
+    /** Pace at which each target works. */
+    readonly targetPace = new TargetPace();
     /** Targets that have asked this instance to send nothing for a time. */
     readonly backpressure = new TargetBackpressure();
     /** Requests that crash targets, and parts of prompts that crash engines. */
@@ -302,8 +305,11 @@
      * Applies what a target states about itself in a response: that it is about to shut down, that it wants no requests
      * from this instance for a time, or that it limits the rate of requests or of refusals.
      */
-    applyTargetNotice(target: TargetStart, notice: TargetNotice): void {
-        const { isLeaving, backpressureMilliseconds, requestsPerSecond, refusalsPerSecond } = notice;
+    applyTargetNotice(target: TargetStart & { service: string; }, notice: TargetNotice): void {
+        const { isLeaving, backpressureMilliseconds, requestsPerSecond, refusalsPerSecond, statedLoad } = notice;
+        if (statedLoad !== undefined) {
+            this.targetPace.recordStatedLoad(target, statedLoad, this.#now());
+        }
         if (requestsPerSecond !== undefined) {
             this.recordRateStatement(target, { requestsPerSecond, sentAt: this.#now() });
         }
@@ -630,6 +636,7 @@
             });
             if (change.kind === "removed") {
                 this.health.removeTarget(id);
+                this.targetPace.removeTarget(id);
                 this.coldRateShare.removeTarget(id);
                 this.recentSends.removeTarget(id);
                 this.backpressure.removeTarget(id);
