--- a/core/hashing/mod.ts
+++ b/core/hashing/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from "./member_ranking.ts";
 export * from "./rendezvous.ts";
--- a/core/serving/load_tracker.ts
+++ b/core/serving/load_tracker.ts
@@ -117,6 +117,14 @@
         this.#addToPeerLoads(digest.work, 1);
     }
 
+    /** Records that a peer has repeated its last digest. */
+    recordRepeatedDigest(peer: string, receivedAt: number): void {
+        const digest = this.#peerDigests.get(peer);
+        if (digest !== undefined) {
+            digest.receivedAt = receivedAt;
+        }
+    }
+
     /** Removes the digest of a peer. */
     removePeer(peer: string): void {
         const digest = this.#peerDigests.get(peer);
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -7,6 +7,7 @@
 export * from "./attempt_end.ts";
 export * from "./configuration_broadcast.ts";
 export * from "./digest_rate_limiter.ts";
+export * from "./digest_relays.ts";
 export * from "./evacuated_zones.ts";
 export * from "./event_splitter.ts";
 export * from "./instance_turns.ts";
--- a/core/serving/watcher_election.ts
+++ b/core/serving/watcher_election.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import { RendezvousHash } from "../hashing/mod.ts";
+import { MemberRanking } from "../hashing/mod.ts";
 
 /** State of another instance, as this one knows it. */
 export interface PeerWatchState {
@@ -28,6 +28,8 @@
     peers: readonly PeerWatchState[];
     /** Number of instances that watch the store. Defaults to 2. */
     watchers?: number;
+    /** Ranking that is kept between calls. Defaults to a new one. */
+    ranking?: MemberRanking;
 }
 
 /** Place of an instance in the election. */
@@ -56,10 +58,16 @@
 /** Key by which rendezvous hashing ranks the instances. */
 const ELECTION_KEY = "watch-store";
 
+/** Creates a ranking of instances for {@linkcode classifyWatcher}. */
+export function createElectionRanking(): MemberRanking {
+    return new MemberRanking(ELECTION_KEY);
+}
+
 /** Decides whether and after which time this instance watches the store. */
 export function classifyWatcher(input: WatcherElectionInput): WatcherElection {
     const { instance, peers, watchers = DEFAULT_WATCHER_COUNT } = input;
-    const ranked = new RendezvousHash([instance, ...peers.map(peer => peer.instance)]).listByScore(ELECTION_KEY);
+    const ranking = input.ranking ?? createElectionRanking();
+    const ranked = ranking.listMembers([instance, ...peers.map(peer => peer.instance)]);
     const rank = ranked.indexOf(instance);
     const ahead = new Set(ranked.slice(0, rank));
     const watchersAhead = peers.filter(peer =>
--- a/network/frame_connection.ts
+++ b/network/frame_connection.ts
@@ -31,6 +31,7 @@
 }
 
 const HEARTBEAT_KIND = "heartbeat";
+const HEARTBEAT_FRAME = encodeFrame({ kind: HEARTBEAT_KIND });
 const DEFAULT_HEARTBEAT_MILLISECONDS = 500;
 const DEFAULT_SILENCE_MILLISECONDS = 2000;
 const DEFAULT_MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -64,11 +65,16 @@
 
     /** Sends `message`, or drops it if the connection is closed. */
     send(message: { kind: string; }): void {
+        this.sendFrame(encodeFrame(message));
+    }
+
+    /** Sends a message that is encoded already, since it goes to several peers, or drops it likewise. */
+    sendFrame(frame: Buffer): void {
         if (this.#isClosed) {
             return;
         }
         this.#awaitingDataSince ??= performance.now();
-        this.#write(message);
+        this.#write(frame);
         this.#startTimer();
     }
 
@@ -83,8 +89,8 @@
         this.#options.onClose();
     }
 
-    #write(message: { kind: string; }): void {
-        this.#socket.write(encodeFrame(message));
+    #write(frame: Buffer): void {
+        this.#socket.write(frame);
         if (this.#socket.writableLength > (this.#options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED_BYTES)) {
             this.close();
         }
@@ -132,7 +138,7 @@
         }
         if (!this.#suppressesIdleHeartbeats || this.#isHeartbeatDue) {
             this.#isHeartbeatDue = false;
-            this.#write({ kind: HEARTBEAT_KIND });
+            this.#write(HEARTBEAT_FRAME);
         }
         this.#startTimer();
     }
--- a/network/peer_connection_pool.ts
+++ b/network/peer_connection_pool.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { connect } from "node:net";
+import { encodeFrame } from "../protocol/mod.ts";
 import { parseAddress } from "./address.ts";
 import { FrameConnection } from "./frame_connection.ts";
 
@@ -43,9 +44,14 @@
 
     /** Sends `message` to the peer at `address`. */
     send(address: string, message: { kind: string; }): void {
+        this.sendFrame(address, encodeFrame(message));
+    }
+
+    /** Sends a message that is encoded already, since it goes to several peers. */
+    sendFrame(address: string, frame: Buffer): void {
         const peer = this.#connections.get(address) ?? this.#openConnection(address);
         peer.lastUsedAt = performance.now();
-        peer.connection.send(message);
+        peer.connection.sendFrame(frame);
     }
 
     /** Closes all connections and stops closing idle ones. */
--- a/protocol/frame_codec.ts
+++ b/protocol/frame_codec.ts
@@ -34,6 +34,16 @@
     return frame;
 }
 
+/** Encodes a value as CBOR, without a length before it. */
+export function encodeValue(value: unknown): Buffer {
+    return encoder.encode(value);
+}
+
+/** Decodes a CBOR value. @throws {Error} If the bytes are not one. */
+export function decodeValue(bytes: Uint8Array): unknown {
+    return encoder.decode(bytes);
+}
+
 /** Decodes messages from a byte stream that arrives in chunks of any size. */
 export class FrameDecoder {
     readonly #maxFrameBytes: number;
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -11,15 +11,20 @@
 import {
     classifyWatcher,
     comparePositions,
+    createElectionRanking,
     DigestRateLimiter,
     DigestReason,
+    isDigestRelayed,
     isSentInFull,
     type SharePosition,
     type StorePosition,
     type WatcherElection,
 } from "../core/serving/mod.ts";
 import { type Address, FrameServer, PeerConnectionPool } from "../network/mod.ts";
+import { encodeFrame } from "../protocol/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
+import { decodeForwardedDigest, decodeLoad, type ForwardedDigest, parseDigestBundle } from "./digest_bundle.ts";
+import { DigestRelay, type RelayedPeer } from "./digest_relay.ts";
 import {
     type DigestMessage,
     parsePeerMessage,
@@ -34,6 +39,8 @@
 export interface PeerExchangeOptions {
     /** Name of this instance. */
     instance: string;
+    /** Availability zone of this instance. */
+    zone: string;
     /** Address at which peers reach this instance. */
     address: Address;
     /** State of this instance, which is shared with peers. */
@@ -57,6 +64,12 @@
 /** Another instance, as known to this one. */
 interface Peer {
     address: string;
+    /** Availability zone; `undefined` until it is known, and for builds that relay no digests. */
+    zone: string | undefined;
+    /** Encoded notices of the last relayed digest, if they need not be applied again; `undefined` otherwise. */
+    lastingNotices: Buffer | undefined;
+    /** Encoded load of the last relayed digest. */
+    load: Buffer | undefined;
     /** Time of the last digest; `undefined` before the first. */
     lastDigestAt: number | undefined;
     /** Time at which the store or any instance last listed this peer. */
@@ -84,6 +97,10 @@
  * since the other instances start watching the store when these digests are missing.
  */
 const WATCHER_KEEP_ALIVE_MILLISECONDS = 300;
+/** Interval of digests without new information that go through relays, in milliseconds. */
+const RELAYED_KEEP_ALIVE_MILLISECONDS = 1500;
+/** Delay of the maintenance timer from which it follows that this process was paused, in milliseconds. */
+const PAUSE_MILLISECONDS = 600;
 /** Digests that may be missed before a peer is considered lost. */
 const MAX_MISSED_DIGESTS = 3;
 /** Time after a digest to a peer within which the first digest of that peer is not answered, in milliseconds. */
@@ -119,7 +136,10 @@
     readonly #connections: PeerConnectionPool;
     readonly #peers = new Map<string, Peer>();
     readonly #ownAddress: string;
+    readonly #digestRelay: DigestRelay;
+    readonly #electionRanking = createElectionRanking();
     #timer: NodeJS.Timeout | undefined;
+    #maintainedAt = 0;
     readonly #digestRateLimiter = new DigestRateLimiter();
     #position: SharePosition | undefined;
     #digestTimer: NodeJS.Timeout | undefined;
@@ -137,6 +157,14 @@
         this.#options = options;
         this.#ownAddress = `${options.address.host}:${options.address.port}`;
         this.#connections = new PeerConnectionPool({ self: options.instance });
+        this.#digestRelay = new DigestRelay({
+            instance: options.instance,
+            zone: options.zone,
+            connections: this.#connections,
+            clock: options.clock,
+            listPeers: () => this.#listRelayedPeers(),
+            onDigest: digest => this.#handleForwardedDigest(digest),
+        });
         this.#server = new FrameServer({
             suppressesIdleHeartbeats: true,
             onMessage: (client, message) => this.#handleMessage(message, client.from),
@@ -160,15 +188,16 @@
     close(): void {
         clearTimeout(this.#timer);
         clearTimeout(this.#digestTimer);
+        this.#digestRelay.close();
         this.#server.close();
         this.#connections.close();
     }
 
     /** Adds the peers that the store lists, and sends them a digest. */
-    addListedPeers(peers: readonly { instance: string; address: string; }[]): void {
+    addListedPeers(peers: readonly { instance: string; address: string; zone?: string | undefined; }[]): void {
         this.#isPeerListKnown = true;
         for (const peer of peers) {
-            this.#addPeer(peer.instance, peer.address);
+            this.#addPeer(peer.instance, peer.address, peer.zone);
         }
         this.#sendDigests();
     }
@@ -230,6 +259,7 @@
         return classifyWatcher({
             instance: this.#options.instance,
             peers,
+            ranking: this.#electionRanking,
             ...watchers === undefined ? {} : { watchers },
         });
     }
@@ -276,6 +306,11 @@
 
     #startTimer(): void {
         this.#timer = setTimeout(() => {
+            const now = this.#options.clock.getMonotonic();
+            if (now - this.#maintainedAt > PAUSE_MILLISECONDS) {
+                this.#digestRelay.handlePause();
+            }
+            this.#maintainedAt = now;
             this.#expirePeers();
             if (
                 this.#options.clock.getMonotonic() - this.#digestRateLimiter.lastSentAt >= this.#keepAliveMilliseconds
@@ -288,8 +323,12 @@
     }
 
     get #keepAliveMilliseconds(): number {
-        return this.#options.isWatching()
-            ? WATCHER_KEEP_ALIVE_MILLISECONDS
+        return this.#options.isWatching() ? WATCHER_KEEP_ALIVE_MILLISECONDS : this.#ordinaryKeepAliveMilliseconds;
+    }
+
+    get #ordinaryKeepAliveMilliseconds(): number {
+        return isDigestRelayed(this.#peers.size)
+            ? RELAYED_KEEP_ALIVE_MILLISECONDS
             : KEEP_ALIVE_MILLISECONDS + KEEP_ALIVE_PER_PEER_MILLISECONDS * this.#peers.size;
     }
 
@@ -316,12 +355,18 @@
         const update = { ...rest, ...isConfigurationIncluded ? { configuration } : {} };
         if (Object.keys(update).length > 0) {
             const message: UpdateMessage = { kind: "news", instance: this.#options.instance, ...update };
-            recipients.forEach(peer => this.#connections.send(peer.address, message));
+            const frame = encodeFrame(message);
+            recipients.forEach(peer => this.#connections.sendFrame(peer.address, frame));
         }
         this.#scheduleDigest(DigestReason.storeChanged);
     }
 
     #handleMessage(raw: { kind: string; }, from: string): void {
+        const bundle = parseDigestBundle(raw);
+        if (bundle !== undefined) {
+            this.#digestRelay.handleBundle(bundle);
+            return;
+        }
         const message = parsePeerMessage(raw);
         switch (message?.kind) {
             case "digest":
@@ -344,12 +389,48 @@
         }
     }
 
-    #handleDigest(message: DigestMessage): void {
+    /** Applies a digest that has come through relays; one that repeats the last one is not decoded again. */
+    #handleForwardedDigest(digest: ForwardedDigest): void {
+        const { loadTracker } = this.#options.state;
+        const now = this.#options.clock.getMonotonic();
+        const known = this.#peers.get(digest.instance);
+        const isRepeated = known !== undefined && !known.isLost && known.lastDigestAt !== undefined
+            && known.address === digest.address && known.lastingNotices?.equals(digest.notices) === true;
+        if (!isRepeated) {
+            const message = decodeForwardedDigest(digest);
+            if (message !== undefined) {
+                this.#handleDigest(message, digest);
+            }
+            return;
+        }
+        known.lastDigestAt = now;
+        if (known.load?.equals(digest.load) === true) {
+            loadTracker.recordRepeatedDigest(digest.instance, now);
+            return;
+        }
+        const work = decodeLoad(digest);
+        if (work !== undefined) {
+            known.load = Buffer.from(digest.load);
+            loadTracker.applyDigest(digest.instance, { work, receivedAt: now });
+        }
+    }
+
+    *#listRelayedPeers(): Generator<RelayedPeer> {
+        for (const [instance, { address, zone, isLost, lastDigestAt }] of this.#peers) {
+            yield { instance, address, zone, isSilent: isLost || lastDigestAt === undefined };
+        }
+    }
+
+    #handleDigest(message: DigestMessage, forwarded?: ForwardedDigest): void {
         const now = this.#options.clock.getMonotonic();
-        const peer = this.#addPeer(message.instance, message.address);
+        const peer = this.#addPeer(message.instance, message.address, message.zone);
         if (peer === undefined) {
             return;
         }
+        peer.lastingNotices = forwarded === undefined || !hasLastingNotices(message)
+            ? undefined
+            : Buffer.from(forwarded.notices);
+        peer.load = forwarded === undefined ? undefined : Buffer.from(forwarded.load);
         const isNewlyReached = peer.lastDigestAt === undefined || peer.isLost;
         if (isNewlyReached) {
             this.#options.log.record("process", "peer reached", { peer: message.instance, address: peer.address });
@@ -373,8 +454,8 @@
         this.#options.state.applyBaselines(message.baselines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
-        if (isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
-            this.#sendDigest(peer, { digest: this.#buildDigest(now), now });
+        if (forwarded === undefined && isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
+            this.#sendDigest(peer, { frame: encodeFrame(this.#buildDigest(now)), now });
         }
     }
 
@@ -389,6 +470,12 @@
                 [instance]: this.#ownAddress,
                 ...Object.fromEntries([...this.#peers].map(([name, peer]) => [name, peer.address])),
             },
+            peerZones: {
+                [instance]: this.#options.zone,
+                ...Object.fromEntries(
+                    [...this.#peers].flatMap(([name, { zone }]) => zone === undefined ? [] : [[name, zone]]),
+                ),
+            },
             ...state.table !== undefined && ownVersions.configuration > versions.configuration
                     && this.#takeConfigurationSend(state.table.configuration)
                 ? { configuration: state.table.configuration }
@@ -459,11 +546,11 @@
             state.applyQuarantined(message.quarantined, source);
         }
         for (const [name, address] of Object.entries(message.peers)) {
-            this.#addPeer(name, address);
+            this.#addPeer(name, address, message.peerZones?.[name]);
         }
     }
 
-    #addPeer(name: string, address: string): Peer | undefined {
+    #addPeer(name: string, address: string, zone: string | undefined): Peer | undefined {
         if (name === this.#options.instance) {
             return undefined;
         }
@@ -471,11 +558,15 @@
         const known = this.#peers.get(name);
         if (known !== undefined && known.address === address) {
             known.lastMentionedAt = now;
+            known.zone = zone ?? known.zone;
             return known;
         }
         const versions = { configuration: -1, targets: 0, targetsEra: 0, zones: -1, zonesEra: 0 };
         const peer = {
             address,
+            zone,
+            lastingNotices: undefined,
+            load: undefined,
             lastDigestAt: undefined,
             lastMentionedAt: now,
             lastSentAt: Number.NEGATIVE_INFINITY,
@@ -493,8 +584,7 @@
         const now = this.#options.clock.getMonotonic();
         for (const [name, peer] of this.#peers) {
             const silenceMilliseconds = now - (peer.lastDigestAt ?? peer.lastMentionedAt);
-            const maxSilenceMilliseconds = MAX_MISSED_DIGESTS
-                * (KEEP_ALIVE_MILLISECONDS + KEEP_ALIVE_PER_PEER_MILLISECONDS * this.#peers.size);
+            const maxSilenceMilliseconds = MAX_MISSED_DIGESTS * this.#ordinaryKeepAliveMilliseconds;
             if (!peer.isLost && peer.lastDigestAt !== undefined && silenceMilliseconds > maxSilenceMilliseconds) {
                 peer.isLost = true;
                 this.#options.state.loadTracker.removePeer(name);
@@ -505,6 +595,7 @@
             }
             if (silenceMilliseconds > PEER_EXPIRY_MILLISECONDS) {
                 this.#peers.delete(name);
+                this.#digestRelay.removeInstance(name);
                 this.#position = undefined;
             }
         }
@@ -527,25 +618,36 @@
             versions: this.#getVersions(),
             isWatching: isWatching(),
             relayAddress: getRelayAddress(),
+            zone: this.#options.zone,
         };
     }
 
-    #sendDigest(peer: Peer, { digest, now }: { digest: DigestMessage; now: number; }): void {
+    #sendDigest(peer: Peer, { frame, now }: { frame: Buffer; now: number; }): void {
         peer.lastSentAt = now;
-        this.#connections.send(peer.address, digest);
+        this.#connections.sendFrame(peer.address, frame);
     }
 
-    /** Sends a digest to each peer, at a lower rate to peers that send none. */
+    /**
+     * Sends a digest to each peer, at a lower rate to peers that send none. In a large fleet it goes through relays, unless
+     * this instance watches the store: the silence of a watcher has to be noticed at once.
+     */
     #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
         const digest = this.#buildDigest(now);
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         this.#digestRateLimiter.recordSend({ now, peers: this.#peers.size });
+        const isRelayed = isDigestRelayed(this.#peers.size) && !this.#options.isWatching();
+        if (isRelayed) {
+            this.#digestRelay.sendDigest(digest);
+        }
+        let frame: Buffer | undefined;
         for (const peer of this.#peers.values()) {
             const isUnresponsive = peer.lastDigestAt === undefined || peer.isLost;
-            if (!isUnresponsive || now - peer.lastSentAt >= LOST_PEER_RETRY_MILLISECONDS) {
-                this.#sendDigest(peer, { digest, now });
+            const isDue = !isUnresponsive || now - peer.lastSentAt >= LOST_PEER_RETRY_MILLISECONDS;
+            if (isDue && !(isRelayed && peer.zone !== undefined)) {
+                frame ??= encodeFrame(digest);
+                this.#sendDigest(peer, { frame, now });
             }
         }
     }
@@ -614,6 +716,15 @@
     }
 }
 
+/** Checks whether the notices of a digest have no effect that ends after a time, so that they are applied only once. */
+function hasLastingNotices(digest: DigestMessage): boolean {
+    const { unreachable, leaving, paused, rateStatements, refusalStatements, promptEvidence } = digest;
+    const { crashes, sound, quarantined } = promptEvidence;
+    return [unreachable, leaving, paused, rateStatements, refusalStatements, crashes, sound, quarantined].every(list =>
+        list.length === 0
+    );
+}
+
 function getTargetsPosition(versions: StateVersions): StorePosition {
     return { era: versions.targetsEra, revision: versions.targets };
 }
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -70,6 +70,8 @@
     isWatching: boolean;
     /** Address at which the sender takes requests of callers; empty while it reaches no target, or stops. */
     relayAddress: string;
+    /** Availability zone of the sender; absent in messages of builds that relay no digests. */
+    zone?: string | undefined;
 }
 
 /** Message that forwards an update of the store to peers that do not watch it. */
@@ -106,6 +108,8 @@
     quarantined?: QuarantinedPart[];
     /** Addresses of all instances known to the sender, by name. */
     peers: Record<string, string>;
+    /** Availability zones of these instances, as far as they are known. */
+    peerZones?: Record<string, string>;
 }
 
 /** Any message between instances. */
@@ -224,6 +228,7 @@
         versions: VersionsSchema,
         isWatching: v.boolean(),
         relayAddress: v.fallback(v.union([v.literal(""), TargetAddressSchema]), ""),
+        zone: v.optional(v.string()),
     }),
     v.object({
         kind: v.literal("news"),
@@ -241,6 +246,7 @@
         zones: v.optional(ZonesSchema),
         quarantined: v.optional(QuarantinedSchema),
         peers: v.pipe(v.record(v.string(), v.string()), v.transform(filterPeers)),
+        peerZones: v.optional(v.record(v.string(), v.string())),
     }),
 ]);
 
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -142,6 +142,7 @@
         this.#peerExchange = new PeerExchange({
             ...shared,
             instance: settings.instance,
+            zone: settings.zone,
             address: settings.peerAddress,
             isWatching: () => this.#storeWatcher.isWatching,
             getRelayAddress: () =>
@@ -387,12 +388,12 @@
     /** Registers this instance in the store, and adds the other registered instances unless a peer has listed them. */
     async #registerInstance(): Promise<void> {
         await this.#waitForPeerState();
-        const { instance, peerAddress } = this.#settings;
+        const { instance, peerAddress, zone } = this.#settings;
         const address = `${peerAddress.host}:${peerAddress.port}`;
         let isRegistered = false;
         while (this.#stopRequestedAt === undefined) {
             if (!isRegistered) {
-                const reply = await this.#store.putObject(StoreKind.instances, encodePeer({ instance, address }));
+                const reply = await this.#store.putObject(StoreKind.instances, encodePeer({ instance, address, zone }));
                 this.#metrics.countStoreCall(StoreKind.instances, reply.kind);
                 isRegistered = reply.kind === "ok";
             }
