--- a/bin/knapweed_serve.ts
+++ b/bin/knapweed_serve.ts
@@ -2,13 +2,11 @@
 /**
  * Entry point of the server that relays callers' requests to the platform's targets.
  *
- * Handlers for `SIGHUP`, which requests a reload of the settings, and `SIGPIPE` are installed before any other module
- * is loaded, because the default action of these signals would end the process.
+ * The signal handlers are installed before any other module is loaded.
  *
  * @module
  */
-process.on("SIGHUP", () => undefined);
-process.on("SIGPIPE", () => undefined);
+import "./signal_handlers.ts";
 
 const { runServeProgram } = await import("./serve_program.ts");
 await runServeProgram();
