Forward digests after 40 ms, by the first relay of a zone alone unless it fails

Change: the first relay forwards after 40 ms, the second only what the first has not forwarded within 250 ms. Digests through relays are sent at shorter intervals (50 ms plus 3 ms a peer instead of 7 ms). For 1.5 s after its start an instance counts listed peers in the election of watchers.

--- a/core/serving/digest_rate_limiter.ts
+++ b/core/serving/digest_rate_limiter.ts
@@ -27,9 +27,21 @@
 const BASE_SPACING_MILLISECONDS = 50;
 /** Additional time per peer that receives the digests. */
 const SPACING_PER_PEER_MILLISECONDS = 7;
+/** The same if relays forward the digests, so that a peer receives many of them in one message. */
+const RELAYED_SPACING_PER_PEER_MILLISECONDS = 3;
 /** Size of the token bucket: digests that may be sent in a row after a pause. */
 const MAX_BURST_DIGESTS = 5;
 
+/** Peers that receive the digests of an instance. */
+export interface DigestRecipients {
+    /** Time, on the monotonic clock in milliseconds. */
+    now: number;
+    /** Number of peers. */
+    peers: number;
+    /** True if relays forward the digests. Defaults to false. */
+    isRelayed?: boolean;
+}
+
 /**
  * Limits the digests of one instance to about 150 messages per second in the long run, independent of the number of
  * peers.
@@ -45,8 +57,9 @@
     }
 
     /** Computes the time at which a digest about a change may be sent, on the monotonic clock in milliseconds. */
-    computeSendTime(reason: DigestReason, { now, peers }: { now: number; peers: number; }): number {
-        const spacing = BASE_SPACING_MILLISECONDS + SPACING_PER_PEER_MILLISECONDS * peers;
+    computeSendTime(reason: DigestReason, recipients: DigestRecipients): number {
+        const { now } = recipients;
+        const spacing = computeSpacing(recipients);
         this.#refill(now, spacing);
         if (reason !== DigestReason.loadDecreased && this.#availableDigests >= 1) {
             return now + URGENT_DELAY_MILLISECONDS;
@@ -55,8 +68,9 @@
     }
 
     /** Records that a digest is sent to the peers. */
-    recordSend({ now, peers }: { now: number; peers: number; }): void {
-        this.#refill(now, BASE_SPACING_MILLISECONDS + SPACING_PER_PEER_MILLISECONDS * peers);
+    recordSend(recipients: DigestRecipients): void {
+        const { now } = recipients;
+        this.#refill(now, computeSpacing(recipients));
         this.#availableDigests = Math.max(0, this.#availableDigests - 1);
         this.#lastSentAt = now;
     }
@@ -69,3 +83,8 @@
         this.#refilledAt = now;
     }
 }
+
+function computeSpacing({ peers, isRelayed = false }: DigestRecipients): number {
+    const perPeer = isRelayed ? RELAYED_SPACING_PER_PEER_MILLISECONDS : SPACING_PER_PEER_MILLISECONDS;
+    return BASE_SPACING_MILLISECONDS + perPeer * peers;
+}
--- a/core/serving/digest_relays.ts
+++ b/core/serving/digest_relays.ts
@@ -151,10 +151,14 @@
 
 /** How far a message with digests is forwarded. */
 export const DigestScope = {
-    /** From an instance to a relay of its zone, which forwards it to the zone and to the relays of the other zones. */
+    /** From an instance to the first relay of its zone, which forwards it to the zone and to the other zones' relays. */
     fleet: "fleet",
-    /** From a relay to a relay of another zone, which forwards it to its zone. */
+    /** The same to the second relay, which forwards only what the first one does not. */
+    fleetBackup: "fleet-backup",
+    /** From a relay to the first relay of another zone, which forwards it to its zone. */
     zone: "zone",
+    /** The same to the second relay, which forwards only what the first one does not. */
+    zoneBackup: "zone-backup",
     /** From a relay to the instances of its zone, which do not forward it. */
     none: "none",
 } as const;
@@ -162,31 +166,80 @@
 /** One of the values of {@linkcode DigestScope}. */
 export type DigestScope = (typeof DigestScope)[keyof typeof DigestScope];
 
-/** Collects the digests that a relay forwards with its next messages; of each instance only the latest. */
-export class RelayOutbox<T extends { instance: string; }> {
-    #forZone = new Map<string, T>();
-    #forRelays = new Map<string, T>();
+/** Checks whether a value is a scope. */
+export function isDigestScope(value: unknown): value is DigestScope {
+    return Object.values(DigestScope).some(scope => scope === value);
+}
+
+/** Time for which a first relay collects digests before it forwards them, in milliseconds. */
+const FORWARD_DELAY_MILLISECONDS = 40;
+/** Time that a second relay gives the first one to forward a digest, in milliseconds. */
+const BACKUP_DELAY_MILLISECONDS = 250;
+
+/** What a relay does with a digest that has arrived with a certain scope. */
+export interface ForwardingRule {
+    /** Time after which the digest is forwarded, in milliseconds. */
+    delayMilliseconds: number;
+    /** True if the digest also goes to the relays of the other zones. */
+    isForOtherZones: boolean;
+}
 
-    /** True if no digest waits. */
-    get isEmpty(): boolean {
-        return this.#forZone.size === 0 && this.#forRelays.size === 0;
+const FORWARDING_RULES: Record<DigestScope, ForwardingRule | undefined> = {
+    [DigestScope.fleet]: { delayMilliseconds: FORWARD_DELAY_MILLISECONDS, isForOtherZones: true },
+    [DigestScope.fleetBackup]: { delayMilliseconds: BACKUP_DELAY_MILLISECONDS, isForOtherZones: true },
+    [DigestScope.zone]: { delayMilliseconds: FORWARD_DELAY_MILLISECONDS, isForOtherZones: false },
+    [DigestScope.zoneBackup]: { delayMilliseconds: BACKUP_DELAY_MILLISECONDS, isForOtherZones: false },
+    [DigestScope.none]: undefined,
+};
+
+/** Finds what a relay does with a digest of a scope; `undefined` if it does not forward it. */
+export function findForwardingRule(scope: DigestScope): ForwardingRule | undefined {
+    return FORWARDING_RULES[scope];
+}
+
+interface WaitingDigest<T> extends ForwardingRule {
+    digest: T;
+    dueAt: number;
+}
+
+/** Collects the digests that a relay forwards; of each instance only the latest. */
+export class RelayOutbox<T extends DigestPosition & { instance: string; }> {
+    readonly #waiting = new Map<string, WaitingDigest<T>>();
+
+    /** Adds a digest; returns the time at which it is due. */
+    addDigest(digest: T, { rule, now }: { rule: ForwardingRule; now: number; }): number {
+        const waiting = this.#waiting.get(digest.instance);
+        // An older digest that is due earlier is replaced by this one, which is then due at that time.
+        const dueAt = Math.min(waiting?.dueAt ?? Infinity, now + rule.delayMilliseconds);
+        const isForOtherZones = rule.isForOtherZones || waiting?.isForOtherZones === true;
+        this.#waiting.set(digest.instance, { ...rule, digest, dueAt, isForOtherZones });
+        return dueAt;
     }
 
-    /** Adds a digest that has arrived with the given scope. */
-    addDigest(digest: T, scope: DigestScope): void {
-        if (scope !== DigestScope.none) {
-            this.#forZone.set(digest.instance, digest);
-        }
-        if (scope === DigestScope.fleet) {
-            this.#forRelays.set(digest.instance, digest);
+    /** Drops a digest that another relay has forwarded. */
+    dropForwarded({ instance, start, sequence }: T): void {
+        const digest = this.#waiting.get(instance)?.digest;
+        if (digest !== undefined && (digest.start !== start || digest.sequence <= sequence)) {
+            this.#waiting.delete(instance);
         }
     }
 
-    /** Takes all digests: those for the instances of the zone, and those for the relays of the other zones. */
-    takeDigests(): { forZone: T[]; forRelays: T[]; } {
-        const taken = { forZone: [...this.#forZone.values()], forRelays: [...this.#forRelays.values()] };
-        this.#forZone = new Map();
-        this.#forRelays = new Map();
-        return taken;
+    /** Takes the digests that are due: all for the instances of the zone, some also for the other zones. */
+    takeDueDigests(now: number): { forZone: T[]; forOtherZones: T[]; nextDueAt: number; } {
+        const forZone: T[] = [];
+        const forOtherZones: T[] = [];
+        let nextDueAt = Infinity;
+        for (const [instance, { digest, dueAt, isForOtherZones }] of this.#waiting) {
+            if (dueAt > now) {
+                nextDueAt = Math.min(nextDueAt, dueAt);
+                continue;
+            }
+            this.#waiting.delete(instance);
+            forZone.push(digest);
+            if (isForOtherZones) {
+                forOtherZones.push(digest);
+            }
+        }
+        return { forZone, forOtherZones, nextDueAt };
     }
 }
--- a/features/steps/platform_digest_relay_steps.ts
+++ b/features/steps/platform_digest_relay_steps.ts
@@ -158,7 +158,7 @@
     timer = setInterval(sendAll, DIGEST_INTERVAL_MILLISECONDS);
     // Before their first digests arrive, all instances act as relays, for as long as that role lasts.
     await waitMilliseconds(5500);
-    await observeRelays(600);
+    await observeRelays(1000);
 });
 
 When(/^(nothing fails|.* stops?) and (\d+) ms pass$/, async (failure: string, milliseconds: string) => {
--- a/serving/digest_bundle.ts
+++ b/serving/digest_bundle.ts
@@ -6,8 +6,7 @@
  *
  * @module
  */
-import type { LoadDigest } from "../core/serving/mod.ts";
-import { type DigestPosition, DigestScope } from "../core/serving/mod.ts";
+import { type DigestPosition, type DigestScope, isDigestScope, type LoadDigest } from "../core/serving/mod.ts";
 import { decodeValue, encodeFrame, encodeValue } from "../protocol/mod.ts";
 import { type DigestMessage, parsePeerMessage } from "./peer_messages.ts";
 
@@ -70,8 +69,7 @@
 /** Parses a message with several digests; digests that are malformed are left out. */
 export function parseDigestBundle(message: { kind: string; }): DigestBundle | undefined {
     const { kind, from, scope, digests } = message as Partial<Record<keyof DigestBundle, unknown>>;
-    const isScope = scope === DigestScope.fleet || scope === DigestScope.zone || scope === DigestScope.none;
-    if (kind !== "digests" || typeof from !== "string" || !isScope || !Array.isArray(digests)) {
+    if (kind !== "digests" || typeof from !== "string" || !isDigestScope(scope) || !Array.isArray(digests)) {
         return undefined;
     }
     return { kind, from, scope, digests: digests.flatMap(parseForwardedDigest) };
--- a/serving/digest_relay.ts
+++ b/serving/digest_relay.ts
@@ -5,7 +5,7 @@
  */
 import { randomBytes } from "node:crypto";
 import type { Clock } from "../core/clock/mod.ts";
-import { DigestOrder, DigestScope, RelayOutbox, RelaySelection } from "../core/serving/mod.ts";
+import { DigestOrder, DigestScope, findForwardingRule, RelayOutbox, RelaySelection } from "../core/serving/mod.ts";
 import type { PeerConnectionPool } from "../network/mod.ts";
 import { type DigestBundle, encodeDigestBundle, encodeForwardedDigest, type ForwardedDigest } from "./digest_bundle.ts";
 import type { DigestMessage } from "./peer_messages.ts";
@@ -38,8 +38,6 @@
     onDigest: (digest: ForwardedDigest) => void;
 }
 
-/** Time for which a relay collects digests before it forwards them, in milliseconds. */
-const FORWARD_DELAY_MILLISECONDS = 100;
 /** Longest time between two messages of a relay, from which others see that it works, in milliseconds. */
 const RELAY_KEEP_ALIVE_MILLISECONDS = 400;
 /** Time since the last digest that an instance has sent to this one as its relay, after which this one is none. */
@@ -58,6 +56,7 @@
     #timer: NodeJS.Timeout | undefined;
     #forwardAt = Infinity;
     #roleEndsAt = Number.NEGATIVE_INFINITY;
+    #lastForwardAt = Number.NEGATIVE_INFINITY;
     #silentPeersAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: DigestRelayOptions) {
@@ -69,33 +68,35 @@
         const { instance, zone } = this.#options;
         this.#sequence += 1;
         const forwarded = encodeForwardedDigest(digest, { zone, start: this.#start, sequence: this.#sequence });
-        const scope = DigestScope.fleet;
-        let frame: Buffer | undefined;
-        for (const relay of this.#chooseRelays(zone)) {
+        this.#chooseRelays(zone).forEach((relay, rank) => {
+            const scope = rank === 0 ? DigestScope.fleet : DigestScope.fleetBackup;
             if (relay === undefined) {
                 this.#takeRole();
-                this.#addDigest(forwarded, scope);
+                this.#forwardDigest(forwarded, scope);
             }
             else {
-                frame ??= encodeDigestBundle({ from: instance, scope, digests: [forwarded] });
+                const frame = encodeDigestBundle({ from: instance, scope, digests: [forwarded] });
                 this.#options.connections.sendFrame(relay.address, frame);
             }
-        }
+        });
     }
 
     /** Applies the digests of a message that have not arrived yet, and forwards them if it asks for that. */
     handleBundle({ from, scope, digests }: DigestBundle): void {
         const { instance, clock, onDigest } = this.#options;
-        if (scope === DigestScope.fleet) {
+        if (scope === DigestScope.fleet || scope === DigestScope.fleetBackup) {
             this.#takeRole();
         }
         else {
             this.#selection.recordMessage(from, clock.getMonotonic());
         }
         for (const digest of digests) {
+            if (scope === DigestScope.none) {
+                this.#outbox.dropForwarded(digest);
+            }
             if (digest.instance !== instance && this.#order.recordDigest(digest.instance, digest)) {
                 onDigest(digest);
-                this.#addDigest(digest, scope);
+                this.#forwardDigest(digest, scope);
             }
         }
     }
@@ -142,37 +143,47 @@
     }
 
     #takeRole(): void {
-        this.#roleEndsAt = this.#options.clock.getMonotonic() + RELAY_ROLE_MILLISECONDS;
-        this.#scheduleForward(RELAY_KEEP_ALIVE_MILLISECONDS);
+        const now = this.#options.clock.getMonotonic();
+        this.#roleEndsAt = now + RELAY_ROLE_MILLISECONDS;
+        this.#scheduleForwarding(now + RELAY_KEEP_ALIVE_MILLISECONDS);
     }
 
-    #addDigest(digest: ForwardedDigest, scope: DigestScope): void {
-        this.#outbox.addDigest(digest, scope);
-        if (!this.#outbox.isEmpty) {
-            this.#scheduleForward(FORWARD_DELAY_MILLISECONDS);
+    #forwardDigest(digest: ForwardedDigest, scope: DigestScope): void {
+        const rule = findForwardingRule(scope);
+        if (rule !== undefined) {
+            this.#scheduleForwarding(
+                this.#outbox.addDigest(digest, { rule, now: this.#options.clock.getMonotonic() }),
+            );
         }
     }
 
-    #scheduleForward(delay: number): void {
-        const at = this.#options.clock.getMonotonic() + delay;
+    #scheduleForwarding(at: number): void {
         if (at < this.#forwardAt) {
             clearTimeout(this.#timer);
             this.#forwardAt = at;
-            this.#timer = setTimeout(() => this.#forwardDigests(), delay);
+            this.#timer = setTimeout(
+                () => this.#forwardDueDigests(),
+                Math.max(0, at - this.#options.clock.getMonotonic()),
+            );
         }
     }
 
-    #forwardDigests(): void {
+    #forwardDueDigests(): void {
         const now = this.#options.clock.getMonotonic();
         this.#forwardAt = Infinity;
-        const { forZone, forRelays } = this.#outbox.takeDigests();
-        if (now < this.#roleEndsAt) {
+        // Timers fire up to a millisecond early.
+        const { forZone, forOtherZones, nextDueAt } = this.#outbox.takeDueDigests(now + 1);
+        const isKeepAliveDue = now < this.#roleEndsAt && now - this.#lastForwardAt >= RELAY_KEEP_ALIVE_MILLISECONDS;
+        if (forZone.length > 0 || isKeepAliveDue) {
+            this.#lastForwardAt = now;
             this.#sendToZone(forZone, now);
-            this.#sendToOtherZones(forRelays);
-            this.#scheduleForward(RELAY_KEEP_ALIVE_MILLISECONDS);
         }
-        else if (forZone.length > 0) {
-            this.#sendToZone(forZone, now);
+        if (forOtherZones.length > 0 || isKeepAliveDue) {
+            this.#sendToOtherZones(forOtherZones);
+        }
+        const keepAliveAt = now < this.#roleEndsAt ? this.#lastForwardAt + RELAY_KEEP_ALIVE_MILLISECONDS : Infinity;
+        if (Math.min(nextDueAt, keepAliveAt) < Infinity) {
+            this.#scheduleForwarding(Math.min(nextDueAt, keepAliveAt));
         }
     }
 
@@ -192,19 +203,22 @@
 
     #sendToOtherZones(digests: ForwardedDigest[]): void {
         const { instance, zone: ownZone, connections, listPeers } = this.#options;
-        const frame = encodeDigestBundle({ from: instance, scope: DigestScope.zone, digests });
         const zones = new Set<string>();
         for (const { zone } of listPeers()) {
             if (zone !== undefined && zone !== ownZone) {
                 zones.add(zone);
             }
         }
+        const frames = [DigestScope.zone, DigestScope.zoneBackup].map(scope =>
+            encodeDigestBundle({ from: instance, scope, digests })
+        );
         for (const zone of zones) {
-            for (const relay of this.#chooseRelays(zone)) {
-                if (relay !== undefined) {
+            this.#chooseRelays(zone).forEach((relay, rank) => {
+                const frame = frames[rank];
+                if (relay !== undefined && frame !== undefined) {
                     connections.sendFrame(relay.address, frame);
                 }
-            }
+            });
         }
     }
 }
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -14,6 +14,7 @@
     createElectionRanking,
     DigestRateLimiter,
     DigestReason,
+    type DigestRecipients,
     isDigestRelayed,
     isSentInFull,
     type SharePosition,
@@ -99,6 +100,8 @@
 const WATCHER_KEEP_ALIVE_MILLISECONDS = 300;
 /** Interval of digests without new information that go through relays, in milliseconds. */
 const RELAYED_KEEP_ALIVE_MILLISECONDS = 1500;
+/** Time after the start within which the digests of all peers arrive through relays, in milliseconds. */
+const DISCOVERY_MILLISECONDS = 1500;
 /** Delay of the maintenance timer from which it follows that this process was paused, in milliseconds. */
 const PAUSE_MILLISECONDS = 600;
 /** Digests that may be missed before a peer is considered lost. */
@@ -140,6 +143,7 @@
     readonly #electionRanking = createElectionRanking();
     #timer: NodeJS.Timeout | undefined;
     #maintainedAt = 0;
+    #openedAt = 0;
     readonly #digestRateLimiter = new DigestRateLimiter();
     #position: SharePosition | undefined;
     #digestTimer: NodeJS.Timeout | undefined;
@@ -180,6 +184,7 @@
 
     /** Starts listening and sending digests. */
     async open(): Promise<void> {
+        this.#openedAt = this.#options.clock.getMonotonic();
         await this.#server.open(this.#options.address);
         this.#startTimer();
     }
@@ -251,10 +256,14 @@
 
     #classifyWatcher(watchers?: number): WatcherElection {
         const now = this.#options.clock.getMonotonic();
+        // Digests of most peers arrive some time after the start if they come through relays. Until then the listed peers
+        // count too, so that not every instance of a fleet that starts comes first in its own view.
+        const isSilentPeerCounted = isDigestRelayed(this.#peers.size)
+            && now - this.#openedAt < DISCOVERY_MILLISECONDS;
         const peers = [...this.#peers].flatMap(([instance, { lastDigestAt, isWatching, isLost }]) =>
-            lastDigestAt === undefined || isLost
+            lastDigestAt === undefined && !isSilentPeerCounted || isLost
                 ? []
-                : [{ instance, isWatching, silenceMilliseconds: now - lastDigestAt }]
+                : [{ instance, isWatching, silenceMilliseconds: now - (lastDigestAt ?? Number.NEGATIVE_INFINITY) }]
         );
         return classifyWatcher({
             instance: this.#options.instance,
@@ -332,10 +341,15 @@
             : KEEP_ALIVE_MILLISECONDS + KEEP_ALIVE_PER_PEER_MILLISECONDS * this.#peers.size;
     }
 
+    #getRecipients(now: number): Required<DigestRecipients> {
+        const peers = this.#peers.size;
+        return { now, peers, isRelayed: isDigestRelayed(peers) && !this.#options.isWatching() };
+    }
+
     /** Schedules a digest as soon as the rate limit allows. */
     #scheduleDigest(reason: DigestReason): void {
         const now = this.#options.clock.getMonotonic();
-        const due = this.#digestRateLimiter.computeSendTime(reason, { now, peers: this.#peers.size });
+        const due = this.#digestRateLimiter.computeSendTime(reason, this.#getRecipients(now));
         if (due >= this.#digestDueAt) {
             return;
         }
@@ -636,8 +650,9 @@
         const digest = this.#buildDigest(now);
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
-        this.#digestRateLimiter.recordSend({ now, peers: this.#peers.size });
-        const isRelayed = isDigestRelayed(this.#peers.size) && !this.#options.isWatching();
+        const recipients = this.#getRecipients(now);
+        this.#digestRateLimiter.recordSend(recipients);
+        const { isRelayed } = recipients;
         if (isRelayed) {
             this.#digestRelay.sendDigest(digest);
         }
