Select targets of paced services by what a request meets there

Cause: engines of one service differ in speed by a factor of two, and each machine turns 2.5 times slower for moments of 600 ms; the selection compared loads only, and no digest holds the load of plain services.

A candidate without a pace is scored as before.

--- a/core/serving/route_table.ts
+++ b/core/serving/route_table.ts
@@ -37,6 +37,8 @@
     readonly #routesByHost = new Map<string, Route[]>();
     readonly #accountByKey = new Map<string, ClientAccount>();
     readonly #serviceByName = new Map<string, ServiceDefinition>();
+    /** Shortest gap objective of the routes to each service. */
+    readonly #strictestGaps = new Map<string, number>();
 
     /** @param configuration Configuration to index. */
     constructor(configuration: ServingConfiguration) {
@@ -50,6 +52,12 @@
         for (const routes of this.#routesByHost.values()) {
             routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
         }
+        for (const { maxGapMilliseconds = Infinity, services } of configuration.routes) {
+            for (const { service } of services) {
+                const strictest = Math.min(this.#strictestGaps.get(service) ?? Infinity, maxGapMilliseconds);
+                this.#strictestGaps.set(service, strictest);
+            }
+        }
         for (const account of configuration.accounts ?? []) {
             for (const key of account.keys) {
                 this.#accountByKey.set(key, account);
@@ -81,6 +89,12 @@
     findService(name: string): ServiceDefinition | undefined {
         return this.#serviceByName.get(name);
     }
+
+    /** Finds the shortest gap objective of the routes to a service; `undefined` if none has one. */
+    findStrictestGap(service: string): number | undefined {
+        const gap = this.#strictestGaps.get(service) ?? Infinity;
+        return Number.isFinite(gap) ? gap : undefined;
+    }
 }
 
 /**
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -10,6 +10,15 @@
  * @module
  */
 import type { RequestLoad, TargetLoad } from "./load_tracker.ts";
+import {
+    type CandidatePace,
+    computePacedScore,
+    computePlainJitter,
+    describeEstimate,
+    type PacedObjectives,
+    type PacedScore,
+    type PlacementEstimate,
+} from "./paced_selection.ts";
 import { type EngineLimits, getSoftwareVersion, type ServingTarget } from "./serving_types.ts";
 
 /** A target that a request could be sent to. */
@@ -40,6 +49,8 @@
      * targets instead, which would refuse them next.
      */
     crowdedUntil?: number | undefined;
+    /** What is known of how fast the target works; `undefined` unless its service is paced. */
+    pace?: CandidatePace | undefined;
 }
 
 /** Input of {@linkcode chooseLeastLoadedTarget}. */
@@ -58,14 +69,19 @@
     avoid: ReadonlySet<string>;
     /** Software version that the target must have, since it began the stream. Defaults to any. */
     softwareVersion?: string | undefined;
+    /** Objectives by which the targets of a paced service are compared. Defaults to none. */
+    objectives?: PacedObjectives | undefined;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
 }
 
 /** Result of {@linkcode chooseLeastLoadedTarget}. */
 export type TargetSelection =
-    /** A target was selected; `score` is its load with all penalties, where 1 is a full target. */
-    | { kind: "placed"; target: ServingTarget; score: number; }
+    /**
+     * A target was selected; `score` is its load with all penalties, where 1 is a full target. `estimate` is what it was
+     * selected by, if its service is paced.
+     */
+    | { kind: "placed"; target: ServingTarget; score: number; estimate?: PlacementEstimate; }
     /** There is no target, or the request has failed at all of them. */
     | { kind: "no-target"; }
     /** All targets are full or limited at present. */
@@ -98,6 +114,12 @@
 const ENGINE_QUEUE_FACTOR = 2;
 /** Share of an engine's KV cache that may be reserved; it exceeds 1, as outputs are often shorter than estimated. */
 const MAX_MEMORY_SHARE = 1.1;
+/** Objectives of a request whose route is not known. */
+const NO_OBJECTIVES: PacedObjectives = {
+    firstMilliseconds: Infinity,
+    gapMilliseconds: undefined,
+    strictestGapMilliseconds: undefined,
+};
 
 /**
  * Selects the least loaded target.
@@ -124,21 +146,27 @@
     const usable = accepting.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
     let best: TargetCandidate | undefined;
     let bestScore = Infinity;
+    let bestPaced: PacedScore | undefined;
     for (const candidate of usable) {
-        const score = computeLoad(candidate, input)
+        const paced = estimatePacedScore(candidate, input);
+        const score = (paced?.score ?? computeLoad(candidate, input))
             + candidate.penalty
             + (candidate.target.zone === input.zone ? 0 : input.isCopy === true ? COPY_ZONE_COST : ZONE_COST)
-            + input.random() * (JITTER + JITTER_PER_INSTANCE * (input.instances - 1));
+            + computeJitter(input, paced !== undefined);
         if (score < bestScore) {
             best = candidate;
             bestScore = score;
+            bestPaced = paced;
         }
     }
     if (best?.crowdedUntil !== undefined && best.crowdedUntil > 0) {
         return { kind: "limited", until: best.crowdedUntil };
     }
     if (best !== undefined) {
-        return { kind: "placed", target: best.target, score: bestScore };
+        const estimate = bestPaced === undefined || best.pace === undefined
+            ? {}
+            : { estimate: describeEstimate(bestPaced, best.pace) };
+        return { kind: "placed", target: best.target, score: bestScore, ...estimate };
     }
     if (untried.length === 0) {
         return { kind: "no-target" };
@@ -175,6 +203,21 @@
     return load.requests >= Math.max(1, target.slots) * factor;
 }
 
+/** Computes the random part of a score. */
+function computeJitter({ engine, instances, random }: TargetSelectionInput, isPaced: boolean): number {
+    return isPaced && engine === undefined
+        ? computePlainJitter(random())
+        : random() * (JITTER + JITTER_PER_INSTANCE * (instances - 1));
+}
+
+/** Scores a target of a paced service by what the request meets there; `undefined` for other services. */
+function estimatePacedScore(
+    { target, load, pace }: TargetCandidate,
+    { requestLoad, engine, objectives = NO_OBJECTIVES }: TargetSelectionInput,
+): PacedScore | undefined {
+    return pace && computePacedScore({ slots: target.slots, load, pace }, { requestLoad, engine, objectives });
+}
+
 /** Computes the load of a target including the request, where 1 is full; prompts that wait for prefill add to it. */
 function computeLoad(
     { target, load }: TargetCandidate,
