--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,7 +5,14 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type { ClientAccount, RequestLoad, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
+import type {
+    ClientAccount,
+    PlacementEstimate,
+    RequestLoad,
+    Route,
+    ServiceDefinition,
+    ServingTarget,
+} from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
@@ -98,6 +105,8 @@
     result: string;
     /** Score of the target when it was selected: its load, where 1 is full, plus penalties. */
     load: number;
+    /** Estimates that the target of a paced service was selected by; absent for others. */
+    estimate?: PlacementEstimate;
     /** Duration of the attempt, in milliseconds. */
     milliseconds: number;
     /** Time from the start of the attempt to the head of the response, in milliseconds; absent if no head arrived. */
@@ -112,21 +121,26 @@
 const MAX_LOGGED_PROMPT_PARTS = 12;
 
 /** Reserves a target for one attempt at a request. */
-export function reserveForAttempt(
+export async function reserveForAttempt(
     context: ServingContext,
     attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
     const { exchange, ...rest } = attempt;
     const { service, route, priority, arrivedAt, deadline, signal } = exchange;
     const now = context.clock.getMonotonic();
-    return context.scheduler.reserveTarget({
+    const result = await context.scheduler.reserveTarget({
         ...rest,
         service,
         priority,
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
+        gapMilliseconds: route.maxGapMilliseconds,
         remainingMilliseconds: deadline - now,
         signal,
     });
+    if (result.kind === "placed" && result.reservation.estimate !== undefined) {
+        context.metrics.countPacedSelection(service.name, result.reservation.estimate.ageMilliseconds);
+    }
+    return result;
 }
 
 /** Describes a finished attempt for the log. */
@@ -141,6 +155,7 @@
         ...softwareVersion === undefined ? {} : { softwareVersion },
         result,
         load: Number(reservation.score.toFixed(2)),
+        ...reservation.estimate === undefined ? {} : { estimate: reservation.estimate },
         milliseconds: Math.round(now - startedAt),
         ...headAt === undefined ? {} : { headMilliseconds: Math.round(headAt - startedAt) },
         ...events === undefined ? {} : { events },
--- a/serving/move_operation.ts
+++ b/serving/move_operation.ts
@@ -243,6 +243,7 @@
             requestLoad: { ...requestLoad, promptTokens: 0 },
             avoid: new Set([...this.#excludedTargets, ...directory.listMissing()]),
             copyZone: source.zone,
+            gapMilliseconds: this.#context.state.table?.findStrictestGap(service.name),
             softwareVersion,
         });
         return result.kind === "placed"
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -370,6 +370,7 @@
         }
         this.#options.state.applyRateStatements(message.instance, message.rateStatements);
         this.#options.state.applyRefusalStatements(message.instance, message.refusalStatements);
+        this.#options.state.applyPaceNotice(message);
         this.#options.state.applyBaselines(message.baselines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
@@ -538,7 +539,7 @@
     /** Sends a digest to each peer, at a lower rate to peers that send none. */
     #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
-        const digest = this.#buildDigest(now);
+        const digest = { ...this.#buildDigest(now), ...this.#options.state.takePaceNotice() };
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         this.#digestRateLimiter.recordSend({ now, peers: this.#peers.size });
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -12,8 +12,10 @@
     type ServingConfiguration,
     type TargetSnapshot,
     type TargetStart,
+    type ToldLoads,
     type ToldRateStatement,
     type ToldRefusalStatement,
+    type ToldSpeeds,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
 import {
@@ -60,6 +62,10 @@
     rateStatements: ToldRateStatement[];
     /** What targets have lately stated to the sender about the requests that they refuse, and their latest refusals. */
     refusalStatements: ToldRefusalStatement[];
+    /** Durations of a step that the sender has measured at engines since it last told; absent if there is nothing new. */
+    speeds?: ToldSpeeds | undefined;
+    /** Loads that targets of plain services have lately stated to the sender; absent likewise. */
+    loads?: ToldLoads | undefined;
     /** Crashes that the sender has observed, and what it knows of parts of prompts under suspicion. */
     promptEvidence: CrashEvidence;
     /** Software versions whose streams are not recorded, by service, as far as the sender relies on them. */
@@ -154,6 +160,16 @@
     v.fallback(v.tuple([CountSchema, CountSchema, CountSchema]), [0, 0, 0]),
 );
 
+/** Numbers on each target; those that are unusable count as none. */
+const ToldSpeedsSchema = v.fallback(
+    v.optional(v.record(v.string(), v.tuple([CountSchema, CountSchema, CountSchema]))),
+    undefined,
+);
+const ToldLoadsSchema = v.fallback(
+    v.optional(v.record(v.string(), v.tuple([CountSchema, CountSchema, CountSchema, CountSchema]))),
+    undefined,
+);
+
 /** Targets; a peer of an earlier release may forward one that the store's adapter does not accept. */
 const TargetsSchema = v.array(v.looseObject({ id: v.string() }));
 const TargetSchema = v.object({
@@ -219,6 +235,8 @@
         paused: v.optional(v.array(v.string()), []),
         rateStatements: v.optional(v.array(RateStatementSchema), []),
         refusalStatements: v.optional(v.array(RefusalStatementSchema), []),
+        speeds: ToldSpeedsSchema,
+        loads: ToldLoadsSchema,
         promptEvidence: v.optional(CrashEvidenceSchema, EMPTY_CRASH_EVIDENCE),
         baselines: v.optional(v.record(v.string(), v.string()), {}),
         versions: VersionsSchema,
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -12,6 +12,7 @@
     chooseRetryAfter,
     type Closure,
     decideQueueAdmission,
+    type PlacementEstimate,
     type RequestLoad,
     type ServiceDefinition,
     type ServingTarget,
@@ -34,6 +35,8 @@
     softwareVersion?: string | undefined;
     /** Time until the latency objective of the request is missed, in milliseconds. */
     objectiveMilliseconds: number;
+    /** Longest pause between the events of the stream, in milliseconds; `undefined` if none is set. */
+    gapMilliseconds?: number | undefined;
     /** Time until the deadline of the request, in milliseconds. */
     remainingMilliseconds: number;
     /** Aborted when the caller has disconnected or the deadline has passed. */
@@ -46,6 +49,8 @@
     target: ServingTarget;
     /** Score of the target when it was selected: its load, where 1 is full, plus penalties; 0 for a given target. */
     score: number;
+    /** What the target of a paced service was selected by. */
+    estimate?: PlacementEstimate | undefined;
     /** Records that the target has started to respond. */
     markResponseStarted: () => void;
     /** Records how many output tokens have been received so far. */
@@ -143,14 +148,16 @@
             return this.#refuse(request, selection);
         }
         const { requestLoad } = request;
-        const { target, score } = selection;
-        return { kind: "placed", reservation: this.#createReservation(target, { requestLoad, score }) };
+        const { target, score, estimate } = selection;
+        return { kind: "placed", reservation: this.#createReservation(target, { requestLoad, score, estimate }) };
     }
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
     chooseTarget(
         request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
             copyZone?: string;
+            objectiveMilliseconds?: number;
+            gapMilliseconds?: number | undefined;
         },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
@@ -162,11 +169,19 @@
             instances: state.instances,
             avoid: request.avoid,
             softwareVersion: request.softwareVersion,
+            objectives: {
+                firstMilliseconds: request.objectiveMilliseconds ?? Infinity,
+                gapMilliseconds: request.gapMilliseconds,
+                strictestGapMilliseconds: state.table?.findStrictestGap(request.service.name),
+            },
             random,
         });
     }
 
-    #createReservation(target: ServingTarget, options: { requestLoad: RequestLoad; score: number; }): Reservation {
+    #createReservation(
+        target: ServingTarget,
+        options: { requestLoad: RequestLoad; score: number; estimate?: PlacementEstimate | undefined; },
+    ): Reservation {
         const { state, clock } = this.#options;
         const loadReservation = state.loadTracker.addRequest(target.id, options.requestLoad);
         state.recentSends.recordSend(target.id, clock.getMonotonic());
@@ -179,7 +194,8 @@
             }
         };
         const { markResponseStarted, recordOutput } = loadReservation;
-        return { target, score: options.score, markResponseStarted, recordOutput, release };
+        const { score, estimate } = options;
+        return { target, score, estimate, markResponseStarted, recordOutput, release };
     }
 
     /** Finds out why no target accepts requests; `undefined` if one does or there is none. */
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -20,11 +20,15 @@
 /** Bucket bounds of the latency histogram, in seconds: from a fast unary request to the longest generation. */
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6];
 
+/** Age up to which a stated pace counts as recent, in milliseconds: half of a slow moment. */
+const MAX_RECENT_MILLISECONDS = 300;
+
 /** Registers and updates the metrics of the serving process. */
 export class ServingMetrics {
     readonly registry = new Registry();
     readonly #requests: Counter<"route" | "end">;
     readonly #attempts: Counter<"service" | "result">;
+    readonly #pacedSelections: Counter<"service" | "figure">;
     readonly #responseEnds: Counter<"framed" | "outcome">;
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
@@ -46,6 +50,13 @@
             labelNames: ["service", "result"],
             registers,
         });
+        this.#pacedSelections = new Counter({
+            name: "knapweed_serving_paced_selections_total",
+            help:
+                "Targets selected by their pace, by service and by whether the stated pace was recent, old or absent.",
+            labelNames: ["service", "figure"],
+            registers,
+        });
         this.#responseEnds = new Counter({
             name: "knapweed_serving_response_ends_total",
             help: "Ends of targets' responses, by whether they have a length or chunks and what they show.",
@@ -96,6 +107,16 @@
         this.#attempts.inc({ service, result });
     }
 
+    /** Counts the selection of a target by its pace, which it stated some time ago; `undefined` if it has not. */
+    countPacedSelection(service: string, ageMilliseconds: number | undefined): void {
+        const figure = ageMilliseconds === undefined
+            ? "absent"
+            : ageMilliseconds <= MAX_RECENT_MILLISECONDS
+            ? "recent"
+            : "old";
+        this.#pacedSelections.inc({ service, figure });
+    }
+
     /** Counts the end of a target's response. */
     countResponseEnd({ isFramed, outcome }: { isFramed: boolean; outcome: string; }): void {
         this.#responseEnds.inc({ framed: String(isFramed), outcome });
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -6,9 +6,11 @@
  */
 import type { Clock } from "../core/clock/mod.ts";
 import {
+    type CandidatePace,
     ColdRateShare,
     type CrashEvidence,
     DigestReason,
+    EngineSpeeds,
     EvacuatedZones,
     LoadTracker,
     type QuarantinedPart,
@@ -36,8 +38,10 @@
     TargetRefusalLimits,
     type TargetSnapshot,
     type TargetStart,
+    type ToldLoads,
     type ToldRateStatement,
     type ToldRefusalStatement,
+    type ToldSpeeds,
     UNREACHABLE_WEIGHT,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
@@ -89,6 +93,16 @@
  */
 export type StateSource = "store" | "store list" | "target" | `peer ${string}`;
 
+/** What an instance has learnt of the speed and load of targets, as it tells its peers. */
+export interface PaceNotice {
+    /** Durations of a step at engines. */
+    speeds?: ToldSpeeds | undefined;
+    /** Loads that targets of plain services have stated. */
+    loads?: ToldLoads | undefined;
+}
+
+/** Age of a stated pace up to which it is that of the events that have just arrived, in milliseconds. */
+const MAX_SAMPLE_PACE_AGE_MILLISECONDS = 300;
 /** Number of instances assumed until it is known: slightly above the usual number. */
 const DEFAULT_INSTANCE_COUNT = 10;
 /** Time for which digests list a target after a failed connection to it, in milliseconds. */
@@ -134,6 +148,8 @@
     readonly health = new TargetHealth();
     /** Pace at which each target works. */
     readonly targetPace = new TargetPace();
+    /** Speed of each engine of the paced services. */
+    readonly engineSpeeds = new EngineSpeeds();
     /** Targets that have asked this instance to send nothing for a time. */
     readonly backpressure = new TargetBackpressure();
     /** Requests that crash targets, and parts of prompts that crash engines. */
@@ -308,7 +324,8 @@
     applyTargetNotice(target: TargetStart & { service: string; }, notice: TargetNotice): void {
         const { isLeaving, backpressureMilliseconds, requestsPerSecond, refusalsPerSecond, statedLoad } = notice;
         if (statedLoad !== undefined) {
-            this.targetPace.recordStatedLoad(target, statedLoad, this.#now());
+            const ownRequests = this.loadTracker.computeOwnLoad(target.id).requests;
+            this.targetPace.recordStatedLoad(target, { ...statedLoad, ownRequests }, this.#now());
         }
         if (requestsPerSecond !== undefined) {
             this.recordRateStatement(target, { requestsPerSecond, sentAt: this.#now() });
@@ -333,6 +350,45 @@
         }
     }
 
+    /** Records how long the events of a stream took that an engine of a paced service has sent. */
+    recordEventSample(engine: ServingTarget, millisecondsPerToken: number): void {
+        const now = this.#now();
+        const { pace, ageMilliseconds } = this.targetPace.getEstimate(engine.id, now);
+        this.engineSpeeds.recordSample(engine, {
+            millisecondsPerToken,
+            requests: this.loadTracker.computeTotalLoad(engine.id, now).requests,
+            pace: ageMilliseconds <= MAX_SAMPLE_PACE_AGE_MILLISECONDS ? pace : 1,
+        });
+    }
+
+    /** Takes what this instance has learnt of targets' speed and load since it last told its peers. */
+    takePaceNotice(): PaceNotice {
+        const now = this.#now();
+        const speeds = this.engineSpeeds.takeTold(now);
+        const loads = this.targetPace.takeToldLoads(
+            now,
+            service => this.#table?.findService(service)?.engine === undefined,
+        );
+        return { ...speeds === undefined ? {} : { speeds }, ...loads === undefined ? {} : { loads } };
+    }
+
+    /** Merges what a peer has learnt of targets' speed and load. */
+    applyPaceNotice({ speeds = {}, loads = {} }: PaceNotice): void {
+        for (const [id, told] of Object.entries(speeds)) {
+            const target = this.directory.findTarget(id);
+            if (target !== undefined) {
+                this.engineSpeeds.applyTold(target, told);
+            }
+        }
+        for (const [id, told] of Object.entries(loads)) {
+            const target = this.directory.findTarget(id);
+            if (target !== undefined) {
+                const ownRequests = this.loadTracker.computeOwnLoad(id).requests;
+                this.targetPace.applyToldLoad(target, told, { now: this.#now(), ownRequests });
+            }
+        }
+    }
+
     /**
      * Records what a target states in an answer about the request rate that it accepts: a limit, or none. `sentAt` is the
      * time at which the request was sent.
@@ -512,6 +568,7 @@
         return this.directory.listAvailable(service.name).map(target => ({
             target,
             load: this.loadTracker.computeTotalLoad(target.id, now),
+            pace: this.targetPace.isPaced(service.name) ? this.#getCandidatePace(target, { service, now }) : undefined,
             penalty: this.health.computePenalty(target.id, now)
                 + (this.directory.isMissing(target.id) ? MISSING_PENALTY : 0),
             pausedUntil: this.backpressure.findPauseEnd(target.id, now),
@@ -522,6 +579,21 @@
         }));
     }
 
+    #getCandidatePace(
+        target: ServingTarget,
+        { service, now }: { service: ServiceDefinition; now: number; },
+    ): CandidatePace {
+        const { pace, ageMilliseconds, meanPace } = this.targetPace.getEstimate(target.id, now);
+        const isEngine = service.engine !== undefined;
+        return {
+            pace,
+            ageMilliseconds,
+            meanPace,
+            stepFactor: isEngine ? this.engineSpeeds.estimateStepFactor(target, now) : 1,
+            othersRequests: isEngine ? 0 : this.targetPace.estimateOthersRequests(target, now),
+        };
+    }
+
     /** Finds the time until which this instance has used up its share of a target's request rate, or of its refusals. */
     #findLimitEnd(
         { id, slots }: ServingTarget,
@@ -637,6 +709,7 @@
             if (change.kind === "removed") {
                 this.health.removeTarget(id);
                 this.targetPace.removeTarget(id);
+                this.engineSpeeds.removeTarget(id);
                 this.coldRateShare.removeTarget(id);
                 this.recentSends.removeTarget(id);
                 this.backpressure.removeTarget(id);
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -9,6 +9,7 @@
     buildBodyEnd,
     estimateOutputTokens,
     EventSplitter,
+    EventWindow,
     getSoftwareVersion,
     isLongAnswer,
     isRepeatable,
@@ -114,6 +115,7 @@
     #headAt: number | undefined;
     /** Time of the last event of the current attempt; `undefined` before the first. */
     #lastEventAt: number | undefined;
+    readonly #eventWindow = new EventWindow();
     /** True once the current attempt has shown that no part of the prompt crashes its engine. */
     #isLongAnswerRecorded = false;
     /** True if this instance has aborted the current attempt. */
@@ -433,6 +435,7 @@
     ): Promise<AttemptResult> {
         const { response: incoming } = targetResponse;
         const splitter = new EventSplitter();
+        this.#eventWindow.restart();
         let eventCount = 0;
         let failure: string | undefined;
         try {
@@ -444,7 +447,9 @@
                     attempt.stallDetector.restart();
                 }
                 if (events.length > 0) {
-                    eventCount += events.filter(event => !event.isComment).length;
+                    const newCount = events.filter(event => !event.isComment).length;
+                    eventCount += newCount;
+                    this.#recordPace(attempt.reservation.target, newCount);
                     if (eventCount > 0 && this.#softwareVersion === undefined) {
                         await this.#recordBeginning(attempt.reservation.target);
                     }
@@ -490,6 +495,18 @@
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
+    /** Adds events to what is known of an engine's speed, if its service is paced. */
+    #recordPace(target: ServingTarget, count: number): void {
+        const { state } = this.#context;
+        const { engine, name } = this.#exchange.service;
+        if (count > 0 && engine !== undefined && state.targetPace.isPaced(name)) {
+            const milliseconds = this.#eventWindow.addEvents(count, this.#now);
+            if (milliseconds > 0) {
+                state.recordEventSample(target, milliseconds / engine.tokensPerEvent);
+            }
+        }
+    }
+
     /** Binds the stream to the software version of the target that sends its first event, which the caller gets after this. */
     async #recordBeginning(target: ServingTarget): Promise<void> {
         const { route, request, service } = this.#exchange;
@@ -571,6 +588,7 @@
             }
             if (!response.destroyed && !response.write(event.bytes)) {
                 await waitUntilWritable(response);
+                this.#eventWindow.restart();
             }
         }
     }
