--- a/measure/serving/run_serving.ts
+++ b/measure/serving/run_serving.ts
@@ -1,8 +1,8 @@
 /**
  * Compares decisions of the serving process with simpler alternatives in simulations: target selection, with load
  * digests sent under the product's rate limit or at fixed intervals, moves of generations, planned or all started at
- * once, the election of watchers of the store, whose substitutes take over in turn or at once, and targets that limit
- * their request rate.
+ * once, the election of watchers of the store, whose substitutes take over in turn or at once, targets that limit
+ * their request rate, and targets of different speed, compared by their load only or by their pace too.
  *
  * Flags: `--seeds 1,2,3,4,5`, `--rates 47,70`, `--seconds 20`, `--runs 4,6,9`, `--notice 1700`.
  *
@@ -11,6 +11,7 @@
 import { Command } from "commander";
 import { planMoves, type PlannedMove } from "../../core/serving/mod.ts";
 import { createMoveEngines, simulateMoves } from "../../support/platform/move_simulation.ts";
+import { simulatePlainSelection } from "../../support/platform/plain_selection_simulation.ts";
 import { type RateLimitSimulationOptions, simulateRateLimits } from "../../support/platform/rate_limit_simulation.ts";
 import { FixedIntervalLimiter, simulateTargetSelection } from "../../support/platform/target_selection_simulation.ts";
 import { simulateWatcherElection } from "../../support/platform/watcher_election_simulation.ts";
@@ -51,8 +52,17 @@
     process.stdout.write(`${cells.map(cell => String(cell).padStart(15)).join("")}\n`);
 }
 
+function formatShare(share: number): string {
+    return `${(100 * share).toFixed(1)} %`;
+}
+
 function computeShare(values: readonly boolean[]): string {
-    return `${(100 * values.filter(Boolean).length / Math.max(1, values.length)).toFixed(1)} %`;
+    return formatShare(values.filter(Boolean).length / Math.max(1, values.length));
+}
+
+/** Sums a number over the outcomes of several seeds. */
+function computeSum<Outcome>(outcomes: readonly Outcome[], count: (outcome: Outcome) => number): number {
+    return outcomes.reduce((total, outcome) => total + count(outcome), 0);
 }
 
 function printPlacements({ seeds, rates, seconds }: ServingOptions): void {
@@ -163,6 +173,78 @@
     }
 }
 
+/** Fleets with engines of different speed, and the time that is simulated, in seconds. */
+const PACED_FLEETS = [
+    { instances: 6, engines: 6, seconds: 30 },
+    { instances: 24, engines: 16, seconds: 30 },
+    { instances: 84, engines: 57, seconds: 20 },
+    { instances: 340, engines: 228, seconds: 9 },
+];
+/** Requests that arrive at each engine in a second, in a usual load and in a high one. */
+const REQUESTS_PER_ENGINE = [1.15, 1.5];
+/** Seeds of the largest fleet, whose simulation takes long. */
+const LARGE_FLEET_SEEDS = 1;
+const LARGE_FLEET_INSTANCES = 100;
+/** Plain calls per second to 4 targets that process 490. */
+const PLAIN_CALLS = [330, 420];
+const PLAIN_SECONDS = 20;
+
+function printPace({ seeds }: ServingOptions): void {
+    printRow(["pace", "instances", "load", "gap > 180 ms", "late firsts", "late checks", "at slow", "refused"]);
+    for (const fleet of PACED_FLEETS) {
+        for (const load of REQUESTS_PER_ENGINE) {
+            for (const [name, isPaced] of [["load only", false], ["by pace", true]] as const) {
+                const outcomes = seeds.slice(0, fleet.instances > LARGE_FLEET_INSTANCES ? LARGE_FLEET_SEEDS : undefined)
+                    .flatMap(seed =>
+                        simulateTargetSelection({
+                            ...fleet,
+                            seed,
+                            generationsPerSecond: load * fleet.engines,
+                            uneven: { isPaced },
+                        }).uneven ?? []
+                    );
+                const long = computeSum(outcomes, outcome => outcome.long.started);
+                printRow([
+                    name,
+                    fleet.instances,
+                    load,
+                    formatShare(computeSum(outcomes, outcome => outcome.long.gaps) / long),
+                    formatShare(computeSum(outcomes, outcome => outcome.long.lateFirsts) / long),
+                    formatShare(
+                        computeSum(outcomes, ({ checks }) => checks.lateFirsts)
+                            / computeSum(outcomes, ({ checks }) => checks.started),
+                    ),
+                    formatShare(computeSum(outcomes, outcome => outcome.atSlowEngines) / long),
+                    computeSum(outcomes, outcome => outcome.refused),
+                ]);
+            }
+        }
+    }
+}
+
+function printPlainCalls({ seeds }: ServingOptions): void {
+    printRow(["plain calls", "instances", "a second", "late", "refusals", "largest share", "told a second"]);
+    for (const { instances } of PACED_FLEETS) {
+        for (const callsPerSecond of PLAIN_CALLS) {
+            for (const [name, isPaced] of [["load only", false], ["by pace", true]] as const) {
+                const outcomes = seeds.map(seed =>
+                    simulatePlainSelection({ instances, callsPerSecond, isPaced, seed, seconds: PLAIN_SECONDS })
+                );
+                const calls = computeSum(outcomes, outcome => outcome.calls);
+                printRow([
+                    name,
+                    instances,
+                    callsPerSecond,
+                    formatShare(computeSum(outcomes, outcome => outcome.calls - outcome.timely) / calls),
+                    formatShare(computeSum(outcomes, outcome => outcome.refusals) / calls),
+                    Math.max(...outcomes.map(outcome => outcome.largestShare)).toFixed(2),
+                    Math.round(computeSum(outcomes, outcome => outcome.toldLoads) / seeds.length / PLAIN_SECONDS),
+                ]);
+            }
+        }
+    }
+}
+
 const options = new Command("measure:serving")
     .option("--seeds <list>", "seeds of the simulations", parseNumbers, [1, 2, 3, 4, 5])
     .option("--rates <list>", "generations per second", parseNumbers, [47, 70])
@@ -175,3 +257,5 @@
 printMoves(options);
 printElections();
 printLimits(options);
+printPace(options);
+printPlainCalls(options);
