--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -465,6 +465,7 @@
         }
         this.#options.state.applyRateStatements(message.instance, message.rateStatements);
         this.#options.state.applyRefusalStatements(message.instance, message.refusalStatements);
+        this.#options.state.applyPaceNotice(message);
         this.#options.state.applyBaselines(message.baselines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
@@ -647,7 +648,7 @@
      */
     #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
-        const digest = this.#buildDigest(now);
+        const digest = { ...this.#buildDigest(now), ...this.#options.state.takePaceNotice() };
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         const recipients = this.#getRecipients(now);
@@ -733,11 +734,12 @@
 
 /** Checks whether the notices of a digest have no effect that ends after a time, so that they are applied only once. */
 function hasLastingNotices(digest: DigestMessage): boolean {
-    const { unreachable, leaving, paused, rateStatements, refusalStatements, promptEvidence } = digest;
+    const { unreachable, leaving, paused, rateStatements, refusalStatements, promptEvidence, speeds, loads } = digest;
     const { crashes, sound, quarantined } = promptEvidence;
-    return [unreachable, leaving, paused, rateStatements, refusalStatements, crashes, sound, quarantined].every(list =>
-        list.length === 0
-    );
+    return speeds === undefined && loads === undefined
+        && [unreachable, leaving, paused, rateStatements, refusalStatements, crashes, sound, quarantined].every(list =>
+            list.length === 0
+        );
 }
 
 function getTargetsPosition(versions: StateVersions): StorePosition {
