--- /dev/null
+++ b/core/serving/rollout_evidence.ts
@@ -0,0 +1,249 @@
+/**
+ * Counts the answers of the old and of the new version of a rollout, over all instances, and decides whether the new one
+ * is bad.
+ *
+ * Load patterns: a new version fails or is several times slower in a part of its answers, from the beginning or later,
+ * under load, or on one route only. Meanwhile targets of either version are slow for a moment, differ in speed by a factor
+ * of two, or disappear with all their requests. Both versions are therefore compared route by route, in total and within
+ * the latest seconds, and a lost connection counts once for each target and second.
+ *
+ * @module
+ */
+
+/** Counts of one version on one route; a tuple, since digests hold it. */
+export type VersionCounts = [answers: number, failures: number, timed: number, slow: number, logSum: number];
+
+/** Counts of one route: of the old version and of the new one. */
+export type RouteCounts = [old: VersionCounts, fresh: VersionCounts];
+
+/** What one instance has counted since the order. */
+export interface RolloutTally {
+    /** Requests of callers to the service. */
+    requests: number;
+    /** Those among them that ask for a long stream. */
+    longRequests: number;
+    /** Requests sent to the new version. */
+    sent: number;
+    /** Counts by route. */
+    routes: Record<string, RouteCounts>;
+}
+
+/** Result of {@linkcode RolloutEvidence.decideVerdict}. */
+export interface RolloutVerdict {
+    /** True if the new version is bad. */
+    isBad: boolean;
+    /** Route on which it is bad and what is wrong; empty if it is not bad. */
+    reason: string;
+    /** Answers of the new version that are known. */
+    answers: number;
+    /** Failed and slow answers of the new version that are known. */
+    badAnswers: number;
+}
+
+/** How an attempt at a target has ended. */
+export type AnswerKind = "answered" | "failed" | "lost";
+
+/** Multiple of the old version's mean from which an answer counts as slow; "several times slower" is 3 and more. */
+const SLOW_FACTOR = 2.5;
+/** Answers of the old version on a route from which its mean counts. */
+const MIN_TIMED_ANSWERS = 20;
+/** Probability below which counts as high as those of the new version are not taken for chance. */
+const CHANCE = 1e-4;
+/** The same in the last check before completion, after which there is no way back. */
+const LAST_CHANCE = 4e-3;
+/** Bad answers below which a version is not bad, and the same in the last check. */
+const MIN_BAD_ANSWERS = 3;
+const LAST_MIN_BAD_ANSWERS = 2;
+/** Lowest assumed share of failures, and of slow answers, of a version that is not bad. */
+const MIN_FAILURE_SHARE = 0.004;
+const MIN_SLOW_SHARE = 0.03;
+/** Factor by which a good version may exceed the old one's share of bad answers: it runs on few targets. */
+const TOLERANCE = 1.5;
+/** Interval at which totals are kept, and number of those kept: the period of the second comparison. */
+const KEEP_INTERVAL_MILLISECONDS = 1000;
+const KEPT_TOTALS = 8;
+/** Time within which further lost connections to a target do not count, in milliseconds. */
+const LOSS_INTERVAL_MILLISECONDS = 1000;
+
+/** Creates counts of which all are 0. */
+export function createTally(): RolloutTally {
+    return { requests: 0, longRequests: 0, sent: 0, routes: {} };
+}
+
+/** Counts answers and compares the two versions. */
+export class RolloutEvidence {
+    readonly #own = createTally();
+    readonly #peers = new Map<string, RolloutTally>();
+    /** Counts of earlier starts of peers, which those count no longer. */
+    readonly #former = createTally();
+    readonly #lostAt = new Map<string, number>();
+    #kept: { time: number; total: RolloutTally; }[] = [];
+    #total = createTally();
+    #isTotalOutdated = true;
+
+    /** What this instance has counted. */
+    get own(): Readonly<RolloutTally> {
+        return this.#own;
+    }
+
+    /** Sum over all instances. */
+    get total(): Readonly<RolloutTally> {
+        if (this.#isTotalOutdated) {
+            this.#total = createTally();
+            for (const tally of [this.#own, this.#former, ...this.#peers.values()]) {
+                addTally(this.#total, tally);
+            }
+            this.#isTotalOutdated = false;
+        }
+        return this.#total;
+    }
+
+    /** Records a caller's request. */
+    recordRequest(isLong: boolean): void {
+        this.#own.requests += 1;
+        this.#own.longRequests += isLong ? 1 : 0;
+        this.#isTotalOutdated = true;
+    }
+
+    /** Records a request sent to the new version. */
+    recordSend(): void {
+        this.#own.sent += 1;
+        this.#isTotalOutdated = true;
+    }
+
+    /** Records how an attempt has ended; returns whether it counts as a failure. */
+    recordEnd(end: { route: string; target: string; isNew: boolean; kind: AnswerKind; now: number; }): boolean {
+        const { route, target, isNew, kind, now } = end;
+        if (kind === "lost") {
+            const lostAt = this.#lostAt.get(target);
+            if (lostAt !== undefined && now - lostAt < LOSS_INTERVAL_MILLISECONDS) {
+                return false;
+            }
+            this.#lostAt.set(target, now);
+        }
+        const counts = this.#getCounts(route, isNew);
+        counts[0] += 1;
+        counts[1] += kind === "answered" ? 0 : 1;
+        this.#isTotalOutdated = true;
+        return kind !== "answered";
+    }
+
+    /** Records how long an answer, or a part of it, has taken; returns whether it was slow. */
+    recordTime(answer: { route: string; isNew: boolean; milliseconds: number; }): boolean {
+        const { route, isNew, milliseconds } = answer;
+        const logarithm = Math.log(Math.max(1, milliseconds));
+        const [, , known = 0, , logSum = 0] = this.total.routes[route]?.[0] ?? [];
+        const isCompared = known >= MIN_TIMED_ANSWERS;
+        const isSlow = isCompared && logarithm - logSum / known > Math.log(SLOW_FACTOR);
+        if (!isNew || isCompared) {
+            const counts = this.#getCounts(route, isNew);
+            counts[2] += 1;
+            counts[3] += isSlow ? 1 : 0;
+            counts[4] = Number((counts[4] + logarithm).toFixed(2));
+            this.#isTotalOutdated = true;
+        }
+        return isSlow;
+    }
+
+    /** Replaces what a peer has counted. A peer that has restarted counts from 0; its former counts are kept. */
+    applyPeerTally(instance: string, tally: RolloutTally): void {
+        const known = this.#peers.get(instance);
+        if (known !== undefined && tally.requests < known.requests) {
+            addTally(this.#former, known);
+        }
+        this.#peers.set(instance, tally);
+        this.#isTotalOutdated = true;
+    }
+
+    /** Compares the two versions; `isLast` for the check before completion. Called several times a second. */
+    decideVerdict(now: number, { isLast = false }: { isLast?: boolean; } = {}): RolloutVerdict {
+        const { total } = this;
+        const earliest = this.#kept[0]?.total ?? createTally();
+        const latest = this.#kept.at(-1);
+        if (latest === undefined || now - latest.time >= KEEP_INTERVAL_MILLISECONDS) {
+            this.#kept = [...this.#kept, { time: now, total }].slice(-KEPT_TOTALS);
+        }
+        let reason = "";
+        let answers = 0;
+        let badAnswers = 0;
+        for (const [route, counts] of Object.entries(total.routes)) {
+            const [, [freshAnswers, failures, , slow]] = counts;
+            answers += freshAnswers;
+            badAnswers += failures + slow;
+            const recent = computeIncrease(counts, earliest.routes[route]);
+            const problem = findProblem(counts, isLast) ?? findProblem(recent, isLast);
+            reason ||= problem === undefined ? "" : `${route}: ${problem}`;
+        }
+        return { isBad: reason !== "", reason, answers, badAnswers };
+    }
+
+    #getCounts(route: string, isNew: boolean): VersionCounts {
+        const counts = this.#own.routes[route] ??= createRouteCounts();
+        return counts[isNew ? 1 : 0];
+    }
+}
+
+/** Computes the probability of `count` or more hits in `trials`, each with the probability `share`. */
+export function computeTail(count: number, trials: number, share: number): number {
+    if (count <= trials * share) {
+        return 1;
+    }
+    let term = trials * Math.log1p(-share);
+    let below = 0;
+    for (let hits = 0; hits < count; hits += 1) {
+        below += Math.exp(term);
+        term += Math.log((trials - hits) / (hits + 1)) + Math.log(share / (1 - share));
+    }
+    return Math.max(0, 1 - below);
+}
+
+/** Finds out what is wrong with the new version on a route; `undefined` if nothing is shown to be. */
+function findProblem([old, fresh]: RouteCounts, isLast: boolean): string | undefined {
+    const [oldAnswers, oldFailures, oldTimed, oldSlow] = old;
+    const [answers, failures, timed, slow] = fresh;
+    if (isWorse([failures, answers], [oldFailures, oldAnswers], { isLast, minimum: MIN_FAILURE_SHARE })) {
+        return `${failures} of ${answers} failed, ${oldFailures} of ${oldAnswers} at the old version`;
+    }
+    return isWorse([slow, timed], [oldSlow, oldTimed], { isLast, minimum: MIN_SLOW_SHARE })
+        ? `${slow} of ${timed} slow, ${oldSlow} of ${oldTimed} at the old version`
+        : undefined;
+}
+
+type Share = readonly [count: number, trials: number];
+
+function isWorse(
+    [count, trials]: Share,
+    [oldCount, oldTrials]: Share,
+    { isLast, minimum }: { isLast: boolean; minimum: number; },
+): boolean {
+    if (count < (isLast ? LAST_MIN_BAD_ANSWERS : MIN_BAD_ANSWERS) || count > trials) {
+        return false;
+    }
+    const share = Math.max(minimum, TOLERANCE * (oldCount + 0.5) / (oldTrials + 1));
+    return share < 1 && computeTail(count, trials, share) < (isLast ? LAST_CHANCE : CHANCE);
+}
+
+function createRouteCounts(): RouteCounts {
+    return [[0, 0, 0, 0, 0], [0, 0, 0, 0, 0]];
+}
+
+function addTally(sum: RolloutTally, tally: Readonly<RolloutTally>): void {
+    sum.requests += tally.requests;
+    sum.longRequests += tally.longRequests;
+    sum.sent += tally.sent;
+    for (const [route, versions] of Object.entries(tally.routes)) {
+        const sums = sum.routes[route] ??= createRouteCounts();
+        versions.forEach((counts, version) =>
+            counts.forEach((count, index) => {
+                const target = sums[version] ?? [];
+                target[index] = (target[index] ?? 0) + count;
+            })
+        );
+    }
+}
+
+function computeIncrease(counts: RouteCounts, earlier: RouteCounts | undefined): RouteCounts {
+    const subtract = (version: 0 | 1): VersionCounts =>
+        counts[version].map((count, index) => Math.max(0, count - (earlier?.[version][index] ?? 0))) as VersionCounts;
+    return [subtract(0), subtract(1)];
+}
--- a/core/serving/shared_limits.ts
+++ b/core/serving/shared_limits.ts
@@ -119,10 +119,15 @@
         }
     }
 
+    /** Checks whether a target is cold. */
+    isCold(target: string, now: number): boolean {
+        return (this.#coldUntil.get(target) ?? 0) > now;
+    }
+
     /** Checks whether a target is cold and this instance's share of its request rate is used up. */
     isUsedUp(target: string, input: ColdRateInput): boolean {
         const { now, ratePerSecond, instances } = input;
-        if (ratePerSecond <= 0 || (this.#coldUntil.get(target) ?? 0) <= now) {
+        if (ratePerSecond <= 0 || !this.isCold(target, now)) {
             return false;
         }
         const limit = (ratePerSecond * this.#options.overage + this.#options.slack) * COLD_MARGIN;
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,7 +5,15 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type { ClientAccount, RequestLoad, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
+import {
+    type AnswerKind,
+    type ClientAccount,
+    type RequestLoad,
+    type Route,
+    RouteKind,
+    type ServiceDefinition,
+    type ServingTarget,
+} from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
@@ -111,22 +119,70 @@
 /** Maximum number of a prompt's parts in a log line; a prompt may have many more. */
 const MAX_LOGGED_PROMPT_PARTS = 12;
 
+/** Requests whose first attempt has been counted for a rollout. */
+const countedExchanges = new WeakSet<CallerExchange>();
+/** Output tokens from which a stream counts as long: it may run for longer than a rollout's last seconds. */
+const LONG_OUTPUT_TOKENS = 100;
+
 /** Reserves a target for one attempt at a request. */
-export function reserveForAttempt(
+export async function reserveForAttempt(
     context: ServingContext,
     attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
     const { exchange, ...rest } = attempt;
     const { service, route, priority, arrivedAt, deadline, signal } = exchange;
+    const { scheduler, state } = context;
     const now = context.clock.getMonotonic();
-    return context.scheduler.reserveTarget({
+    const request = {
         ...rest,
         service,
         priority,
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
         remainingMilliseconds: deadline - now,
         signal,
+    };
+    const versions = state.chooseVersions({
+        service: service.name,
+        route: route.name,
+        isLong: route.kind === RouteKind.stream && !(attempt.requestLoad.outputTokens < LONG_OUTPUT_TOKENS),
+        isFirst: !countedExchanges.has(exchange),
+        softwareVersion: attempt.softwareVersion,
+        now,
     });
+    countedExchanges.add(exchange);
+    const preferred = versions?.isPreferred === undefined
+        ? undefined
+        : scheduler.reserveTargetNow({ ...request, isAllowed: versions.isPreferred });
+    const result: ReservationResult = preferred === undefined
+        ? await scheduler.reserveTarget({ ...request, isAllowed: versions?.isAllowed })
+        : { kind: "placed", reservation: preferred };
+    if (result.kind === "placed") {
+        state.rollouts?.recordSend(route.name, result.reservation.target);
+    }
+    return result;
+}
+
+/** Records for a rollout how an attempt has ended. */
+export function recordRolloutEnd(
+    { state, clock }: ServingContext,
+    exchange: CallerExchange,
+    { target, kind }: { target: ServingTarget; kind: AnswerKind; },
+): void {
+    const end = { route: exchange.route.name, kind, now: clock.getMonotonic() };
+    if (state.rollouts?.recordEnd(target, end) === true) {
+        state.publishBadAnswer();
+    }
+}
+
+/** Records for a rollout how long an answer, or the part of it with the given name, has taken. */
+export function recordRolloutTime(
+    { state }: ServingContext,
+    exchange: CallerExchange,
+    { target, milliseconds, part = "" }: { target: ServingTarget; milliseconds: number; part?: string; },
+): void {
+    if (state.rollouts?.recordTime(target, { route: exchange.route.name + part, milliseconds }) === true) {
+        state.publishBadAnswer();
+    }
 }
 
 /** Describes a finished attempt for the log. */
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -84,6 +84,11 @@
  * since the other instances start watching the store when these digests are missing.
  */
 const WATCHER_KEEP_ALIVE_MILLISECONDS = 300;
+/** Silence up to which a peer counts as heard where a verdict has to arrive, in milliseconds, and in heartbeats. */
+const MIN_SILENCE_MILLISECONDS = 2500;
+const SILENCE_FACTOR = 1.5;
+/** The same for a peer that watches the store: a few of its heartbeats. */
+const MAX_WATCHER_SILENCE_MILLISECONDS = 1200;
 /** Digests that may be missed before a peer is considered lost. */
 const MAX_MISSED_DIGESTS = 3;
 /** Time after a digest to a peer within which the first digest of that peer is not answered, in milliseconds. */
@@ -188,6 +193,24 @@
         return [...this.#peers.values()].some(peer => peer.isWatching && !peer.isLost);
     }
 
+    /**
+     * Checks whether this instance would hear of what others find out: a peer that watches the store was heard lately, or
+     * most of the known peers were.
+     */
+    isConnected(): boolean {
+        const now = this.#options.clock.getMonotonic();
+        const maxSilence = Math.max(MIN_SILENCE_MILLISECONDS, SILENCE_FACTOR * this.#heartbeatMilliseconds);
+        let heard = 0;
+        for (const { lastDigestAt = Number.NEGATIVE_INFINITY, isWatching } of this.#peers.values()) {
+            const silence = now - lastDigestAt;
+            if (isWatching && silence <= MAX_WATCHER_SILENCE_MILLISECONDS) {
+                return true;
+            }
+            heard += silence <= maxSilence ? 1 : 0;
+        }
+        return heard * 2 >= this.#peers.size;
+    }
+
     /** Lists the addresses at which peers that reach targets take requests of callers. */
     listRelayPeers(): string[] {
         const now = this.#options.clock.getMonotonic();
@@ -290,7 +313,12 @@
     get #keepAliveMilliseconds(): number {
         return this.#options.isWatching()
             ? WATCHER_KEEP_ALIVE_MILLISECONDS
-            : KEEP_ALIVE_MILLISECONDS + KEEP_ALIVE_PER_PEER_MILLISECONDS * this.#peers.size;
+            : this.#heartbeatMilliseconds;
+    }
+
+    /** Interval of digests without new information from an instance that does not watch the store, in milliseconds. */
+    get #heartbeatMilliseconds(): number {
+        return KEEP_ALIVE_MILLISECONDS + KEEP_ALIVE_PER_PEER_MILLISECONDS * this.#peers.size;
     }
 
     /** Schedules a digest as soon as the rate limit allows. */
@@ -371,6 +399,7 @@
         this.#options.state.applyRateStatements(message.instance, message.rateStatements);
         this.#options.state.applyRefusalStatements(message.instance, message.refusalStatements);
         this.#options.state.applyBaselines(message.baselines);
+        this.#options.state.applyRolloutReports(message.instance, message.rolloutReports ?? []);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
         if (isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
@@ -401,6 +430,9 @@
                     && comparePositions(getZonesPosition(ownVersions), getZonesPosition(versions)) > 0
                 ? { zones: state.zones }
                 : {},
+            ...this.#isNewer(ownVersions.rollouts, versions.rollouts)
+                ? { rollouts: state.rollouts?.getSnapshot(this.#options.clock.getMonotonic()) }
+                : {},
             ...state.isQuarantineListKnown
                 ? { quarantined: state.requestQuarantine.listQuarantined(this.#options.clock.getMonotonic()) }
                 : {},
@@ -425,7 +457,10 @@
     #handleUpdate(message: UpdateMessage): void {
         const { state } = this.#options;
         const source = `peer ${message.instance}` as const;
-        const { configuration, targets, zones } = message;
+        const { configuration, targets, zones, rollouts } = message;
+        if (rollouts !== undefined) {
+            state.applyRollouts(rollouts, source);
+        }
         if (configuration !== undefined) {
             state.adoptConfiguration(configuration, source);
         }
@@ -455,6 +490,9 @@
         if (message.zones !== undefined) {
             state.applyZones(message.zones, source);
         }
+        if (message.rollouts !== undefined) {
+            state.applyRollouts(message.rollouts, source);
+        }
         if (message.quarantined !== undefined) {
             state.applyQuarantined(message.quarantined, source);
         }
@@ -524,6 +562,7 @@
             refusalStatements: state.refusalLimits.listTold(now),
             promptEvidence: state.requestQuarantine.getEvidence(now),
             baselines: state.softwareVersions.listBaselines(),
+            ...state.buildRolloutReports(now),
             versions: this.#getVersions(),
             isWatching: isWatching(),
             relayAddress: getRelayAddress(),
@@ -588,28 +627,38 @@
         const ownVersions = this.#getVersions();
         const { directory, zones } = this.#options.state;
         const ownTargets = { era: directory.era, revision: Math.max(directory.revision, ownVersions.targets) };
+        const ownRollouts = this.#options.state.rollouts?.position;
         const ownZones = { era: zones?.era ?? 0, revision: zones?.revision ?? -1 };
         return [...this.#peers.values()].filter(({ versions, isLost, lastDigestAt }) =>
             !isLost
             && now - (lastDigestAt ?? Number.NEGATIVE_INFINITY) < MAX_DIGEST_AGE_MILLISECONDS
             && (versions.configuration > ownVersions.configuration
                 || comparePositions(getTargetsPosition(versions), ownTargets) > 0
-                || comparePositions(getZonesPosition(versions), ownZones) > 0)
+                || comparePositions(getZonesPosition(versions), ownZones) > 0
+                || this.#isNewer(versions.rollouts, ownRollouts))
         );
     }
 
+    /** Checks whether a list of rollouts is newer than another one, where this instance keeps such a list. */
+    #isNewer(position: StorePosition | undefined, other: StorePosition | undefined): boolean {
+        return this.#options.state.rollouts !== undefined && position !== undefined
+            && (other === undefined || comparePositions(position, other) > 0);
+    }
+
     #buildStateRequest(): StateRequestMessage {
         return { kind: "ask", address: this.#ownAddress, versions: this.#getVersions() };
     }
 
     #getVersions(): StateVersions {
-        const { table, directory, zones } = this.#options.state;
+        const { table, directory, zones, rollouts } = this.#options.state;
+        const position = rollouts?.position;
         return {
             configuration: table?.configuration.version ?? -1,
             targets: directory.isLoaded ? directory.changeRevision : 0,
             targetsEra: directory.era,
             zones: zones?.changeRevision ?? -1,
             zonesEra: zones?.era ?? 0,
+            ...position === undefined ? {} : { rollouts: { era: position.era, revision: position.changeRevision } },
         };
     }
 }
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -9,7 +9,11 @@
     EMPTY_CRASH_EVIDENCE,
     type LoadDigest,
     type QuarantinedPart,
+    type RolloutReport,
+    type RolloutSnapshot,
+    RolloutState,
     type ServingConfiguration,
+    type StorePosition,
     type TargetSnapshot,
     type TargetStart,
     type ToldRateStatement,
@@ -38,6 +42,8 @@
     zones: number;
     /** Era of the store for that revision; instances that do not know of eras leave it out, which counts as 0. */
     zonesEra: number;
+    /** Revision of the latest change to the rollouts, and its era; absent where there are none. */
+    rollouts?: StorePosition | undefined;
 }
 
 /** Message with the load that the sender's requests put on engines and the versions of its state. */
@@ -62,6 +68,8 @@
     refusalStatements: ToldRefusalStatement[];
     /** Crashes that the sender has observed, and what it knows of parts of prompts under suspicion. */
     promptEvidence: CrashEvidence;
+    /** What the sender has counted about rollouts; absent if that has not changed, or there are none. */
+    rolloutReports?: RolloutReport[] | undefined;
     /** Software versions whose streams are not recorded, by service, as far as the sender relies on them. */
     baselines: Record<string, string>;
     /** Versions of the sender's state. */
@@ -102,6 +110,8 @@
     targets?: TargetSnapshot;
     /** Evacuated zones, if the sender's list is newer. */
     zones?: ZoneSnapshot;
+    /** Rollouts, if the sender's list is newer. */
+    rollouts?: RolloutSnapshot;
     /** Parts of prompts that the sender holds in quarantine; absent while it has not learnt them from the store. */
     quarantined?: QuarantinedPart[];
     /** Addresses of all instances known to the sender, by name. */
@@ -122,6 +132,7 @@
     targetsEra: v.optional(VersionSchema, 0),
     zones: VersionSchema,
     zonesEra: v.optional(VersionSchema, 0),
+    rollouts: v.optional(v.object({ era: VersionSchema, revision: VersionSchema })),
 });
 const QuarantinedSchema = v.array(
     v.object({ part: v.string(), remainingMilliseconds: FiniteSchema, crashes: CountSchema }),
@@ -196,6 +207,30 @@
     zones: v.array(v.string()),
     held: v.optional(v.array(v.string())),
 });
+const RolloutsSchema = v.object({
+    era: VersionSchema,
+    revision: VersionSchema,
+    changeRevision: VersionSchema,
+    orders: v.array(v.object({
+        name: v.string(),
+        revision: VersionSchema,
+        service: NameSchema,
+        softwareVersion: v.string(),
+        durationMilliseconds: CountSchema,
+        state: v.optional(v.enum(RolloutState)),
+        ageMilliseconds: CountSchema,
+    })),
+});
+const VersionCountsSchema = v.tuple([CountSchema, CountSchema, CountSchema, CountSchema, CountSchema]);
+const RolloutReportSchema = v.object({
+    name: v.string(),
+    softwareVersion: v.string(),
+    isBad: v.boolean(),
+    requests: CountSchema,
+    longRequests: CountSchema,
+    sent: CountSchema,
+    routes: v.record(v.string(), v.tuple([VersionCountsSchema, VersionCountsSchema])),
+});
 const ConfigurationSchema = v.looseObject({
     version: VersionSchema,
     routes: v.array(v.looseObject({ name: v.string(), host: v.string(), pathPrefix: v.string() })),
@@ -221,6 +256,7 @@
         refusalStatements: v.optional(v.array(RefusalStatementSchema), []),
         promptEvidence: v.optional(CrashEvidenceSchema, EMPTY_CRASH_EVIDENCE),
         baselines: v.optional(v.record(v.string(), v.string()), {}),
+        rolloutReports: v.optional(v.array(RolloutReportSchema)),
         versions: VersionsSchema,
         isWatching: v.boolean(),
         relayAddress: v.fallback(v.union([v.literal(""), TargetAddressSchema]), ""),
@@ -231,6 +267,7 @@
         configuration: v.optional(ConfigurationSchema),
         targets: v.optional(TargetEventsSchema),
         zones: v.optional(ZonesSchema),
+        rollouts: v.optional(RolloutsSchema),
     }),
     v.object({ kind: v.literal("ask"), address: TargetAddressSchema, versions: VersionsSchema }),
     v.object({
@@ -239,6 +276,7 @@
         configuration: v.optional(ConfigurationSchema),
         targets: v.optional(SnapshotSchema),
         zones: v.optional(ZonesSchema),
+        rollouts: v.optional(RolloutsSchema),
         quarantined: v.optional(QuarantinedSchema),
         peers: v.pipe(v.record(v.string(), v.string()), v.transform(filterPeers)),
     }),
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -32,6 +32,8 @@
     avoid: ReadonlySet<string>;
     /** Software version that the target must have, since it began the stream. Defaults to any. */
     softwareVersion?: string | undefined;
+    /** Accepts the targets that may be used. Defaults to all. */
+    isAllowed?: ((target: ServingTarget) => boolean) | undefined;
     /** Time until the latency objective of the request is missed, in milliseconds. */
     objectiveMilliseconds: number;
     /** Time until the deadline of the request, in milliseconds. */
@@ -114,6 +116,14 @@
         return queue.add(() => this.#waitForReservation(request, waitDeadline), { priority: -request.priority });
     }
 
+    /** Reserves a target if one has room now. */
+    reserveTargetNow(request: ReservationRequest): Reservation | undefined {
+        const selection = this.chooseTarget(request);
+        return selection.kind === "placed"
+            ? this.#createReservation(selection.target, { requestLoad: request.requestLoad, score: selection.score })
+            : undefined;
+    }
+
     /** Reserves capacity at a given target without checking its load, for a generation that is moved there. */
     reserveGivenTarget(target: ServingTarget, requestLoad: RequestLoad): Reservation {
         return this.#createReservation(target, { requestLoad, score: 0 });
@@ -149,12 +159,15 @@
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
     chooseTarget(
-        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
+        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion" | "isAllowed"> & {
             copyZone?: string;
         },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
-        return chooseLeastLoadedTarget(state.listCandidates(request.service), {
+        const { isAllowed } = request;
+        const all = state.listCandidates(request.service);
+        const candidates = isAllowed === undefined ? all : all.filter(({ target }) => isAllowed(target));
+        return chooseLeastLoadedTarget(candidates, {
             requestLoad: request.requestLoad,
             engine: request.service.engine,
             zone: request.copyZone ?? zone,
--- /dev/null
+++ b/serving/rollout_controller.ts
@@ -0,0 +1,148 @@
+/**
+ * Carries out rollouts: updates the decisions, and writes the status of each order to the store.
+ *
+ * Every instance decides by itself that a version is bad and sends it nothing more. One instance writes the status: the
+ * first in the order of the watchers whose watches of the store work. Before each write it reads the object again, and the
+ * write holds only for the revision that it has read, so that one that was paused, or two at once, undo nothing.
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock/mod.ts";
+import {
+    describeEvidence,
+    describeOrder,
+    isFinalState,
+    type Rollout,
+    RolloutStage,
+    RolloutState,
+} from "../core/serving/mod.ts";
+import { decodeRollout, type StoreClient, StoreKind } from "../platform/mod.ts";
+import type { DecisionLog } from "../telemetry/mod.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+import type { ServingState } from "./serving_state.ts";
+
+/** Options of a {@linkcode RolloutController}. */
+export interface RolloutControllerOptions {
+    /** State with the orders. */
+    state: ServingState;
+    /** Client of the store. */
+    store: StoreClient;
+    /** Decision log. */
+    log: DecisionLog;
+    /** Metrics. */
+    metrics: ServingMetrics;
+    /** Source of time. */
+    clock: Clock;
+    /** True if this instance writes to the store on behalf of all. */
+    isWriter: () => boolean;
+    /** Checks whether enough peers are heard that one's verdict would arrive. */
+    isConnected: () => boolean;
+}
+
+/** Delay after a failed write of a status, in milliseconds. */
+const RETRY_MILLISECONDS = 250;
+/** Time between two updates from which this process must have been paused, in milliseconds. */
+const PAUSE_MILLISECONDS = 1000;
+/** Time after a pause in which nothing is written, in milliseconds: digests of the peers arrive within it. */
+const AFTER_PAUSE_MILLISECONDS = 700;
+
+/** Updates the rollouts and writes their status. */
+export class RolloutController {
+    readonly #options: RolloutControllerOptions;
+    /** Names of the orders whose status is being written. */
+    readonly #writing = new Set<string>();
+    #retryAt = Number.NEGATIVE_INFINITY;
+    #updatedAt: number | undefined;
+
+    constructor(options: RolloutControllerOptions) {
+        this.#options = options;
+    }
+
+    /** Updates the decisions, and writes the status of the orders if this instance is the writer. */
+    update(): void {
+        const { state, clock, isWriter, isConnected, metrics } = this.#options;
+        const { rollouts } = state;
+        if (rollouts === undefined) {
+            return;
+        }
+        const now = clock.getMonotonic();
+        if (now - (this.#updatedAt ?? now) > PAUSE_MILLISECONDS) {
+            this.#retryAt = now + AFTER_PAUSE_MILLISECONDS;
+        }
+        this.#updatedAt = now;
+        state.updateRollouts(isConnected());
+        for (const rollout of rollouts.listRollouts()) {
+            const { order, plan, end } = rollout;
+            metrics.setRolloutShare(order.service, computeShare(rollout));
+            const wanted = end?.state ?? (plan?.action === "complete" ? RolloutState.completed : RolloutState.running);
+            const isOutdated = order.state !== wanted && !isFinalState(order.state);
+            if (!rollout.isIgnored && isOutdated && now >= this.#retryAt && isWriter()) {
+                void this.#writeStatus(rollout, wanted);
+            }
+        }
+    }
+
+    /** Reads an order and writes its status, unless it has changed or shows a final state. */
+    async #writeStatus(rollout: Rollout, wanted: RolloutState): Promise<void> {
+        const { store, log, metrics, clock, state } = this.#options;
+        const { name, softwareVersion } = rollout.order;
+        if (this.#writing.has(name)) {
+            return;
+        }
+        this.#writing.add(name);
+        const startedAt = clock.getMonotonic();
+        const read = await store.readObject(StoreKind.rollouts, name);
+        metrics.countStoreCall(StoreKind.rollouts, read.kind);
+        const current = read.kind === "ok" ? decodeRollout(read.value, { ageMilliseconds: 0 }) : undefined;
+        const isSame = current?.softwareVersion === softwareVersion && current.service === rollout.order.service;
+        const isLate = clock.getMonotonic() - startedAt > PAUSE_MILLISECONDS;
+        if (
+            read.kind === "ok" && isSame && !isFinalState(current.state) && !isLate && this.#isCurrent(rollout, wanted)
+        ) {
+            const { revision } = read.value;
+            const status = { state: wanted, target: softwareVersion };
+            const reply = await store.updateStatus(StoreKind.rollouts, { name, revision, status });
+            metrics.countStoreCall(StoreKind.rollouts, reply.kind);
+            metrics.countRolloutDecision(rollout.order.service, reply.kind === "ok" ? wanted : "not written");
+            log.record("process", reply.kind === "ok" ? "rollout status written" : "rollout status not written", {
+                ...describeOrder(rollout.order),
+                ...describeEvidence(rollout),
+                wanted,
+                reason: rollout.end?.reason ?? rollout.plan?.reason,
+                failure: reply.kind === "ok" ? undefined : reply.kind,
+                revision,
+            });
+            if (reply.kind === "ok") {
+                state.markRolloutState(rollout, { state: wanted, revision: reply.value.revision });
+            }
+        }
+        else {
+            const found = isSame ? current.state : current?.softwareVersion;
+            if (read.kind === "ok" && isSame && current.state !== undefined && isFinalState(current.state)) {
+                // The reply to an earlier write was lost, or another instance has written first.
+                state.markRolloutState(rollout, { state: current.state, revision: current.revision });
+            }
+            log.record("process", "rollout status not written", {
+                ...describeOrder(rollout.order),
+                wanted,
+                failure: read.kind === "ok" ? "changed" : read.kind,
+                found,
+            });
+        }
+        this.#retryAt = Math.max(this.#retryAt, clock.getMonotonic() + RETRY_MILLISECONDS);
+        this.#writing.delete(name);
+    }
+
+    /** Checks that the order still holds and its end is still the one that is to be written. */
+    #isCurrent(rollout: Rollout, wanted: RolloutState): boolean {
+        return this.#options.state.rollouts?.findRollout(rollout.order.service) === rollout
+            && (rollout.end === undefined ? wanted !== RolloutState.rolledBack : rollout.end.state === wanted);
+    }
+}
+
+function computeShare({ plan, end }: Rollout): number {
+    if (end !== undefined) {
+        return end.state === RolloutState.completed ? 1 : 0;
+    }
+    return plan?.stage === RolloutStage.all ? 1 : plan?.share ?? 0;
+}
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -29,6 +29,8 @@
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
     readonly #storeCalls: Counter<"kind" | "result">;
+    readonly #rolloutDecisions: Counter<"service" | "state">;
+    readonly #rolloutShare: Gauge<"service">;
     readonly #firstByteSeconds: Histogram<"route">;
     readonly #movePauseSeconds: Histogram;
 
@@ -70,6 +72,18 @@
             labelNames: ["kind", "result"],
             registers,
         });
+        this.#rolloutDecisions = new Counter({
+            name: "knapweed_serving_rollout_statuses_total",
+            help: "Statuses of rollouts that this instance has written or tried to write, by service and state.",
+            labelNames: ["service", "state"],
+            registers,
+        });
+        this.#rolloutShare = new Gauge({
+            name: "knapweed_serving_rollout_share",
+            help: "Share of this instance's requests that may go to the new version of a service.",
+            labelNames: ["service"],
+            registers,
+        });
         this.#firstByteSeconds = new Histogram({
             name: "knapweed_serving_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer's body.",
@@ -116,6 +130,16 @@
         this.#storeCalls.inc({ kind, result });
     }
 
+    /** Counts a status of a rollout that was written, or could not be. */
+    countRolloutDecision(service: string, state: string): void {
+        this.#rolloutDecisions.inc({ service, state });
+    }
+
+    /** Sets the share of a service's requests that may go to its new version. */
+    setRolloutShare(service: string, share: number): void {
+        this.#rolloutShare.set({ service }, share);
+    }
+
     /** Observes the time from a request's arrival to the first byte of its response's body, in milliseconds. */
     observeFirstByte(route: string, milliseconds: number): void {
         this.#firstByteSeconds.observe({ route }, milliseconds / 1000);
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -27,6 +27,7 @@
 import { PeerExchange } from "./peer_exchange.ts";
 import { QuarantineStore } from "./quarantine_store.ts";
 import { RequestScheduler } from "./request_scheduler.ts";
+import { RolloutController } from "./rollout_controller.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
 import { ServingState } from "./serving_state.ts";
 import { StoreWatcher } from "./store_watcher.ts";
@@ -91,6 +92,7 @@
     readonly #streamVersions: StreamVersionStore;
     readonly #scheduler: RequestScheduler;
     readonly #connections: TargetConnections;
+    readonly #rolloutController: RolloutController;
     readonly #partitionMonitor: PartitionMonitor;
     readonly #metrics: ServingMetrics;
     readonly #callerServer: CallerServer;
@@ -118,7 +120,7 @@
         this.#settings = settings;
         this.#log = log;
         this.#clock = clock;
-        this.#state = new ServingState({ settings, clock, log });
+        this.#state = new ServingState({ settings, clock, log, random });
         this.#metrics = new ServingMetrics({
             countActive: () => this.#callerServer.activeRequests,
             countDroppedLines: () => log.droppedTotal,
@@ -162,6 +164,12 @@
             store: this.#store,
             isWriter: () => this.#peerExchange.isStoreWriter,
         });
+        this.#rolloutController = new RolloutController({
+            ...shared,
+            store: this.#store,
+            isWriter: () => this.#peerExchange.isStoreWriter,
+            isConnected: () => this.#peerExchange.isConnected(),
+        });
         this.#partitionMonitor = new PartitionMonitor({
             ...shared,
             connections: this.#connections,
@@ -362,6 +370,7 @@
             this.#state.expireQuarantines();
             void this.#quarantineStore.update();
             this.#streamVersions.update();
+            this.#rolloutController.update();
             this.#partitionMonitor.update();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -10,6 +10,7 @@
     type CrashEvidence,
     DigestReason,
     EvacuatedZones,
+    getSoftwareVersion,
     LoadTracker,
     type QuarantinedPart,
     type RateShareInput,
@@ -19,6 +20,13 @@
     ReleaseReason,
     RequestQuarantine,
     RetryBudgetShare,
+    type Rollout,
+    type RolloutEvent,
+    type RolloutReport,
+    Rollouts,
+    type RolloutSnapshot,
+    type RolloutState,
+    type RolloutTargets,
     RouteTable,
     type ServiceDefinition,
     type ServingConfiguration,
@@ -39,6 +47,8 @@
     type ToldRateStatement,
     type ToldRefusalStatement,
     UNREACHABLE_WEIGHT,
+    type VersionChoice,
+    type VersionChoiceInput,
     type ZoneSnapshot,
 } from "../core/serving/mod.ts";
 import type { InstanceSettings, TargetNotice } from "../platform/mod.ts";
@@ -48,11 +58,13 @@
 /** Options of a {@linkcode ServingState}. */
 export interface ServingStateOptions {
     /** Settings of the instance. */
-    settings: Pick<InstanceSettings, "bounds">;
+    settings: Pick<InstanceSettings, "bounds" | "rollout">;
     /** Source of time. */
     clock: Clock;
     /** Decision log. */
     log: DecisionLog;
+    /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). Defaults to `Math.random`. */
+    random?: () => number;
 }
 
 /** Changes to the list of targets between two revisions of the store, within one era. */
@@ -79,6 +91,8 @@
     targets?: TargetEvents;
     /** Evacuated zones, if they changed. */
     zones?: ZoneSnapshot;
+    /** Rollouts, if they changed. */
+    rollouts?: RolloutSnapshot;
 }
 
 /**
@@ -100,6 +114,8 @@
 /** Share of a target's connections that is used; the rest covers connections that are being closed. */
 const USABLE_CONNECTION_SHARE = 0.8;
 
+/** Time after which digests tell of rollouts again although nothing has changed, in milliseconds: digests get lost. */
+const REPORT_INTERVAL_MILLISECONDS = 2000;
 /** Number of parts in the log line of a crash: the last ones, which fewest requests share. */
 const MAX_LOGGED_PARTS = 12;
 
@@ -148,6 +164,8 @@
     readonly softwareVersions = new SoftwareVersions();
     /** This instance's share of the request rate of cold targets. */
     readonly coldRateShare: ColdRateShare;
+    /** Orders to move services to other software versions; `undefined` where there are none. */
+    readonly rollouts: Rollouts | undefined;
     #settings: Pick<InstanceSettings, "bounds">;
     /** Called with each change to a target. */
     readonly targetListeners: ((change: TargetChange) => void)[] = [];
@@ -167,6 +185,8 @@
     #table: RouteTable | undefined;
     readonly #zones = new EvacuatedZones();
     #isQuarantineListKnown = false;
+    /** What the latest digest has told of rollouts. */
+    #toldRollouts = { text: "", time: Number.NEGATIVE_INFINITY };
     #findPosition: () => SharePosition | undefined = () => undefined;
 
     constructor(options: ServingStateOptions) {
@@ -174,6 +194,8 @@
         this.#settings = options.settings;
         const { coldOverage, coldSlack } = options.settings.bounds;
         this.coldRateShare = new ColdRateShare({ overage: coldOverage, slack: coldSlack }, this.recentSends);
+        const { settings: { rollout: bounds }, random = Math.random } = options;
+        this.rollouts = bounds === undefined ? undefined : new Rollouts({ bounds, random, now: this.#now() });
     }
 
     /** Routing table of the configuration; `undefined` until one has been received. */
@@ -379,7 +401,9 @@
 
     /** Checks whether a running generation may be moved to an engine, which must be in no need of fewer requests. */
     isMoveDestination(id: string): boolean {
-        return this.backpressure.findPauseEnd(id, this.#now()) === undefined
+        const target = this.directory.findTarget(id);
+        return !(target !== undefined && this.rollouts?.isStopped(target) === true)
+            && this.backpressure.findPauseEnd(id, this.#now()) === undefined
             && this.rateLimits.findLimit(id) === undefined && !this.refusalLimits.isCrowded(id, this.#now());
     }
 
@@ -489,6 +513,95 @@
         }
     }
 
+    /** Replaces the list of rollouts with a newer one. */
+    applyRollouts(snapshot: RolloutSnapshot, source: StateSource): void {
+        const { rollouts } = this;
+        const known = rollouts?.position;
+        const now = this.#now();
+        const events = rollouts?.applySnapshot(snapshot, now);
+        if (rollouts === undefined || events === undefined) {
+            return;
+        }
+        this.#logRollouts(events, source);
+        const isChanged = known?.era !== snapshot.era || known.changeRevision !== snapshot.changeRevision;
+        const newest = rollouts.getSnapshot(now);
+        if (isChanged && newest !== undefined) {
+            this.#publishUpdate({ rollouts: newest }, source);
+        }
+    }
+
+    /** Updates the decisions about rollouts; `isConnected` tells whether this instance would hear of those of others. */
+    updateRollouts(isConnected: boolean): void {
+        const { rollouts } = this;
+        const now = this.#now();
+        rollouts?.recordListed(this.directory.listSoftwareVersions(), now);
+        const events = rollouts?.update({
+            now,
+            isConnected,
+            findTargets: service => this.#findRolloutTargets(service, now),
+        });
+        this.#logRollouts(events ?? [], "target");
+    }
+
+    /** Chooses the targets to which an attempt may go; `undefined` for all. */
+    chooseVersions(input: VersionChoiceInput): VersionChoice | undefined {
+        return this.rollouts?.chooseVersions(input, {
+            others: this.directory.listAvailable(input.service),
+            baseline: this.softwareVersions.findBaseline(input.service),
+        });
+    }
+
+    /** Records the state of a rollout that this instance has written to the store, or has read there. */
+    markRolloutState(rollout: Rollout, { state, revision }: { state: RolloutState; revision: number; }): void {
+        this.#logRollouts(this.rollouts?.recordState(rollout, state, revision) ?? [], "store");
+    }
+
+    /** Merges what a peer has counted and decided about rollouts. */
+    applyRolloutReports(instance: string, reports: readonly RolloutReport[]): void {
+        const events = reports.flatMap(report => this.rollouts?.applyPeerReport(instance, report) ?? []);
+        this.#logRollouts(events, `peer ${instance}`);
+    }
+
+    /** Builds the part of a digest that tells of rollouts: empty if that has not changed lately. */
+    buildRolloutReports(now: number): { rolloutReports?: RolloutReport[]; } {
+        const rolloutReports = this.rollouts?.listReports() ?? [];
+        const text = JSON.stringify(rolloutReports);
+        const isKnown = text === this.#toldRollouts.text
+            && now - this.#toldRollouts.time < REPORT_INTERVAL_MILLISECONDS;
+        if (rolloutReports.length === 0 || isKnown) {
+            return {};
+        }
+        this.#toldRollouts = { text, time: now };
+        return { rolloutReports };
+    }
+
+    /** Has peers informed that a new version has given a bad answer. */
+    publishBadAnswer(): void {
+        this.loadTracker.onEngineLoadChange(DigestReason.loadDecreased);
+    }
+
+    #findRolloutTargets(service: string, now: number): RolloutTargets {
+        const available = this.directory.listAvailable(service);
+        return {
+            available,
+            cold: new Set(available.filter(({ id }) => this.coldRateShare.isCold(id, now)).map(({ id }) => id)),
+            countOldRunning: softwareVersion =>
+                this.directory.getSnapshot().targets
+                    .filter(target => target.service === service && getSoftwareVersion(target) !== softwareVersion)
+                    .reduce((sum, { id }) => sum + this.loadTracker.computeTotalLoad(id, now).requests, 0),
+        };
+    }
+
+    #logRollouts(events: readonly RolloutEvent[], source: StateSource): void {
+        for (const { event, fields } of events) {
+            this.#options.log.record("belief", event, { ...fields, source });
+        }
+        // A verdict has to reach all instances within the time for which a bad version may still get requests.
+        if (events.some(({ event }) => event === "rollout decided")) {
+            this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
+        }
+    }
+
     /** Gets this instance's share of the retry budget of a service. */
     getRetryShare(service: string): RetryBudgetShare {
         const { retryRatio, retryWindowMilliseconds, retrySlack } = this.#settings.bounds;
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import type { Clock } from "../core/clock/mod.ts";
-import type { ServingTarget, StorePosition } from "../core/serving/mod.ts";
+import type { RolloutOrder, ServingTarget, StorePosition } from "../core/serving/mod.ts";
 import { waitMilliseconds } from "../network/mod.ts";
 import {
     decodeConfiguration,
+    decodeRollout,
     decodeTarget,
     type StoreClient,
     type StoreEvents,
@@ -90,6 +91,8 @@
     /** Start and number of the current consecutive failures, by kind. */
     readonly #outages = new Map<string, { since: number; failures: number; }>();
     readonly #malformedObjects: MalformedObjectLog;
+    /** Time at which the store last answered a call for the rollouts; `undefined` before. */
+    #rolloutsReadAt: number | undefined;
     #isStopped = false;
 
     constructor(options: StoreWatcherOptions) {
@@ -108,6 +111,12 @@
                 applyList: list => this.#applyZoneList(list),
                 applyEvents: events => this.#applyZoneEvents(events),
             },
+            ...options.state.rollouts === undefined ? {} : {
+                [StoreKind.rollouts]: {
+                    applyList: (list: StoreList) => this.#applyRolloutList(list),
+                    applyEvents: (events: StoreEvents) => this.#applyRolloutEvents(events),
+                },
+            },
         };
     }
 
@@ -341,6 +350,43 @@
         this.#options.state.applyZones({ era, revision, changeRevision, zones: [...zones].sort() }, "store");
     }
 
+    #applyRolloutList({ objects, era, revision }: StoreList): void {
+        // An order that was written while the store could not be read is as old as the latest successful call.
+        const now = this.#options.clock.getMonotonic();
+        const ageMilliseconds = now - (this.#rolloutsReadAt ?? now);
+        this.#rolloutsReadAt = now;
+        const orders = objects.flatMap(object => this.#decodeRollouts(object, ageMilliseconds));
+        this.#options.state.applyRollouts({ era, revision, changeRevision: revision, orders }, "store");
+    }
+
+    #applyRolloutEvents({ events, era, revision }: StoreEvents): void {
+        this.#rolloutsReadAt = this.#options.clock.getMonotonic();
+        const known = this.#options.state.rollouts?.getSnapshot(this.#rolloutsReadAt);
+        if (known === undefined || known.era !== era || revision <= known.revision) {
+            return;
+        }
+        const orders = new Map(known.orders.map(order => [order.name, order]));
+        for (const { object, isDeleted } of events) {
+            orders.delete(object.name);
+            const [order] = isDeleted ? [] : this.#decodeRollouts(object, 0);
+            if (order !== undefined) {
+                orders.set(object.name, order);
+            }
+        }
+        const changeRevision = events.length > 0 ? revision : known.changeRevision;
+        const snapshot = { era, revision, changeRevision, orders: [...orders.values()] };
+        this.#options.state.applyRollouts(snapshot, "store");
+    }
+
+    #decodeRollouts(object: StoreObject, ageMilliseconds: number): RolloutOrder[] {
+        const order = decodeRollout(object, { ageMilliseconds });
+        if (order === undefined) {
+            this.#logMalformed(StoreKind.rollouts, object);
+            return [];
+        }
+        return [order];
+    }
+
     #logMalformed(kind: string, { name, revision }: StoreObject): void {
         this.#malformedObjects.record({ kind, name, revision });
     }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -33,6 +33,8 @@
     isOwnAnswer,
     isUnconfirmedRefusal,
     recordOutcome,
+    recordRolloutEnd,
+    recordRolloutTime,
     reserveForAttempt,
     sendError,
     type ServingContext,
@@ -84,6 +86,8 @@
 
 /** Time after a final copy within which events of a stopped generation may still arrive, in milliseconds. */
 const STOP_MILLISECONDS = 250;
+/** Number of events whose time shows how fast a stream is: about half a second of one. */
+const PACE_EVENTS = 16;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 
@@ -114,6 +118,10 @@
     #headAt: number | undefined;
     /** Time of the last event of the current attempt; `undefined` before the first. */
     #lastEventAt: number | undefined;
+    /** Time of the first event of the current attempt; `undefined` before. */
+    #firstEventAt: number | undefined;
+    /** True once the time of the current attempt's events has been recorded for a rollout. */
+    #isPaceRecorded = false;
     /** True once the current attempt has shown that no part of the prompt crashes its engine. */
     #isLongAnswerRecorded = false;
     /** True if this instance has aborted the current attempt. */
@@ -288,6 +296,8 @@
         this.#move = undefined;
         this.#headAt = undefined;
         this.#lastEventAt = undefined;
+        this.#firstEventAt = undefined;
+        this.#isPaceRecorded = false;
         this.#isLongAnswerRecorded = false;
         this.#isAttemptAborted = false;
         this.#hasResponseEnded = false;
@@ -331,6 +341,7 @@
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
         }
         const hasFailed = result.kind === "failed";
+        this.#recordRolloutEnd(reservation, result);
         if (!this.#exchange.isCallerDisconnected()) {
             state.recordAttempt(reservation.target.id, {
                 hasFailed,
@@ -347,6 +358,31 @@
         return record;
     }
 
+    /** Records the answer for a rollout; one that a caller has given up, or that was refused, shows nothing. */
+    #recordRolloutEnd({ target }: Reservation, result: AttemptResult): void {
+        const hasRun = result.kind !== "failed" || result.verdict !== "not-run";
+        if (this.#exchange.isCallerDisconnected() || result.kind === "moved" || !hasRun) {
+            return;
+        }
+        const hasFailed = result.kind === "failed" || result.kind === "answered" && result.head.status >= 500;
+        const isLost = result.kind === "failed" && result.isConnectionLost === true;
+        const kind = isLost ? "lost" : hasFailed ? "failed" : "answered";
+        recordRolloutEnd(this.#context, this.#exchange, { target, kind });
+    }
+
+    /** Records for a rollout the time to the first event of an attempt, and the time that its next events have taken. */
+    #recordRolloutEvents(target: ServingTarget, { sentAt, events }: { sentAt: number; events: number; }): void {
+        if (this.#firstEventAt === undefined && events > 0) {
+            this.#firstEventAt = this.#now;
+            recordRolloutTime(this.#context, this.#exchange, { target, milliseconds: this.#now - sentAt });
+        }
+        else if (this.#firstEventAt !== undefined && events >= PACE_EVENTS && !this.#isPaceRecorded) {
+            this.#isPaceRecorded = true;
+            const milliseconds = this.#now - this.#firstEventAt;
+            recordRolloutTime(this.#context, this.#exchange, { target, milliseconds, part: " pace" });
+        }
+    }
+
     async #sendAndRelay(reservation: Reservation, copy: KvCacheCopy | undefined): Promise<AttemptResult> {
         const attemptAbort = new AbortController();
         const stallDetector = new StallDetector(this.#context, {
@@ -445,6 +481,10 @@
                 }
                 if (events.length > 0) {
                     eventCount += events.filter(event => !event.isComment).length;
+                    this.#recordRolloutEvents(attempt.reservation.target, {
+                        sentAt: attempt.sentAt,
+                        events: eventCount,
+                    });
                     if (eventCount > 0 && this.#softwareVersion === undefined) {
                         await this.#recordBeginning(attempt.reservation.target);
                     }
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -24,6 +24,8 @@
     isOwnAnswer,
     isUnconfirmedRefusal,
     recordOutcome,
+    recordRolloutEnd,
+    recordRolloutTime,
     reserveForAttempt,
     sendError,
     type ServingContext,
@@ -142,6 +144,7 @@
             this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
             this.#possibleRuns += result.verdict === "not-run" ? 0 : 1;
         }
+        this.#recordRollout(reservation, { result, startedAt });
         const end = {
             kind: this.#classifyEnd(result),
             headAt: this.#headAt,
@@ -203,6 +206,24 @@
         }
     }
 
+    /** Records the answer for a rollout; one that a caller has given up, or that was refused, shows nothing. */
+    #recordRollout(
+        { target }: Reservation,
+        { result, startedAt }: { result: AttemptResult; startedAt: number; },
+    ): void {
+        if (this.#exchange.isCallerDisconnected() || result.kind === "failed" && result.verdict === "not-run") {
+            return;
+        }
+        const hasFailed = result.kind === "failed" || result.head.status >= 500;
+        const isLost = result.kind === "failed" && result.isConnectionLost === true;
+        const kind = isLost ? "lost" : hasFailed ? "failed" : "answered";
+        recordRolloutEnd(this.#context, this.#exchange, { target, kind });
+        if (!hasFailed) {
+            const milliseconds = this.#context.clock.getMonotonic() - startedAt;
+            recordRolloutTime(this.#context, this.#exchange, { target, milliseconds });
+        }
+    }
+
     #classifyEnd(result: AttemptResult): AttemptEnd["kind"] {
         if (result.kind === "answered") {
             return result.head.status === 200 ? "complete" : "other";
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { RolloutBounds } from "../../core/serving/mod.ts";
 import { type OpenConnection, parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { type InstanceSettings } from "../../platform/mod.ts";
 import { ServingProcess } from "../../serving/mod.ts";
@@ -145,6 +146,8 @@
     accountPriority?: number | undefined;
     /** Interval between the events of a stream, in milliseconds. Defaults to 15. */
     eventMilliseconds?: number;
+    /** Limits on rollouts. Defaults to none, so that orders are not read. */
+    rollout?: RolloutBounds;
 }
 
 /** A running test site. */
@@ -156,6 +159,12 @@
     #openedStore: OpenedStandIn | undefined;
     #storeAddress = "";
     #isClosed = false;
+    readonly #rollout: RolloutBounds | undefined;
+
+    /** @param options Options of the instances. */
+    constructor({ rollout }: Pick<ServingSiteOptions, "rollout"> = {}) {
+        this.#rollout = rollout;
+    }
 
     /** Address of the store, as `IP:port`. */
     get storeAddress(): string {
@@ -226,6 +235,7 @@
                 coldOverage: 1.5,
                 coldSlack: 5,
             },
+            rollout: this.#rollout,
         };
         const targetLink = new TargetLink();
         const instance = { settings, targetLink, ...await this.#startProcess(settings, targetLink) };
@@ -332,7 +342,7 @@
 /** Starts a test site and waits until all its instances are ready. */
 export async function startServingSite(options: ServingSiteOptions = {}): Promise<ServingSite> {
     const { instances = 1, plainTargets = 2, engines = 2, softwareVersions = [], eventMilliseconds = 15 } = options;
-    const site = new ServingSite();
+    const site = new ServingSite(options);
     await site.openStore(options.accountPriority);
     for (let index = 0; index < plainTargets; index += 1) {
         await site.addTarget("ledger", { eventMilliseconds });
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -35,6 +35,8 @@
 interface StoredObject {
     metadata: { name: string; revision: number; };
     spec: unknown;
+    /** State that is kept beside the content. */
+    status?: unknown;
     /** JSON text with which lists and watches show the object; `undefined` for that of its metadata and content. */
     text?: string;
 }
@@ -43,6 +45,7 @@
 interface SubmittedObject {
     metadata: { name: string; revision?: number; };
     spec: unknown;
+    status?: unknown;
 }
 
 interface StoredChange {
@@ -105,6 +108,11 @@
         return this.#objects.get(kind)?.has(name) === true;
     }
 
+    /** Gets the status of an object; `undefined` if it has none. */
+    getStatus(kind: string, name: string): unknown {
+        return this.#objects.get(kind)?.get(name)?.status;
+    }
+
     /** Lists the names of the objects of a kind. */
     listNames(kind: string): string[] {
         return [...this.#objects.get(kind)?.keys() ?? []].sort();
@@ -158,7 +166,7 @@
 
     async handleRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
         const url = new URL(request.url ?? "/", "http://store");
-        const [, , kind = "", name] = url.pathname.split("/").map(decodeURIComponent);
+        const [, , kind = "", name, part = ""] = url.pathname.split("/").map(decodeURIComponent);
         this.calls.push(`${request.method} ${kind}`);
         response.setHeader("store-era", String(this.#era));
         await waitMilliseconds(this.faults.delayMilliseconds);
@@ -172,7 +180,7 @@
             response.end("{\"items\":");
         }
         else if (!this.faults.isUnresponsive) {
-            await this.#answer(response, { method: request.method ?? "GET", kind, name, url, body });
+            await this.#answer(response, { method: request.method ?? "GET", kind, name, part, url, body });
         }
     }
 
@@ -186,9 +194,9 @@
 
     async #answer(
         response: ServerResponse,
-        call: { method: string; kind: string; name: string | undefined; url: URL; body: Buffer; },
+        call: { method: string; kind: string; name: string | undefined; part: string; url: URL; body: Buffer; },
     ): Promise<void> {
-        const { method, kind, name, url, body } = call;
+        const { method, kind, name, part, url, body } = call;
         if (method === "GET" && url.searchParams.has("watch")) {
             await this.#answerWatch(response, { kind, url });
         }
@@ -203,7 +211,7 @@
             this.#answerList(response, { kind, after: url.searchParams.get("after") ?? "" });
         }
         else {
-            this.#answerChange(response, { method, kind, name, body });
+            this.#answerChange(response, { method, kind, name, part, body });
         }
     }
 
@@ -245,14 +253,14 @@
 
     #answerChange(
         response: ServerResponse,
-        change: { method: string; kind: string; name: string | undefined; body: Buffer; },
+        change: { method: string; kind: string; name: string | undefined; part: string; body: Buffer; },
     ): void {
         if (this.faults.refusedWrites > 0) {
             this.faults.refusedWrites -= 1;
             sendJson(response, { status: 503, value: {} });
             return;
         }
-        const { metadata, spec } = JSON.parse(change.body.toString()) as SubmittedObject;
+        const { metadata, spec, status } = JSON.parse(change.body.toString()) as SubmittedObject;
         const current = this.#objects.get(change.kind)?.get(metadata.name);
         const isOutdated = metadata.revision !== undefined && metadata.revision !== current?.metadata.revision;
         if (current !== undefined && (change.method === "POST" || isOutdated)) {
@@ -263,7 +271,16 @@
             sendJson(response, { status: 404, value: {} });
             return;
         }
-        this.putObject(change.kind, metadata.name, spec);
+        if (change.part === "status") {
+            this.#put(change.kind, {
+                metadata: { name: metadata.name, revision: this.#revision + 1 },
+                spec: current?.spec,
+                status,
+            });
+        }
+        else {
+            this.putObject(change.kind, metadata.name, spec);
+        }
         if (this.faults.lostResponses > 0) {
             this.faults.lostResponses -= 1;
             return;
