--- a/core/serving/rollout_evidence.ts
+++ b/core/serving/rollout_evidence.ts
@@ -59,9 +59,16 @@
 const MIN_SLOW_SHARE = 0.03;
 /** Factor by which a good version may exceed the old one's share of bad answers: it runs on few targets. */
 const TOLERANCE = 1.5;
+/**
+ * Number of slow answers that count as one: those of a target whose machine is slow for a moment come together, and only a
+ * few targets of the new version get requests.
+ */
+const SLOW_CLUSTER = 1.5;
 /** Interval at which totals are kept, and number of those kept: the period of the second comparison. */
 const KEEP_INTERVAL_MILLISECONDS = 1000;
 const KEPT_TOTALS = 8;
+/** Number of kept totals over which the rates of requests are computed: callers arrive in waves of seconds. */
+const RATE_TOTALS = 4;
 /** Time within which further lost connections to a target do not count, in milliseconds. */
 const LOSS_INTERVAL_MILLISECONDS = 1000;
 
@@ -74,12 +81,10 @@
 export class RolloutEvidence {
     readonly #own = createTally();
     readonly #peers = new Map<string, RolloutTally>();
-    /** Counts of earlier starts of peers, which those count no longer. */
-    readonly #former = createTally();
     readonly #lostAt = new Map<string, number>();
     #kept: { time: number; total: RolloutTally; }[] = [];
-    #total = createTally();
-    #isTotalOutdated = true;
+    /** Sum over all instances, with the counts of earlier starts of peers. */
+    readonly #total = createTally();
 
     /** What this instance has counted. */
     get own(): Readonly<RolloutTally> {
@@ -88,27 +93,21 @@
 
     /** Sum over all instances. */
     get total(): Readonly<RolloutTally> {
-        if (this.#isTotalOutdated) {
-            this.#total = createTally();
-            for (const tally of [this.#own, this.#former, ...this.#peers.values()]) {
-                addTally(this.#total, tally);
-            }
-            this.#isTotalOutdated = false;
-        }
         return this.#total;
     }
 
     /** Records a caller's request. */
     recordRequest(isLong: boolean): void {
-        this.#own.requests += 1;
-        this.#own.longRequests += isLong ? 1 : 0;
-        this.#isTotalOutdated = true;
+        for (const tally of [this.#own, this.#total]) {
+            tally.requests += 1;
+            tally.longRequests += isLong ? 1 : 0;
+        }
     }
 
     /** Records a request sent to the new version. */
     recordSend(): void {
         this.#own.sent += 1;
-        this.#isTotalOutdated = true;
+        this.#total.sent += 1;
     }
 
     /** Records how an attempt has ended; returns whether it counts as a failure. */
@@ -121,10 +120,7 @@
             }
             this.#lostAt.set(target, now);
         }
-        const counts = this.#getCounts(route, isNew);
-        counts[0] += 1;
-        counts[1] += kind === "answered" ? 0 : 1;
-        this.#isTotalOutdated = true;
+        this.#addCounts(route, { isNew, counts: [1, kind === "answered" ? 0 : 1, 0, 0, 0] });
         return kind !== "answered";
     }
 
@@ -136,11 +132,7 @@
         const isCompared = known >= MIN_TIMED_ANSWERS;
         const isSlow = isCompared && logarithm - logSum / known > Math.log(SLOW_FACTOR);
         if (!isNew || isCompared) {
-            const counts = this.#getCounts(route, isNew);
-            counts[2] += 1;
-            counts[3] += isSlow ? 1 : 0;
-            counts[4] = Number((counts[4] + logarithm).toFixed(2));
-            this.#isTotalOutdated = true;
+            this.#addCounts(route, { isNew, counts: [0, 0, 1, isSlow ? 1 : 0, Number(logarithm.toFixed(2))] });
         }
         return isSlow;
     }
@@ -148,11 +140,25 @@
     /** Replaces what a peer has counted. A peer that has restarted counts from 0; its former counts are kept. */
     applyPeerTally(instance: string, tally: RolloutTally): void {
         const known = this.#peers.get(instance);
-        if (known !== undefined && tally.requests < known.requests) {
-            addTally(this.#former, known);
+        if (known !== undefined && tally.requests >= known.requests) {
+            addTally(this.#total, known, -1);
         }
+        addTally(this.#total, tally, 1);
         this.#peers.set(instance, tally);
-        this.#isTotalOutdated = true;
+    }
+
+    /** Computes the requests per millisecond of the latest seconds, of all and of those for long streams. */
+    computeRates(now: number): { rate: number; longRate: number; } {
+        const earlier = this.#kept.at(-RATE_TOTALS) ?? this.#kept[0];
+        if (earlier === undefined || now <= earlier.time) {
+            return { rate: 0, longRate: 0 };
+        }
+        const { requests, longRequests } = earlier.total;
+        const elapsed = Math.max(KEEP_INTERVAL_MILLISECONDS, now - earlier.time);
+        return {
+            rate: (this.#total.requests - requests) / elapsed,
+            longRate: (this.#total.longRequests - longRequests) / elapsed,
+        };
     }
 
     /** Compares the two versions; `isLast` for the check before completion. Called several times a second. */
@@ -161,25 +167,37 @@
         const earliest = this.#kept[0]?.total ?? createTally();
         const latest = this.#kept.at(-1);
         if (latest === undefined || now - latest.time >= KEEP_INTERVAL_MILLISECONDS) {
-            this.#kept = [...this.#kept, { time: now, total }].slice(-KEPT_TOTALS);
+            const copy = createTally();
+            addTally(copy, total, 1);
+            this.#kept = [...this.#kept, { time: now, total: copy }].slice(-KEPT_TOTALS);
         }
+        const all = createRouteCounts();
+        const allRecent = createRouteCounts();
         let reason = "";
-        let answers = 0;
-        let badAnswers = 0;
+        const check = (name: string, counts: RouteCounts): void => {
+            const problem = findProblem(counts, isLast);
+            reason ||= problem === undefined ? "" : `${name}: ${problem}`;
+        };
         for (const [route, counts] of Object.entries(total.routes)) {
-            const [, [freshAnswers, failures, , slow]] = counts;
-            answers += freshAnswers;
-            badAnswers += failures + slow;
             const recent = computeIncrease(counts, earliest.routes[route]);
-            const problem = findProblem(counts, isLast) ?? findProblem(recent, isLast);
-            reason ||= problem === undefined ? "" : `${route}: ${problem}`;
+            [0 as const, 1 as const].forEach(version => {
+                addCounts(all[version], counts[version], 1);
+                addCounts(allRecent[version], recent[version], 1);
+            });
+            check(route, counts);
+            check(`${route}, lately`, recent);
         }
-        return { isBad: reason !== "", reason, answers, badAnswers };
+        check("all routes", all);
+        check("all routes, lately", allRecent);
+        const [, [answers, failures, , slow]] = all;
+        return { isBad: reason !== "", reason, answers, badAnswers: failures + slow };
     }
 
-    #getCounts(route: string, isNew: boolean): VersionCounts {
-        const counts = this.#own.routes[route] ??= createRouteCounts();
-        return counts[isNew ? 1 : 0];
+    #addCounts(route: string, { isNew, counts }: { isNew: boolean; counts: VersionCounts; }): void {
+        for (const tally of [this.#own, this.#total]) {
+            const sums = tally.routes[route] ??= createRouteCounts();
+            addCounts(sums[isNew ? 1 : 0], counts, 1);
+        }
     }
 }
 
@@ -204,7 +222,8 @@
     if (isWorse([failures, answers], [oldFailures, oldAnswers], { isLast, minimum: MIN_FAILURE_SHARE })) {
         return `${failures} of ${answers} failed, ${oldFailures} of ${oldAnswers} at the old version`;
     }
-    return isWorse([slow, timed], [oldSlow, oldTimed], { isLast, minimum: MIN_SLOW_SHARE })
+    const clusters: Share = [Math.floor(slow / SLOW_CLUSTER), Math.ceil(timed / SLOW_CLUSTER)];
+    return isWorse(clusters, [oldSlow, oldTimed], { isLast, minimum: MIN_SLOW_SHARE })
         ? `${slow} of ${timed} slow, ${oldSlow} of ${oldTimed} at the old version`
         : undefined;
 }
@@ -227,21 +246,24 @@
     return [[0, 0, 0, 0, 0], [0, 0, 0, 0, 0]];
 }
 
-function addTally(sum: RolloutTally, tally: Readonly<RolloutTally>): void {
-    sum.requests += tally.requests;
-    sum.longRequests += tally.longRequests;
-    sum.sent += tally.sent;
-    for (const [route, versions] of Object.entries(tally.routes)) {
+/** Adds the counts of `tally` to `sum`, or subtracts them if `sign` is -1. */
+function addTally(sum: RolloutTally, tally: Readonly<RolloutTally>, sign: 1 | -1): void {
+    sum.requests += sign * tally.requests;
+    sum.longRequests += sign * tally.longRequests;
+    sum.sent += sign * tally.sent;
+    for (const [route, [old, fresh]] of Object.entries(tally.routes)) {
         const sums = sum.routes[route] ??= createRouteCounts();
-        versions.forEach((counts, version) =>
-            counts.forEach((count, index) => {
-                const target = sums[version] ?? [];
-                target[index] = (target[index] ?? 0) + count;
-            })
-        );
+        addCounts(sums[0], old, sign);
+        addCounts(sums[1], fresh, sign);
     }
 }
 
+function addCounts(sums: VersionCounts, counts: Readonly<VersionCounts>, sign: 1 | -1): void {
+    counts.forEach((count, index) => {
+        sums[index] = (sums[index] ?? 0) + sign * count;
+    });
+}
+
 function computeIncrease(counts: RouteCounts, earlier: RouteCounts | undefined): RouteCounts {
     const subtract = (version: 0 | 1): VersionCounts =>
         counts[version].map((count, index) => Math.max(0, count - (earlier?.[version][index] ?? 0))) as VersionCounts;
--- a/core/serving/rollout_plan.ts
+++ b/core/serving/rollout_plan.ts
@@ -35,6 +35,8 @@
     bounds: RolloutBounds;
     /** Counts of all instances. */
     total: Readonly<Pick<RolloutTally, "requests" | "longRequests" | "sent">>;
+    /** Requests per millisecond in the latest seconds, and those among them for long streams. */
+    rates: { rate: number; longRate: number; };
     /** Answers of the new version. */
     answers: number;
     /** True if the new version is bad. */
@@ -69,14 +71,16 @@
 
 /** Share of the allowed exposure that is used: the counts of the others are up to two seconds old. */
 const USED_EXPOSURE = 0.85;
+/** Mean age of what is known of the others' counts, in milliseconds. */
+const UNTOLD_MILLISECONDS = 1000;
 /** Share of the requests that the new version gets at least, in multiples of the allowed share, and at most. */
-const MIN_HOLD_FACTOR = 0.4;
+const MIN_HOLD_FACTOR = 0.35;
 const MAX_HOLD_FACTOR = 0.8;
 /** Time before the limit at which a rollout is completed, in milliseconds: the store may refuse the first calls. */
-const COMPLETION_RESERVE_MILLISECONDS = 800;
+const COMPLETION_RESERVE_MILLISECONDS = 700;
 /** Longest and shortest time before the limit from which all requests go to the new version, in milliseconds. */
-const MAX_ALL_MILLISECONDS = 2000;
-const MIN_ALL_MILLISECONDS = 1000;
+const MAX_ALL_MILLISECONDS = 1600;
+const MIN_ALL_MILLISECONDS = 1100;
 /** Longest time before the limit from which long streams go to the new version, in milliseconds. */
 const MAX_STREAMS_MILLISECONDS = 10_000;
 /** Time for which long streams should go there before all requests do, in milliseconds. */
@@ -137,20 +141,35 @@
     return hold;
 }
 
+/** Requests per millisecond: since the order, and in the latest seconds if there are more. */
+interface Rates {
+    average: number;
+    rate: number;
+    longRate: number;
+}
+
+function computeRates({ total, rates, ageMilliseconds }: RolloutPlanInput): Rates {
+    const age = Math.max(MIN_RATE_MILLISECONDS, ageMilliseconds);
+    const average = total.requests / age;
+    return {
+        average,
+        rate: Math.max(average, rates.rate),
+        longRate: Math.max(total.longRequests / age, rates.longRate),
+    };
+}
+
 /** Computes what is left of the exposure, as requests, with those expected until the time limit. */
-function computeExposureLeft({ bounds, total, ageMilliseconds }: RolloutPlanInput, remaining: number): number {
-    const rate = total.requests / Math.max(MIN_RATE_MILLISECONDS, ageMilliseconds);
-    const expected = total.requests + rate * Math.max(0, remaining);
+function computeExposureLeft({ bounds, total }: RolloutPlanInput, remaining: number, { average }: Rates): number {
+    const expected = total.requests + average * Math.max(0, remaining);
     return USED_EXPOSURE * (bounds.exposureShare * expected + bounds.exposureSlack) - total.sent;
 }
 
 /** Computes the times before the limit from which all requests, and long streams, go to the new version. */
 function computeFinalTimes(input: RolloutPlanInput, remaining: number): { all: number; streams: number; } {
-    const { total, ageMilliseconds } = input;
-    const left = computeExposureLeft(input, remaining);
-    const age = Math.max(MIN_RATE_MILLISECONDS, ageMilliseconds);
-    const rate = total.requests / age;
-    const longRate = total.longRequests / age;
+    const rates = computeRates(input);
+    const { rate, longRate } = rates;
+    // What the others have sent since their latest digests is not known yet.
+    const left = computeExposureLeft(input, remaining, rates) - longRate * UNTOLD_MILLISECONDS;
     const all = Math.min(MAX_ALL_MILLISECONDS, Math.max(MIN_ALL_MILLISECONDS, rate > 0 ? left / rate : Infinity));
     const forStreams = left - rate * all;
     const streams = all + (longRate > 0 ? Math.max(0, forStreams / longRate) : 0);
@@ -159,12 +178,11 @@
 
 /** Plans the first stage: what the final one does not need of the exposure is used for evidence. */
 function planHold(input: RolloutPlanInput, remaining: number): RolloutPlan {
-    const { bounds, total, ageMilliseconds, oldTargets } = input;
-    const age = Math.max(MIN_RATE_MILLISECONDS, ageMilliseconds);
-    const rate = total.requests / age;
-    const longRate = total.longRequests / age;
+    const { bounds, ageMilliseconds, oldTargets } = input;
+    const rates = computeRates(input);
+    const { rate, longRate } = rates;
     const reserved = rate * MAX_ALL_MILLISECONDS + longRate * WANTED_STREAMS_MILLISECONDS;
-    const left = computeExposureLeft(input, remaining) - reserved;
+    const left = computeExposureLeft(input, remaining, rates) - reserved;
     const isRateKnown = ageMilliseconds >= MIN_RATE_MILLISECONDS && rate > 0 && remaining > 0;
     const wanted = isRateKnown ? left / (rate * remaining) : 0;
     const least = bounds.exposureShare * MIN_HOLD_FACTOR;
--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -379,6 +379,7 @@
             durationMilliseconds: Math.min(order.durationMilliseconds, MAX_DURATION_MILLISECONDS),
             bounds: this.#bounds,
             total: evidence.total,
+            rates: evidence.computeRates(now),
             answers: rollout.verdict.answers,
             isBad: rollout.verdict.isBad,
             isDoubtful: evidence.decideVerdict(now, { isLast: true }).isBad,
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -121,6 +121,8 @@
 
 /** Requests whose first attempt has been counted for a rollout. */
 const countedExchanges = new WeakSet<CallerExchange>();
+/** Largest pace by which times are divided, so that a version that is slow itself still shows. */
+const MAX_PACE = 2.5;
 /** Output tokens from which a stream counts as long: it may run for longer than a rollout's last seconds. */
 const LONG_OUTPUT_TOKENS = 100;
 
@@ -176,11 +178,14 @@
 
 /** Records for a rollout how long an answer, or the part of it with the given name, has taken. */
 export function recordRolloutTime(
-    { state }: ServingContext,
+    { state, clock }: ServingContext,
     exchange: CallerExchange,
     { target, milliseconds, part = "" }: { target: ServingTarget; milliseconds: number; part?: string; },
 ): void {
-    if (state.rollouts?.recordTime(target, { route: exchange.route.name + part, milliseconds }) === true) {
+    // Either version may run on a machine that is slow for a moment.
+    const pace = Math.min(MAX_PACE, Math.max(1, state.targetPace.estimateFactor(target.id, clock.getMonotonic())));
+    const time = { route: exchange.route.name + part, milliseconds: milliseconds / pace };
+    if (state.rollouts?.recordTime(target, time) === true) {
         state.publishBadAnswer();
     }
 }
