--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -348,6 +348,10 @@
         }
     }
 
+    #isWithdrawn(target: ServingTarget, now: number): boolean {
+        return (this.#withdrawnUntil.get(target.service)?.get(getSoftwareVersion(target)) ?? 0) > now;
+    }
+
     /** Marks all orders of a service but one: the one named like the service, or else the first by name. */
     #markIgnored(events: RolloutEvent[]): void {
         const sorted = [...this.#rollouts.values()].sort((a, b) =>
@@ -369,7 +373,9 @@
     #updateRollout(rollout: Rollout, { now, targets }: { now: number; targets: RolloutTargets; }): RolloutEvent[] {
         const { order, evidence } = rollout;
         const fresh = targets.available.filter(target => isNewTarget(rollout, target));
-        const old = targets.available.filter(target => !isNewTarget(rollout, target));
+        const old = targets.available.filter(target =>
+            !isNewTarget(rollout, target) && !this.#isWithdrawn(target, now)
+        );
         const ready = fresh.filter(({ id }) => !targets.cold.has(id));
         rollout.verdict = evidence.decideVerdict(now);
         rollout.oldGoneSince = old.length > 0 ? undefined : rollout.oldGoneSince ?? now;
@@ -425,14 +431,13 @@
         if (softwareVersion !== undefined) {
             return undefined;
         }
-        const withdrawnUntil = this.#withdrawnUntil.get(service);
         const listedAt = this.#listedAt.get(service);
         const areOrdersUnknown = this.#position === undefined && now - this.#startedAt < UNKNOWN_ORDERS_MILLISECONDS;
         const isSettled = (target: ServingTarget): boolean => {
             const version = getSoftwareVersion(target);
             const isNewcomer = listedAt !== undefined && now - (listedAt.get(version) ?? now) < NEWCOMER_MILLISECONDS;
             const isUnknown = areOrdersUnknown && baseline !== undefined && version !== baseline;
-            return !isNewcomer && !isUnknown && (withdrawnUntil?.get(version) ?? 0) <= now;
+            return !isNewcomer && !isUnknown && !this.#isWithdrawn(target, now);
         };
         const settled = others.filter(isSettled).length;
         return settled === 0 || settled === others.length
@@ -444,10 +449,11 @@
         rollout: Rollout,
         { input, others }: { input: VersionChoiceInput; others: readonly ServingTarget[]; },
     ): VersionChoice | undefined {
-        const { route, isLong, isFirst, softwareVersion } = input;
+        const { route, isLong, isFirst, softwareVersion, now } = input;
         const { plan, end, evidence, exposure, order, canaries } = rollout;
         const isNew = (target: ServingTarget): boolean => isNewTarget(rollout, target);
-        const isOld = (target: ServingTarget): boolean => !isNewTarget(rollout, target);
+        const isOld = (target: ServingTarget): boolean =>
+            !isNewTarget(rollout, target) && !this.#isWithdrawn(target, now);
         if (end?.state === RolloutState.completed) {
             return softwareVersion !== undefined || !others.some(isNew)
                 ? undefined
@@ -460,14 +466,15 @@
             return { isPreferred: undefined, isAllowed: isOld };
         }
         if (softwareVersion !== undefined) {
-            return { isPreferred: undefined, isAllowed: softwareVersion === order.softwareVersion ? isNew : isOld };
+            const isNewStream = softwareVersion === order.softwareVersion;
+            return { isPreferred: undefined, isAllowed: target => isNewTarget(rollout, target) === isNewStream };
         }
         const isMoved = plan.stage === RolloutStage.all || plan.stage === RolloutStage.streams && isLong;
         if (!others.some(isOld)) {
             return undefined;
         }
         if (isFirst && isMoved) {
-            return { isPreferred: isNew, isAllowed: () => true };
+            return { isPreferred: isNew, isAllowed: target => isNew(target) || isOld(target) };
         }
         const isChosen = isFirst && exposure.recordRequest(route, plan.share);
         return {
--- a/features/platform/rollouts.feature
+++ b/features/platform/rollouts.feature
@@ -24,3 +24,84 @@
         Then the status of the rollout is "rolled_back" for "v2"
         And the version "v2" gets nothing more
         And the version "v2" has got at most 0.1 of the requests and 50
+
+    # Guards against a verdict that is lost with the store: the status follows, and requests stop without it.
+    Scenario Outline: a version that fails is rolled back although <trouble>
+        Given a serving site with 3 instances that take rollouts
+        When an operator orders the version "v2" of "ledger" within 12 s
+        And 2 targets of the version "v2" of "ledger" start that answer with "a failure"
+        And <trouble>
+        And callers send 60 requests a second until the rollout has ended
+        Then the status of the rollout is "rolled_back" for "v2"
+        And the version "v2" gets nothing more
+        And the version "v2" has got at most 0.1 of the requests and 50
+
+        Examples:
+            | trouble                                     |
+            | the store is down for 4 s                   |
+            | the store loses the replies to its 3 writes |
+            | all instances restart after 1 s             |
+
+    # Guards against an order that gets no status, or that ends the process.
+    Scenario Outline: an order with <order> is rolled back
+        Given a serving site with 1 instance that take rollouts
+        When an operator writes the order <order>
+        And callers send 30 requests a second until the rollout has ended
+        Then the status of the rollout is "rolled_back" for "v2"
+        And the version "v2" has got none of the requests
+        And all requests are answered with 200
+
+        Examples:
+            | order                                                         |
+            | {"service": "ledger", "target": "v2", "duration_s": 0}        |
+            | {"service": "ledger", "target": "v2", "duration_s": "soon"}   |
+            | {"service": "ledger", "target": "v2", "duration_s": -5}       |
+            | {"service": "ledger", "target": "v2", "duration_s": 2}        |
+            | {"service": "nothing", "target": "v2", "duration_s": 2}       |
+
+    Scenario: an order that cannot be decoded is logged and changes nothing
+        Given a serving site with 1 instance that take rollouts
+        When an operator writes the order {"service": 7, "duration_s": 9}
+        And callers send 30 requests a second for 1 s
+        Then the first instance logs "store object unusable"
+        And all requests are answered with 200
+
+    # Guards against requests to a version whose order is withdrawn, replaced, or not known yet.
+    Scenario: a version gets nothing after its order was withdrawn
+        Given a serving site with 2 instances that take rollouts
+        When an operator orders the version "v2" of "ledger" within 20 s
+        And 2 targets of the version "v2" of "ledger" start
+        And callers send 60 requests a second for 2 s
+        And the operator withdraws the order
+        And callers send 60 requests a second for 2 s
+        Then the version "v2" has got nothing in the last 1500 ms
+        And all requests are answered with 200
+
+    Scenario: another order for the service replaces the first one
+        Given a serving site with 2 instances that take rollouts
+        When an operator orders the version "v2" of "ledger" within 20 s
+        And 2 targets of the version "v2" of "ledger" start that answer with "a failure"
+        And callers send 30 requests a second for 1 s
+        And an operator orders the version "v3" of "ledger" within 6 s
+        And 2 targets of the version "v3" of "ledger" start
+        And callers send 60 requests a second until the rollout has ended
+        Then the status of the rollout is "completed" for "v3"
+        And the rollout has ended within 6 s
+
+    Scenario: targets of a version that starts without an order get requests after a moment
+        Given a serving site with 2 instances that take rollouts
+        When 1 targets of the version "v2" of "ledger" start
+        And callers send 60 requests a second for 3 s
+        Then the version "v2" has got nothing in the first 1200 ms
+        And the version "v2" has got some of the requests
+
+    # Guards against a restored store that shows a rollout as running although its targets have stopped.
+    Scenario: the status is written again to a store that was restored from an older copy
+        Given a serving site with 2 instances that take rollouts
+        When an operator orders the version "v2" of "ledger" within 20 s
+        And 2 targets of the version "v2" of "ledger" start that answer with "a failure"
+        And the store is copied after 300 ms
+        And callers send 60 requests a second until the rollout has ended
+        And the store goes back to the copy
+        And callers send 60 requests a second for 2 s
+        Then the status of the rollout is "rolled_back" for "v2"
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -575,9 +575,12 @@
         return { rolloutReports };
     }
 
-    /** Has peers informed that a new version has given a bad answer. */
+    /**
+     * Has peers informed that a new version has given a bad answer, at once as far as the rate limit of digests allows: the
+     * last check before completion has less than a second to see what happens under the whole load.
+     */
     publishBadAnswer(): void {
-        this.loadTracker.onEngineLoadChange(DigestReason.loadDecreased);
+        this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
     }
 
     #findRolloutTargets(service: string, now: number): RolloutTargets {
--- a/support/platform/rollout_simulation.ts
+++ b/support/platform/rollout_simulation.ts
@@ -4,7 +4,14 @@
  *
  * @module
  */
-import { type RolloutReport, Rollouts, RolloutState, type ServingTarget } from "../../core/serving/mod.ts";
+import {
+    DigestRateLimiter,
+    DigestReason,
+    type RolloutReport,
+    Rollouts,
+    RolloutState,
+    type ServingTarget,
+} from "../../core/serving/mod.ts";
 import { createRandom, pickExponential, type Random } from "../fixtures/random.ts";
 import { EventQueue } from "../simulation/event_queue.ts";
 
@@ -71,7 +78,7 @@
     group: number;
     reachesStore: boolean;
     heardAt: number[];
-    lastDigestAt: number;
+    limiter: DigestRateLimiter;
     digestDue: boolean;
     toldEnd: boolean;
     writing: boolean;
@@ -101,8 +108,6 @@
 const UPDATE_MILLISECONDS = 100;
 const DIGEST_MILLISECONDS = 500;
 const DIGEST_PER_PEER_MILLISECONDS = 15;
-const MIN_DIGEST_MILLISECONDS = 50;
-const MIN_DIGEST_PER_PEER_MILLISECONDS = 7;
 const LINK_MILLISECONDS = 5;
 const WRITE_MILLISECONDS = 20;
 /** Portion of the answers with which the pace of their machine is known. */
@@ -207,7 +212,7 @@
                 group: 0,
                 reachesStore: true,
                 heardAt: Array.from({ length: instances }, () => 0),
-                lastDigestAt: this.#random() * 1000,
+                limiter: new DigestRateLimiter(),
                 digestDue: false,
                 toldEnd: false,
                 writing: false,
@@ -415,15 +420,15 @@
         }
         const rollout = instance.rollouts.findRollout("service");
         const hasEnded = rollout?.end?.state === RolloutState.rolledBack;
-        const isUrgent = hasEnded && !instance.toldEnd;
         const peers = this.#fleet.instances.length - 1;
-        const silence = this.#now - instance.lastDigestAt;
-        const isWatcher = this.#isWatcher(instance);
-        const isDue =
-            instance.digestDue && silence >= MIN_DIGEST_MILLISECONDS + MIN_DIGEST_PER_PEER_MILLISECONDS * peers
-            || silence >= (isWatcher ? 300 : DIGEST_MILLISECONDS + DIGEST_PER_PEER_MILLISECONDS * peers);
-        if (isUrgent || isDue) {
-            instance.lastDigestAt = this.#now;
+        const hasNews = instance.digestDue || hasEnded && !instance.toldEnd;
+        const reason = hasNews ? DigestReason.loadIncreased : DigestReason.loadDecreased;
+        const dueAt = instance.limiter.computeSendTime(reason, { now: this.#now, peers });
+        const heartbeat = this.#isWatcher(instance) ? 300 : DIGEST_MILLISECONDS + DIGEST_PER_PEER_MILLISECONDS * peers;
+        const isDue = hasNews && dueAt - this.#now < STEP_MILLISECONDS;
+        const isOverdue = this.#now - instance.limiter.lastSentAt >= heartbeat;
+        if (isOverdue || isDue) {
+            instance.limiter.recordSend({ now: this.#now, peers });
             instance.digestDue = false;
             instance.toldEnd = hasEnded;
             this.#sendDigest(instance, structuredClone(instance.rollouts.listReports()));
