Rollouts: versions that an instance finds at its start count as new, except for the baseline

Cause: an instance that had just started sent requests to a version whose order it did not know yet. Measured: npm test -- @rollout, 15 of 15 passed.

--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -191,13 +191,20 @@
         return events;
     }
 
-    /** Records the versions that are listed, by service. */
-    recordListed(versions: ReadonlyMap<string, ReadonlySet<string>>, now: number): void {
+    /**
+     * Records the versions that are listed, by service. Of the versions that are there when an instance starts, all but the
+     * baseline count as new.
+     */
+    recordListed(
+        versions: ReadonlyMap<string, ReadonlySet<string>>,
+        { now, findBaseline }: { now: number; findBaseline: (service: string) => string | undefined; },
+    ): void {
         for (const [service, listed] of versions) {
             const previous = this.#listedAt.get(service);
             const times = new Map<string, number>();
             for (const version of listed) {
-                times.set(version, previous === undefined ? Number.NEGATIVE_INFINITY : previous.get(version) ?? now);
+                const isOld = previous === undefined && version === findBaseline(service);
+                times.set(version, previous?.get(version) ?? (isOld ? Number.NEGATIVE_INFINITY : now));
             }
             this.#listedAt.set(service, times);
         }
--- a/features/platform/rollouts.feature
+++ b/features/platform/rollouts.feature
@@ -90,7 +90,8 @@
 
     Scenario: targets of a version that starts without an order get requests after a moment
         Given a serving site with 2 instances that take rollouts
-        When 1 targets of the version "v2" of "ledger" start
+        When callers send 60 requests a second for 2 s
+        And 1 targets of the version "v2" of "ledger" start
         And callers send 60 requests a second for 3 s
         Then the version "v2" has got nothing in the first 1200 ms
         And the version "v2" has got some of the requests
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -534,7 +534,10 @@
     updateRollouts(isConnected: boolean): void {
         const { rollouts } = this;
         const now = this.#now();
-        rollouts?.recordListed(this.directory.listSoftwareVersions(), now);
+        rollouts?.recordListed(this.directory.listSoftwareVersions(), {
+            now,
+            findBaseline: service => this.softwareVersions.findBaseline(service),
+        });
         const events = rollouts?.update({
             now,
             isConnected,
