Rollouts: what the time limit demands is decided by the writer alone

Cause: an instance whose counts are incomplete, right after a restart or cut off, could decide at the time limit that a good version had not answered, and tell all others to stop. Change: evidence holds at once at every instance; the time limit only at the one that writes the status, which has to hear its peers.

--- a/core/serving/rollout_evidence.ts
+++ b/core/serving/rollout_evidence.ts
@@ -49,8 +49,12 @@
 const MIN_TIMED_ANSWERS = 20;
 /** Probability below which counts as high as those of the new version are not taken for chance. */
 const CHANCE = 1e-4;
-/** The same in the last check before completion, after which there is no way back. */
-const LAST_CHANCE = 4e-3;
+/**
+ * The same in the last check before completion, after which there is no way back: for failures, which good versions hardly
+ * have, and for slow answers, which they have at times.
+ */
+const LAST_FAILURE_CHANCE = 1e-2;
+const LAST_SLOW_CHANCE = 4e-3;
 /** Bad answers below which a version is not bad, and the same in the last check. */
 const MIN_BAD_ANSWERS = 3;
 const LAST_MIN_BAD_ANSWERS = 2;
@@ -219,11 +223,12 @@
 function findProblem([old, fresh]: RouteCounts, isLast: boolean): string | undefined {
     const [oldAnswers, oldFailures, oldTimed, oldSlow] = old;
     const [answers, failures, timed, slow] = fresh;
-    if (isWorse([failures, answers], [oldFailures, oldAnswers], { isLast, minimum: MIN_FAILURE_SHARE })) {
+    const failureLimits = { isLast, minimum: MIN_FAILURE_SHARE, lastChance: LAST_FAILURE_CHANCE };
+    if (isWorse([failures, answers], [oldFailures, oldAnswers], failureLimits)) {
         return `${failures} of ${answers} failed, ${oldFailures} of ${oldAnswers} at the old version`;
     }
     const clusters: Share = [Math.floor(slow / SLOW_CLUSTER), Math.ceil(timed / SLOW_CLUSTER)];
-    return isWorse(clusters, [oldSlow, oldTimed], { isLast, minimum: MIN_SLOW_SHARE })
+    return isWorse(clusters, [oldSlow, oldTimed], { isLast, minimum: MIN_SLOW_SHARE, lastChance: LAST_SLOW_CHANCE })
         ? `${slow} of ${timed} slow, ${oldSlow} of ${oldTimed} at the old version`
         : undefined;
 }
@@ -233,13 +238,13 @@
 function isWorse(
     [count, trials]: Share,
     [oldCount, oldTrials]: Share,
-    { isLast, minimum }: { isLast: boolean; minimum: number; },
+    { isLast, minimum, lastChance }: { isLast: boolean; minimum: number; lastChance: number; },
 ): boolean {
     if (count < (isLast ? LAST_MIN_BAD_ANSWERS : MIN_BAD_ANSWERS) || count > trials) {
         return false;
     }
     const share = Math.max(minimum, TOLERANCE * (oldCount + 0.5) / (oldTrials + 1));
-    return share < 1 && computeTail(count, trials, share) < (isLast ? LAST_CHANCE : CHANCE);
+    return share < 1 && computeTail(count, trials, share) < (isLast ? lastChance : CHANCE);
 }
 
 function createRouteCounts(): RouteCounts {
--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -414,13 +414,11 @@
             };
             events.push({ event: "rollout share set", fields });
         }
-        if (plan.action !== undefined) {
-            const state = plan.action === "complete" ? RolloutState.completed : RolloutState.rolledBack;
-            const reason = rollout.verdict.reason === "" ? plan.reason : rollout.verdict.reason;
-            // Only the one that writes the status completes: the others go on until the store shows it.
-            if (state === RolloutState.rolledBack) {
-                events.push(this.#endRollout(rollout, { state, reason }));
-            }
+        // What the evidence shows holds at once. What the time limit demands is decided by the one that writes the status,
+        // since the counts of an instance may be incomplete.
+        if (rollout.verdict.isBad) {
+            const { reason } = rollout.verdict;
+            events.push(this.#endRollout(rollout, { state: RolloutState.rolledBack, reason }));
         }
         return events;
     }
@@ -501,6 +499,16 @@
     isBad: boolean;
 }
 
+/** Finds the state that the status of a rollout should show. */
+export function findWantedState({ plan, end }: Pick<Rollout, "plan" | "end">): RolloutState {
+    const planned = plan?.action === "complete"
+        ? RolloutState.completed
+        : plan?.action === "roll back"
+        ? RolloutState.rolledBack
+        : RolloutState.running;
+    return end?.state ?? planned;
+}
+
 /** Describes an order for the log. */
 export function describeOrder(order: RolloutOrder): Record<string, unknown> {
     const { name, revision, service, softwareVersion, durationMilliseconds, state, ageMilliseconds } = order;
--- a/serving/rollout_controller.ts
+++ b/serving/rollout_controller.ts
@@ -11,6 +11,7 @@
 import {
     describeEvidence,
     describeOrder,
+    findWantedState,
     isFinalState,
     type Rollout,
     RolloutStage,
@@ -46,6 +47,11 @@
 /** Time after a pause in which nothing is written, in milliseconds: digests of the peers arrive within it. */
 const AFTER_PAUSE_MILLISECONDS = 700;
 
+/** Time after its start in which an instance leaves decisions by counts to others, in milliseconds: digests repeat them. */
+const STARTUP_MILLISECONDS = 3000;
+/** Time after the limit from which it decides nevertheless, in milliseconds. */
+const OVERDUE_MILLISECONDS = 2000;
+
 /** Updates the rollouts and writes their status. */
 export class RolloutController {
     readonly #options: RolloutControllerOptions;
@@ -53,9 +59,11 @@
     readonly #writing = new Set<string>();
     #retryAt = Number.NEGATIVE_INFINITY;
     #updatedAt: number | undefined;
+    readonly #startedAt: number;
 
     constructor(options: RolloutControllerOptions) {
         this.#options = options;
+        this.#startedAt = options.clock.getMonotonic();
     }
 
     /** Updates the decisions, and writes the status of the orders if this instance is the writer. */
@@ -72,11 +80,15 @@
         this.#updatedAt = now;
         state.updateRollouts(isConnected());
         for (const rollout of rollouts.listRollouts()) {
-            const { order, plan, end } = rollout;
+            const { order, end } = rollout;
             metrics.setRolloutShare(order.service, computeShare(rollout));
-            const wanted = end?.state ?? (plan?.action === "complete" ? RolloutState.completed : RolloutState.running);
+            const wanted = findWantedState(rollout);
             const isOutdated = order.state !== wanted && !isFinalState(order.state);
-            if (!rollout.isIgnored && isOutdated && now >= this.#retryAt && isWriter()) {
+            // What the time limit demands depends on counts that may be incomplete here; some other instance knows more.
+            const overdue = now - rollout.orderedAt - order.durationMilliseconds;
+            const isInformed = end !== undefined || overdue > OVERDUE_MILLISECONDS
+                || isConnected() && now - this.#startedAt > STARTUP_MILLISECONDS;
+            if (!rollout.isIgnored && isOutdated && isInformed && now >= this.#retryAt && isWriter()) {
                 void this.#writeStatus(rollout, wanted);
             }
         }
@@ -108,7 +120,7 @@
                 ...describeOrder(rollout.order),
                 ...describeEvidence(rollout),
                 wanted,
-                reason: rollout.end?.reason ?? rollout.plan?.reason,
+                reason: findReason(rollout),
                 failure: reply.kind === "ok" ? undefined : reply.kind,
                 revision,
             });
@@ -136,10 +148,14 @@
     /** Checks that the order still holds and its end is still the one that is to be written. */
     #isCurrent(rollout: Rollout, wanted: RolloutState): boolean {
         return this.#options.state.rollouts?.findRollout(rollout.order.service) === rollout
-            && (rollout.end === undefined ? wanted !== RolloutState.rolledBack : rollout.end.state === wanted);
+            && findWantedState(rollout) === wanted;
     }
 }
 
+function findReason({ end, plan, verdict }: Rollout): string | undefined {
+    return end?.reason ?? (verdict.reason === "" ? plan?.reason : verdict.reason);
+}
+
 function computeShare({ plan, end }: Rollout): number {
     if (end !== undefined) {
         return end.state === RolloutState.completed ? 1 : 0;
--- a/support/platform/rollout_simulation.ts
+++ b/support/platform/rollout_simulation.ts
@@ -7,6 +7,7 @@
 import {
     DigestRateLimiter,
     DigestReason,
+    findWantedState,
     type RolloutReport,
     Rollouts,
     RolloutState,
@@ -104,6 +105,8 @@
 const ORDERED_AT = 2000;
 /** Time after the order at which the targets of the new version are listed. */
 const STARTUP_MILLISECONDS = 500;
+/** Time for which the new targets stay listed after a rollback: longer than any request may still reach them. */
+const AFTER_ROLLBACK_MILLISECONDS = 7000;
 const STEP_MILLISECONDS = 50;
 const UPDATE_MILLISECONDS = 100;
 const DIGEST_MILLISECONDS = 500;
@@ -232,6 +235,9 @@
         const end = this.#limitAt + 8000;
         for (let event = this.#events.takeEvent(end); event !== undefined; event = this.#events.takeEvent(end)) {
             this.#now = event.at;
+            if (this.#state === RolloutState.rolledBack && this.#now > this.#endedAt + AFTER_ROLLBACK_MILLISECONDS) {
+                break;
+            }
             event.run();
         }
         return {
@@ -460,17 +466,21 @@
         const heard = instance.heardAt.filter(time => this.#now - time <= 2500).length;
         const available = this.#listAvailable().map(({ target }) => target);
         const oldRunning = this.#targets.filter(({ isNew }) => !isNew).reduce((sum, { running }) => sum + running, 0);
+        const isConnected = heard * 2 >= instances.length - 1;
         instance.rollouts.update({
             now: this.#now,
-            isConnected: heard * 2 >= instances.length - 1,
+            isConnected,
             findTargets: () => ({ available, cold: new Set(), countOldRunning: () => oldRunning }),
         });
         const rollout = instance.rollouts.findRollout("service");
-        const wanted = rollout?.end?.state
-            ?? (rollout?.plan?.action === "complete" ? RolloutState.completed : undefined);
+        const wanted = rollout === undefined ? RolloutState.running : findWantedState(rollout);
+        const isInformed = isConnected || rollout?.end !== undefined;
         const isFirst = this.#isWatcher(instance)
             && instances.find(other => other.group === instance.group && this.#isWatcher(other)) === instance;
-        if (wanted !== undefined && this.#state === RolloutState.running && isFirst && !instance.writing) {
+        if (
+            isInformed && wanted !== RolloutState.running && this.#state === RolloutState.running && isFirst
+            && !instance.writing
+        ) {
             instance.writing = true;
             this.#schedule(this.#now + WRITE_MILLISECONDS, () => this.#writeState(instance, wanted));
         }
