--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,13 +5,15 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type {
-    ClientAccount,
-    PlacementEstimate,
-    RequestLoad,
-    Route,
-    ServiceDefinition,
-    ServingTarget,
+import {
+    type AnswerKind,
+    type ClientAccount,
+    type PlacementEstimate,
+    type RequestLoad,
+    type Route,
+    RouteKind,
+    type ServiceDefinition,
+    type ServingTarget,
 } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
@@ -120,6 +122,13 @@
 /** Maximum number of a prompt's parts in a log line; a prompt may have many more. */
 const MAX_LOGGED_PROMPT_PARTS = 12;
 
+/** Requests whose first attempt has been counted for a rollout. */
+const countedExchanges = new WeakSet<CallerExchange>();
+/** Largest pace by which times are divided, so that a version that is slow itself still shows. */
+const MAX_PACE = 2.5;
+/** Output tokens from which a stream counts as long: it may run for longer than a rollout's last seconds. */
+const LONG_OUTPUT_TOKENS = 100;
+
 /** Reserves a target for one attempt at a request. */
 export async function reserveForAttempt(
     context: ServingContext,
@@ -127,8 +136,9 @@
 ): Promise<ReservationResult> {
     const { exchange, ...rest } = attempt;
     const { service, route, priority, arrivedAt, deadline, signal } = exchange;
+    const { scheduler, state } = context;
     const now = context.clock.getMonotonic();
-    const result = await context.scheduler.reserveTarget({
+    const request = {
         ...rest,
         service,
         priority,
@@ -136,13 +146,58 @@
         gapMilliseconds: route.maxGapMilliseconds,
         remainingMilliseconds: deadline - now,
         signal,
+    };
+    const versions = state.chooseVersions({
+        service: service.name,
+        route: route.name,
+        isLong: route.kind === RouteKind.stream && !(attempt.requestLoad.outputTokens < LONG_OUTPUT_TOKENS),
+        isFirst: !countedExchanges.has(exchange),
+        softwareVersion: attempt.softwareVersion,
+        now,
     });
-    if (result.kind === "placed" && result.reservation.estimate !== undefined) {
-        context.metrics.countPacedSelection(service.name, result.reservation.estimate.ageMilliseconds);
+    countedExchanges.add(exchange);
+    const preferred = versions?.isPreferred === undefined
+        ? undefined
+        : scheduler.reserveTargetNow({ ...request, isAllowed: versions.isPreferred });
+    const result: ReservationResult = preferred === undefined
+        ? await scheduler.reserveTarget({ ...request, isAllowed: versions?.isAllowed })
+        : { kind: "placed", reservation: preferred };
+    if (result.kind === "placed") {
+        const { target, estimate } = result.reservation;
+        state.rollouts?.recordSend(route.name, target);
+        if (estimate !== undefined) {
+            context.metrics.countPacedSelection(service.name, estimate.ageMilliseconds);
+        }
     }
     return result;
 }
 
+/** Records for a rollout how an attempt has ended. */
+export function recordRolloutEnd(
+    { state, clock }: ServingContext,
+    exchange: CallerExchange,
+    { target, kind }: { target: ServingTarget; kind: AnswerKind; },
+): void {
+    const end = { route: exchange.route.name, kind, now: clock.getMonotonic() };
+    if (state.rollouts?.recordEnd(target, end) === true) {
+        state.publishBadAnswer();
+    }
+}
+
+/** Records for a rollout how long an answer, or the part of it with the given name, has taken. */
+export function recordRolloutTime(
+    { state, clock }: ServingContext,
+    exchange: CallerExchange,
+    { target, milliseconds, part = "" }: { target: ServingTarget; milliseconds: number; part?: string; },
+): void {
+    // Either version may run on a machine that is slow for a moment.
+    const pace = Math.min(MAX_PACE, Math.max(1, state.targetPace.estimateFactor(target.id, clock.getMonotonic())));
+    const time = { route: exchange.route.name + part, milliseconds: milliseconds / pace };
+    if (state.rollouts?.recordTime(target, time) === true) {
+        state.publishBadAnswer();
+    }
+}
+
 /** Describes a finished attempt for the log. */
 export function describeAttempt(
     reservation: Reservation,
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -33,6 +33,8 @@
     avoid: ReadonlySet<string>;
     /** Software version that the target must have, since it began the stream. Defaults to any. */
     softwareVersion?: string | undefined;
+    /** Accepts the targets that may be used. Defaults to all. */
+    isAllowed?: ((target: ServingTarget) => boolean) | undefined;
     /** Time until the latency objective of the request is missed, in milliseconds. */
     objectiveMilliseconds: number;
     /** Longest pause between the events of the stream, in milliseconds; `undefined` if none is set. */
@@ -119,6 +121,14 @@
         return queue.add(() => this.#waitForReservation(request, waitDeadline), { priority: -request.priority });
     }
 
+    /** Reserves a target if one has room now. */
+    reserveTargetNow(request: ReservationRequest): Reservation | undefined {
+        const selection = this.chooseTarget(request);
+        return selection.kind === "placed"
+            ? this.#createReservation(selection.target, { ...selection, requestLoad: request.requestLoad })
+            : undefined;
+    }
+
     /** Reserves capacity at a given target without checking its load, for a generation that is moved there. */
     reserveGivenTarget(target: ServingTarget, requestLoad: RequestLoad): Reservation {
         return this.#createReservation(target, { requestLoad, score: 0 });
@@ -154,14 +164,17 @@
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
     chooseTarget(
-        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
+        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion" | "isAllowed"> & {
             copyZone?: string;
             objectiveMilliseconds?: number;
             gapMilliseconds?: number | undefined;
         },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
-        return chooseLeastLoadedTarget(state.listCandidates(request.service), {
+        const { isAllowed } = request;
+        const all = state.listCandidates(request.service);
+        const candidates = isAllowed === undefined ? all : all.filter(({ target }) => isAllowed(target));
+        return chooseLeastLoadedTarget(candidates, {
             requestLoad: request.requestLoad,
             engine: request.service.engine,
             zone: request.copyZone ?? zone,
