Waiting line: first whole path

Cause: one queue for each service served its head alone, polled every 10 ms, and estimated its wait from the releases of this instance, of which one in a large fleet sees none or one a second. Long answers of priority 0 were served less often in time than checks of priority 1.

Change: for services whose targets state their pace, ServiceAdmission orders what waits, places whatever fits, keeps room for a higher priority that is served less often, and refuses by an estimate from the load of the whole fleet. Queues are woken by releases, changed targets, digests that lower load and one timer, for all services.

--- a/core/serving/load_tracker.ts
+++ b/core/serving/load_tracker.ts
@@ -68,6 +68,8 @@
      * short.
      */
     onEngineLoadChange: (reason: DigestReason) => void = () => undefined;
+    /** Called when a digest of a peer shows that its requests put less load on an engine than before. */
+    onPeerLoadDecrease: () => void = () => undefined;
     readonly #ownRequests = new Map<string, Map<object, RequestLoad & { hasResponseStarted: boolean; }>>();
     readonly #peerDigests = new Map<string, PeerDigest>();
     /**
@@ -112,18 +114,30 @@
 
     /** Replaces the last digest of a peer. */
     applyDigest(peer: string, digest: { work: LoadDigest; receivedAt: number; }): void {
-        this.removePeer(peer);
+        const previous = this.#peerDigests.get(peer)?.work ?? {};
+        this.#removeDigest(peer);
         this.#peerDigests.set(peer, digest);
         this.#addToPeerLoads(digest.work, 1);
+        if (Object.entries(previous).some(([target, load]) => isLower(digest.work[target], load))) {
+            this.onPeerLoadDecrease();
+        }
     }
 
     /** Removes the digest of a peer. */
     removePeer(peer: string): void {
+        if (this.#removeDigest(peer)) {
+            this.onPeerLoadDecrease();
+        }
+    }
+
+    #removeDigest(peer: string): boolean {
         const digest = this.#peerDigests.get(peer);
-        if (digest !== undefined) {
-            this.#peerDigests.delete(peer);
-            this.#addToPeerLoads(digest.work, -1);
+        if (digest === undefined) {
+            return false;
         }
+        this.#peerDigests.delete(peer);
+        this.#addToPeerLoads(digest.work, -1);
+        return true;
     }
 
     /**
@@ -192,3 +206,8 @@
         }
     }
 }
+
+/** Checks whether a load has fewer requests or tokens than a previous one. */
+function isLower(load: LoadDigest[string] | undefined, previous: LoadDigest[string]): boolean {
+    return load === undefined || load[0] < previous[0] || load[1] < previous[1];
+}
--- a/core/serving/queue_admission.ts
+++ b/core/serving/queue_admission.ts
@@ -56,6 +56,70 @@
 /** Latest retry, as a share of the time until the deadline; callers ignore a retry time above a third of it. */
 const MAX_RETRY_AFTER_SHARE = 0.3;
 
+/** Share of the latency objective that a request may spend waiting, however soon targets respond. */
+const MAX_TIMED_WAIT_OBJECTIVE_SHARE = 0.6;
+/** Share of it that it may spend waiting if targets have responded late. */
+const MIN_TIMED_WAIT_OBJECTIVE_SHARE = 0.1;
+/** Estimated time until capacity is free if no release is known, in milliseconds. */
+const UNKNOWN_WAIT_MILLISECONDS = 400;
+
+/** Input of {@linkcode computeAllowedWait}. */
+export interface AllowedWaitInput {
+    /** Time until the latency objective of the request is missed, in milliseconds. */
+    objectiveMilliseconds: number;
+    /** Time until the deadline of the request, in milliseconds. */
+    remainingMilliseconds: number;
+    /** Time that targets need until their response starts, in milliseconds; `undefined` if it is not known. */
+    responseMilliseconds: number | undefined;
+}
+
+/** Computes how long a request may wait for capacity so that its response still starts within its objective. */
+export function computeAllowedWait(input: AllowedWaitInput): number {
+    const { objectiveMilliseconds, remainingMilliseconds, responseMilliseconds } = input;
+    const objectiveWait = responseMilliseconds === undefined
+        ? objectiveMilliseconds * MAX_WAIT_OBJECTIVE_SHARE
+        : Math.min(
+            objectiveMilliseconds * MAX_TIMED_WAIT_OBJECTIVE_SHARE,
+            Math.max(
+                objectiveMilliseconds * MIN_TIMED_WAIT_OBJECTIVE_SHARE,
+                objectiveMilliseconds - responseMilliseconds,
+            ),
+        );
+    return Math.max(0, Math.min(objectiveWait, remainingMilliseconds * MAX_WAIT_REMAINING_SHARE));
+}
+
+/** Input of {@linkcode decideTimedAdmission}. */
+export interface TimedAdmissionInput {
+    /** Why no target accepts requests; `undefined` if they are merely full. */
+    closure: Closure | undefined;
+    /** Time for which the request may wait, in milliseconds. */
+    allowedMilliseconds: number;
+    /** Estimated time until there is capacity for it, in milliseconds; `undefined` if no release is known. */
+    estimateMilliseconds: number | undefined;
+}
+
+/** Decides whether a request waits: the reason for refusing it, or `undefined` if it waits. */
+export function decideTimedAdmission(input: TimedAdmissionInput): "full" | Closure["reason"] | undefined {
+    const { closure, allowedMilliseconds, estimateMilliseconds } = input;
+    if (closure !== undefined && closure.milliseconds > allowedMilliseconds) {
+        return closure.reason;
+    }
+    return allowedMilliseconds <= 0 || (estimateMilliseconds ?? 0) > allowedMilliseconds ? "full" : undefined;
+}
+
+/**
+ * Estimates when the fleet has capacity for the callers that it has refused, in milliseconds from now: they return, and
+ * those refused before are served first.
+ *
+ * @param input Size that waits or is expected to return, at all instances, with the refused request, and the fleet's
+ * release rate; `undefined` if it is not known.
+ */
+export function estimateReturnTime(input: { backlogSize: number; sizePerSecond: number | undefined; }): number {
+    return input.sizePerSecond === undefined
+        ? UNKNOWN_WAIT_MILLISECONDS
+        : 1000 * input.backlogSize / input.sizePerSecond;
+}
+
 /** Decides whether a request is queued. */
 export function decideQueueAdmission(input: QueueAdmissionInput): QueueAdmission {
     const { closure, waiting, freedPerSecond, objectiveMilliseconds, remainingMilliseconds } = input;
--- a/core/serving/shared_limits.ts
+++ b/core/serving/shared_limits.ts
@@ -139,11 +139,10 @@
      */
     #hasTurn(target: string, { limit, input }: { limit: number; input: ColdRateInput; }): boolean {
         const { now, wallTime, instances, rank } = input;
-        const interval = (TURN_WINDOW_MILLISECONDS + TURN_LENGTH_MILLISECONDS) / Math.max(1, Math.floor(limit));
         const sinceOwnTurn = computeTimeSinceTurn({
             target,
             wallTime,
-            cycleMilliseconds: interval * instances,
+            cycleMilliseconds: computeTurnInterval(limit) * instances,
             instances,
             rank,
         });
@@ -151,8 +150,30 @@
         return sinceOwnTurn <= TURN_LENGTH_MILLISECONDS && now - lastSendAt > sinceOwnTurn;
     }
 
+    /** Computes the time after which {@linkcode isUsedUp} no longer holds, in milliseconds; 0 if it does not hold. */
+    computeDelay(target: string, input: ColdRateInput): number {
+        const { now, wallTime, ratePerSecond, instances, rank } = input;
+        if (!this.isUsedUp(target, input)) {
+            return 0;
+        }
+        const untilWarm = (this.#coldUntil.get(target) ?? now) - now;
+        const limit = (ratePerSecond * this.#options.overage + this.#options.slack) * COLD_MARGIN;
+        if (limit >= Math.max(1, instances)) {
+            const oldest = this.#sends.listSince(target, now - COLD_WINDOW_MILLISECONDS)[0] ?? now;
+            return Math.min(untilWarm, Math.max(1, oldest + COLD_WINDOW_MILLISECONDS - now));
+        }
+        const cycleMilliseconds = computeTurnInterval(limit) * instances;
+        const sinceOwnTurn = computeTimeSinceTurn({ target, wallTime, cycleMilliseconds, instances, rank });
+        return Math.min(untilWarm, Math.max(1, cycleMilliseconds - sinceOwnTurn));
+    }
+
     /** Removes the state of a target that no longer exists. */
     removeTarget(target: string): void {
         this.#coldUntil.delete(target);
     }
 }
+
+/** Computes the time between the turns of two instances that follow each other, in milliseconds. */
+function computeTurnInterval(limit: number): number {
+    return (TURN_WINDOW_MILLISECONDS + TURN_LENGTH_MILLISECONDS) / Math.max(1, Math.floor(limit));
+}
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,7 +5,14 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type { ClientAccount, RequestLoad, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
+import type {
+    ClientAccount,
+    RequestLoad,
+    RequestOrigin,
+    Route,
+    ServiceDefinition,
+    ServingTarget,
+} from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
@@ -48,6 +55,8 @@
     log: DecisionLog;
     /** Counters and histograms. */
     metrics: ServingMetrics;
+    /** Availability zone of this instance. */
+    zone: string;
     /** Source of time. */
     clock: Clock;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
@@ -72,6 +81,8 @@
     sharedPromptParts: readonly string[];
     /** Fingerprint of the request: the same for requests of one account with the same method, host, path and body. */
     fingerprint: string;
+    /** Who sent the request, for the order in which requests are served. */
+    origin: RequestOrigin;
     /** Account of the caller; `undefined` if the request needs no API key. */
     account: ClientAccount | undefined;
     /** Priority of the account or, if it has none, of the route; 0 is the highest. */
@@ -117,12 +128,13 @@
     attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
     const { exchange, ...rest } = attempt;
-    const { service, route, priority, arrivedAt, deadline, signal } = exchange;
+    const { service, route, priority, origin, arrivedAt, deadline, signal } = exchange;
     const now = context.clock.getMonotonic();
     return context.scheduler.reserveTarget({
         ...rest,
         service,
         priority,
+        origin,
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
         remainingMilliseconds: deadline - now,
         signal,
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -23,6 +23,7 @@
 import { sendThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
+import { buildRequestOrigin } from "./request_origin.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
 import { handleUnaryCall } from "./unary_call.ts";
 
@@ -280,6 +281,12 @@
             service,
             sharedPromptParts,
             fingerprint,
+            origin: buildRequestOrigin(request, {
+                account: account?.name,
+                route: route.name,
+                zone: this.#context.zone,
+                fingerprint,
+            }),
             account,
             priority,
             version,
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -5,19 +5,26 @@
  *
  * @module
  */
-import PQueue from "p-queue";
 import type { Clock } from "../core/clock/mod.ts";
 import {
+    type AdmissionEntry,
     chooseLeastLoadedTarget,
     chooseRetryAfter,
     type Closure,
     decideQueueAdmission,
+    type FleetView,
+    type RefusalInputs,
     type RequestLoad,
+    type RequestOrigin,
+    type ServiceAdmission,
     type ServiceDefinition,
     type ServingTarget,
+    type TargetCandidate,
     type TargetSelection,
+    WaitingLine,
 } from "../core/serving/mod.ts";
-import { waitMilliseconds } from "../network/mod.ts";
+import type { DecisionLog } from "../telemetry/mod.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
 
 /** A request that needs capacity at a target. */
@@ -26,6 +33,8 @@
     service: ServiceDefinition;
     /** Load that the request adds to its target. */
     requestLoad: RequestLoad;
+    /** Who sent the request. */
+    origin: RequestOrigin;
     /** Priority; 0 is the highest. */
     priority: number;
     /** Identifiers of the targets at which the request has failed already. */
@@ -68,50 +77,136 @@
     state: ServingState;
     /** Availability zone of this instance. */
     zone: string;
+    /** Decision log. */
+    log: DecisionLog;
+    /** Counters of refused requests. */
+    metrics: ServingMetrics;
     /** Source of time. */
     clock: Clock;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
 }
 
-/** Interval at which the request at the head of a queue tries to reserve a target, in milliseconds. */
-const RETRY_INTERVAL_MILLISECONDS = 10;
 /** Length of the window in which released reservations are counted, in milliseconds. */
 const RELEASE_WINDOW_MILLISECONDS = 1000;
 /** Estimated time until a target is available again if there is none, in milliseconds. */
 const NO_TARGET_DELAY_MILLISECONDS = 400;
+/**
+ * Interval at which digests of peers wake waiting requests, in milliseconds. A large fleet sends a hundred digests a
+ * second, and each look at the targets takes a tenth of a millisecond.
+ */
+const DIGEST_WAKE_INTERVAL_MILLISECONDS = 25;
+/** Shortest time until a queue is woken by the timer, in milliseconds. */
+const MIN_TIMER_MILLISECONDS = 2;
+
+/** A waiting request and what ends its wait. */
+interface QueueEntry extends AdmissionEntry {
+    request: ReservationRequest;
+    settle: (result: ReservationResult) => void;
+}
+
+/** Requests that wait for targets of one service or, if its targets state no pace, of one software version of it. */
+interface Queue {
+    service: ServiceDefinition;
+    line: WaitingLine<QueueEntry>;
+    /** Admission of the service; `undefined` unless its targets state a pace. */
+    admission: ServiceAdmission | undefined;
+    /** Time at which the queue is woken by the timer; `Infinity` if nothing waits. */
+    dueAt: number;
+    isWakeScheduled: boolean;
+}
 
 /** Reserves capacity at targets for requests. */
 export class RequestScheduler {
     readonly #options: RequestSchedulerOptions;
-    readonly #queues = new Map<string, PQueue>();
+    readonly #queues = new Map<string, Queue>();
     readonly #releaseTimes = new Map<string, number[]>();
+    #timer: NodeJS.Timeout | undefined;
+    #timerDueAt = Infinity;
+    #wokenByDigestAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: RequestSchedulerOptions) {
         this.#options = options;
+        options.state.loadTracker.onPeerLoadDecrease = () => this.#handlePeerLoadDecrease();
+        options.state.targetListeners.push(({ target }) => this.#wakeQueues(target.service));
     }
 
     /** Reserves a target at once if possible; otherwise queues the request, or refuses it if it would wait too long. */
     async reserveTarget(request: ReservationRequest): Promise<ReservationResult> {
-        const queue = this.#getQueue(request);
-        const waiting = queue.size + queue.pending;
+        return this.#options.state.targetPace.isPaced(request.service.name)
+            ? this.#reservePaced(request)
+            : this.#reserveUnpaced(request);
+    }
+
+    /** Reserves a target of a service whose targets state no pace; only the first waiting request is placed. */
+    #reserveUnpaced(request: ReservationRequest): ReservationResult | Promise<ReservationResult> {
+        const queue = this.#getQueue(request, undefined);
+        const waiting = queue.line.length;
         const selection = this.chooseTarget(request);
         if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
             return this.#applySelection(request, selection);
         }
+        const now = this.#options.clock.getMonotonic();
+        const { objectiveMilliseconds, remainingMilliseconds, priority, origin } = request;
         const decision = decideQueueAdmission({
             closure: this.#findClosure(selection),
             waiting,
             freedPerSecond: this.#countReleases(request.service.name),
-            objectiveMilliseconds: request.objectiveMilliseconds,
-            remainingMilliseconds: request.remainingMilliseconds,
+            objectiveMilliseconds,
+            remainingMilliseconds,
             random: this.#options.random,
         });
         if (decision.kind === "refuse") {
             return { kind: "refused", reason: decision.reason, retryAfterSeconds: decision.retryAfterSeconds };
         }
-        const waitDeadline = this.#options.clock.getMonotonic() + decision.milliseconds;
-        return queue.add(() => this.#waitForReservation(request, waitDeadline), { priority: -request.priority });
+        return this.#enqueue(queue, request, {
+            priority,
+            place: "",
+            size: 1,
+            isPreferred: false,
+            share: 1,
+            enqueuedAt: now,
+            objectiveAt: now,
+            latestAt: now + decision.milliseconds,
+            origin,
+            groups: [],
+            deadline: now + remainingMilliseconds,
+        });
+    }
+
+    /** Reserves a target of a service whose targets state their pace; every waiting request that fits is placed. */
+    #reservePaced(request: ReservationRequest): ReservationResult | Promise<ReservationResult> {
+        const { state, clock } = this.#options;
+        const { service, priority, requestLoad, softwareVersion = "", avoid } = request;
+        const admission = state.getAdmission(service.name);
+        const queue = this.#getQueue(request, admission);
+        const now = clock.getMonotonic();
+        const entry: AdmissionEntry = admission.buildEntry({
+            origin: request.origin,
+            priority,
+            place: `${priority} ${softwareVersion} ${[...avoid].join(" ")}`,
+            size: service.engine === undefined ? 1 : requestLoad.promptTokens + requestLoad.outputTokens,
+            objectiveMilliseconds: request.objectiveMilliseconds,
+            remainingMilliseconds: request.remainingMilliseconds,
+        }, now);
+        const candidates = state.listCandidates(service);
+        const selection = this.#choosePacedTarget(request, { entry, admission, candidates });
+        if (selection.kind === "no-target") {
+            return this.#applySelection(request, selection);
+        }
+        if (selection.kind === "placed" && admission.line.length === 0) {
+            admission.recordPlaced(entry, now);
+            return this.#applySelection(request, selection);
+        }
+        if (selection.kind !== "placed") {
+            const closure = this.#findClosure(selection);
+            const fleet = this.#getFleetView(service, candidates);
+            const { reason, inputs } = admission.decideAdmission(entry, { closure, fleet });
+            if (reason !== undefined) {
+                return this.#refusePaced(request, { entry, admission, reason, closure, inputs, fleet });
+            }
+        }
+        return this.#enqueue(queue, request, entry);
     }
 
     /** Reserves capacity at a given target without checking its load, for a generation that is moved there. */
@@ -121,30 +216,124 @@
 
     /** Counts the waiting requests of each service, for a state dump. */
     dumpState(): Record<string, unknown> {
-        return Object.fromEntries([...this.#queues].map(([name, queue]) => [name, queue.size + queue.pending]));
+        return Object.fromEntries([...this.#queues].map(([name, { line }]) => [name, line.length]));
     }
 
-    async #waitForReservation(request: ReservationRequest, waitDeadline: number): Promise<ReservationResult> {
-        for (;;) {
-            const selection = this.chooseTarget(request);
-            const closedMilliseconds = this.#findClosure(selection)?.milliseconds ?? 0;
-            const now = this.#options.clock.getMonotonic();
-            const isWaitOver = now + closedMilliseconds >= waitDeadline || request.signal.aborted;
-            if (selection.kind === "placed" || selection.kind === "no-target" || isWaitOver) {
-                return this.#applySelection(request, selection);
+    /** Number of requests that wait for a target. */
+    get waiting(): number {
+        return [...this.#queues.values()].reduce((sum, { line }) => sum + line.length, 0);
+    }
+
+    #enqueue(queue: Queue, request: ReservationRequest, entry: AdmissionEntry): Promise<ReservationResult> {
+        return new Promise(resolve => {
+            const { clock } = this.#options;
+            const abort = (): void => {
+                queue.line.remove(queued, clock.getMonotonic());
+                queued.settle({ kind: "refused", reason: "full", retryAfterSeconds: 0 });
+                this.#wakeQueue(queue);
+            };
+            const settle = (result: ReservationResult): void => {
+                request.signal.removeEventListener("abort", abort);
+                resolve(result);
+            };
+            const queued: QueueEntry = { ...entry, request, settle };
+            if (request.signal.aborted) {
+                settle({ kind: "refused", reason: "full", retryAfterSeconds: 0 });
+                return;
             }
-            await waitMilliseconds(RETRY_INTERVAL_MILLISECONDS);
+            request.signal.addEventListener("abort", abort);
+            queue.line.add(queued, clock.getMonotonic());
+            this.#stepQueue(queue);
+        });
+    }
+
+    /** Places the waiting requests that fit, refuses those that have no chance, and sets the time of the next look. */
+    #stepQueue(queue: Queue): void {
+        const { state, clock } = this.#options;
+        const { line, service, admission } = queue;
+        if (line.length === 0) {
+            queue.dueAt = Infinity;
+            return;
         }
+        const now = clock.getMonotonic();
+        let candidates = state.listCandidates(service);
+        const fleet = this.#getFleetView(service, candidates);
+        const refused = line.step({
+            now,
+            tryPlace: entry => {
+                const isSettled = this.#trySettle(entry, { candidates, admission });
+                candidates = isSettled ? state.listCandidates(service) : candidates;
+                return isSettled;
+            },
+            estimateWait: admission?.createWaitEstimate(fleet) ?? (() => undefined),
+        });
+        for (const { entry, sizeAhead, estimateMilliseconds } of refused) {
+            this.#refuseWaiting(entry, { admission, fleet, sizeAhead, estimateMilliseconds });
+        }
+        const nextCheck = line.findNextCheck();
+        queue.dueAt = nextCheck === undefined
+            ? Infinity
+            : Math.max(
+                now + MIN_TIMER_MILLISECONDS,
+                Math.min(nextCheck, state.findNextOpening(service, candidates) ?? Infinity),
+            );
+        this.#scheduleTimer();
     }
 
-    /** Reserves the selected target, or refuses the request if none was selected. */
-    #applySelection(request: ReservationRequest, selection: TargetSelection): ReservationResult {
-        if (selection.kind !== "placed") {
-            return this.#refuse(request, selection);
+    /** Settles a waiting request if there is a target for it, or none can be for as long as it may wait. */
+    #trySettle(
+        entry: QueueEntry,
+        { candidates, admission }: {
+            candidates: readonly TargetCandidate[];
+            admission: ServiceAdmission | undefined;
+        },
+    ): boolean {
+        const now = this.#options.clock.getMonotonic();
+        const { request } = entry;
+        const selection = admission === undefined
+            ? this.#chooseAmong(candidates, request)
+            : this.#choosePacedTarget(request, { entry, admission, candidates });
+        const closure = this.#findClosure(selection);
+        if (selection.kind === "placed") {
+            admission?.recordPlaced(entry, now);
         }
-        const { requestLoad } = request;
-        const { target, score } = selection;
-        return { kind: "placed", reservation: this.#createReservation(target, { requestLoad, score }) };
+        else if (selection.kind !== "no-target") {
+            if (
+                now + (closure?.milliseconds ?? 0) < entry.latestAt || closure === undefined && admission !== undefined
+            ) {
+                return false;
+            }
+            if (admission !== undefined && closure !== undefined) {
+                const fleet = this.#getFleetView(request.service, candidates);
+                const inputs = admission.describeWait(entry, { fleet, ownSize: entry.size });
+                const { reason } = closure;
+                entry.settle(this.#refusePaced(request, { entry, admission, reason, closure, inputs, fleet }));
+                return true;
+            }
+        }
+        entry.settle(this.#applySelection(request, selection));
+        return true;
+    }
+
+    #refuseWaiting(
+        entry: QueueEntry,
+        options: {
+            admission: ServiceAdmission | undefined;
+            fleet: FleetView;
+            sizeAhead: number;
+            estimateMilliseconds: number | undefined;
+        },
+    ): void {
+        const { admission, fleet, sizeAhead, estimateMilliseconds } = options;
+        const { request } = entry;
+        if (admission === undefined) {
+            entry.settle(this.#refuse(request, { kind: "full" }));
+            return;
+        }
+        const inputs = { ...admission.describeWait(entry, { fleet, ownSize: sizeAhead }), estimateMilliseconds };
+        entry.settle(
+            this.#refusePaced(request, { entry, admission, reason: "full", closure: undefined, inputs, fleet }),
+        );
     }
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
@@ -152,9 +341,18 @@
         request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
             copyZone?: string;
         },
+    ): TargetSelection {
+        return this.#chooseAmong(this.#options.state.listCandidates(request.service), request);
+    }
+
+    #chooseAmong(
+        candidates: readonly TargetCandidate[],
+        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
+            copyZone?: string;
+        },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
-        return chooseLeastLoadedTarget(state.listCandidates(request.service), {
+        return chooseLeastLoadedTarget(candidates, {
             requestLoad: request.requestLoad,
             engine: request.service.engine,
             zone: request.copyZone ?? zone,
@@ -166,20 +364,76 @@
         });
     }
 
-    #createReservation(target: ServingTarget, options: { requestLoad: RequestLoad; score: number; }): Reservation {
+    /** Selects a target that has room for the request and for what it has to leave free. */
+    #choosePacedTarget(
+        request: ReservationRequest,
+        options: { entry: AdmissionEntry; admission: ServiceAdmission; candidates: readonly TargetCandidate[]; },
+    ): TargetSelection {
+        const { entry, admission, candidates } = options;
+        const { promptTokens, outputTokens } = request.requestLoad;
+        const headroom = request.service.engine === undefined || !admission.isShort(entry.enqueuedAt)
+            ? 0
+            : admission.computeHeadroom(entry, {
+                fleet: this.#getFleetView(request.service, candidates),
+                random: this.#options.random,
+            });
+        const requestLoad = { promptTokens, outputTokens: outputTokens + headroom };
+        return this.#chooseAmong(candidates, headroom === 0 ? request : { ...request, requestLoad });
+    }
+
+    #getFleetView({ engine }: ServiceDefinition, candidates: readonly TargetCandidate[]): FleetView {
         const { state, clock } = this.#options;
-        const loadReservation = state.loadTracker.addRequest(target.id, options.requestLoad);
-        state.recentSends.recordSend(target.id, clock.getMonotonic());
+        return {
+            now: clock.getMonotonic(),
+            instances: state.instances,
+            // Digests do not contain the load on targets that are no engines.
+            runningSize: engine === undefined ? undefined : candidates.reduce((sum, { load }) => sum + load.tokens, 0),
+            targets: candidates.length,
+        };
+    }
+
+    /** Reserves the selected target, or refuses the request if none was selected. */
+    #applySelection(request: ReservationRequest, selection: TargetSelection): ReservationResult {
+        if (selection.kind !== "placed") {
+            return this.#refuse(request, selection);
+        }
+        const { requestLoad, origin } = request;
+        const { target, score } = selection;
+        const reservation = this.#createReservation(target, { requestLoad, score, kind: origin.kind });
+        return { kind: "placed", reservation };
+    }
+
+    #createReservation(
+        target: ServingTarget,
+        options: { requestLoad: RequestLoad; score: number; kind?: string; },
+    ): Reservation {
+        const { state, clock } = this.#options;
+        const { requestLoad, score, kind } = options;
+        const loadReservation = state.loadTracker.addRequest(target.id, requestLoad);
+        const startedAt = clock.getMonotonic();
+        state.recentSends.recordSend(target.id, startedAt);
+        const room = state.targetPace.isPaced(target.service) ? state.getAdmission(target.service).room : undefined;
+        const size = Math.max(1, requestLoad.promptTokens + requestLoad.outputTokens);
+        room?.recordStart(size, startedAt);
         let isReleased = false;
+        let hasResponseStarted = false;
         const release = (): void => {
             if (!isReleased) {
                 isReleased = true;
                 loadReservation.release();
+                room?.recordRelease(size, clock.getMonotonic());
                 this.#recordRelease(target.service);
+                this.#wakeQueues(target.service);
+            }
+        };
+        const markResponseStarted = (): void => {
+            if (!hasResponseStarted && kind !== undefined) {
+                room?.recordResponseTime(kind, clock.getMonotonic() - startedAt);
             }
+            hasResponseStarted = true;
+            loadReservation.markResponseStarted();
         };
-        const { markResponseStarted, recordOutput } = loadReservation;
-        return { target, score: options.score, markResponseStarted, recordOutput, release };
+        return { target, score, markResponseStarted, recordOutput: loadReservation.recordOutput, release };
     }
 
     /** Finds out why no target accepts requests; `undefined` if one does or there is none. */
@@ -205,14 +459,121 @@
         return { kind: "refused", reason, retryAfterSeconds };
     }
 
+    #refusePaced(
+        { service, origin }: ReservationRequest,
+        options: {
+            entry: AdmissionEntry;
+            admission: ServiceAdmission;
+            reason: "full" | Closure["reason"];
+            closure: Closure | undefined;
+            inputs: RefusalInputs;
+            fleet: FleetView;
+        },
+    ): ReservationResult {
+        const { entry, admission, reason, closure, inputs, fleet } = options;
+        const { log, metrics, random } = this.#options;
+        const retryAfterSeconds = admission.recordRefusal(entry, { closure, fleet, random });
+        metrics.countRefusal(service.name, reason);
+        log.record("trouble", "request not admitted", {
+            service: service.name,
+            account: origin.account,
+            kind: origin.kind,
+            reason,
+            ...describeInputs(inputs),
+            waitedMilliseconds: Math.round(fleet.now - entry.enqueuedAt),
+            instances: fleet.instances,
+            share: entry.share,
+            returns: origin.returnKind,
+            retryAfterSeconds: Number(retryAfterSeconds.toFixed(2)),
+        });
+        return { kind: "refused", reason, retryAfterSeconds };
+    }
+
     /** Gets the queue of a service, or of one software version: its full targets must not delay requests for others. */
-    #getQueue({ service, softwareVersion }: ReservationRequest): PQueue {
-        const name = softwareVersion === undefined ? service.name : `${service.name} ${softwareVersion}`;
-        const queue = this.#queues.get(name) ?? new PQueue({ concurrency: 1 });
-        this.#queues.set(name, queue);
+    #getQueue(
+        { service, softwareVersion }: ReservationRequest,
+        admission: ServiceAdmission | undefined,
+    ): Queue {
+        const name = admission !== undefined || softwareVersion === undefined
+            ? service.name
+            : `${service.name} ${softwareVersion}`;
+        const key = admission === undefined ? `${name} unpaced` : name;
+        const queue = this.#queues.get(key) ?? {
+            service,
+            line: admission === undefined
+                ? new WaitingLine<QueueEntry>({ isHeadOnly: true })
+                : admission.line as WaitingLine<QueueEntry>,
+            admission,
+            dueAt: Infinity,
+            isWakeScheduled: false,
+        };
+        queue.service = service;
+        this.#queues.set(key, queue);
         return queue;
     }
 
+    /** Wakes all queues of a service, or of all services if none is given. */
+    #wakeQueues(service?: string): void {
+        for (const queue of this.#queues.values()) {
+            if (service === undefined || queue.service.name === service) {
+                this.#wakeQueue(queue);
+            }
+        }
+    }
+
+    /** Wakes a queue once for all events that are handled together. */
+    #wakeQueue(queue: Queue): void {
+        if (queue.line.length > 0 && !queue.isWakeScheduled) {
+            queue.isWakeScheduled = true;
+            queueMicrotask(() => {
+                queue.isWakeScheduled = false;
+                this.#stepQueue(queue);
+            });
+        }
+    }
+
+    #handlePeerLoadDecrease(): void {
+        const now = this.#options.clock.getMonotonic();
+        const nextAt = this.#wokenByDigestAt + DIGEST_WAKE_INTERVAL_MILLISECONDS;
+        if (now >= nextAt) {
+            this.#wokenByDigestAt = now;
+            this.#wakeQueues();
+            return;
+        }
+        for (const queue of this.#queues.values()) {
+            queue.dueAt = queue.line.length === 0 ? Infinity : Math.min(queue.dueAt, nextAt);
+        }
+        this.#scheduleTimer();
+    }
+
+    /** Sets the one timer to the earliest time at which a queue has to be looked at; none runs while nothing waits. */
+    #scheduleTimer(): void {
+        const dueAt = Math.min(...[...this.#queues.values()].map(queue => queue.dueAt));
+        if (dueAt === this.#timerDueAt) {
+            return;
+        }
+        clearTimeout(this.#timer);
+        this.#timerDueAt = dueAt;
+        if (dueAt < Infinity) {
+            this.#timer = setTimeout(
+                () => this.#handleTimer(),
+                Math.max(0, dueAt - this.#options.clock.getMonotonic()),
+            );
+        }
+    }
+
+    #handleTimer(): void {
+        this.#timerDueAt = Infinity;
+        // A timer may fire up to a millisecond early.
+        const now = this.#options.clock.getMonotonic() + 1;
+        for (const queue of this.#queues.values()) {
+            if (queue.dueAt <= now) {
+                this.#stepQueue(queue);
+            }
+        }
+        this.#scheduleTimer();
+    }
+
     #recordRelease(service: string): void {
         const times = this.#releaseTimes.get(service) ?? [];
         times.push(this.#options.clock.getMonotonic());
@@ -229,3 +590,11 @@
         return times.length;
     }
 }
+
+function describeInputs(inputs: RefusalInputs): Record<string, number | undefined> {
+    return Object.fromEntries(
+        Object.entries(inputs).map((
+            [name, value]: [string, number | undefined],
+        ) => [name, value === undefined ? undefined : Math.round(value)]),
+    );
+}
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -15,6 +15,8 @@
     getConfigurationVersion: () => number;
     /** Counts the targets that state a limit for their request rate. */
     countLimitedTargets: () => number;
+    /** Counts the requests that wait for a target. */
+    countWaiting: () => number;
 }
 
 /** Bucket bounds of the latency histogram, in seconds: from a fast unary request to the longest generation. */
@@ -29,6 +31,7 @@
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
     readonly #storeCalls: Counter<"kind" | "result">;
+    readonly #refusals: Counter<"service" | "reason">;
     readonly #firstByteSeconds: Histogram<"route">;
     readonly #movePauseSeconds: Histogram;
 
@@ -70,6 +73,12 @@
             labelNames: ["kind", "result"],
             registers,
         });
+        this.#refusals = new Counter({
+            name: "knapweed_serving_refusals_total",
+            help: "Requests refused since they could not be served in time, by service and reason.",
+            labelNames: ["service", "reason"],
+            registers,
+        });
         this.#firstByteSeconds = new Histogram({
             name: "knapweed_serving_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer's body.",
@@ -116,6 +125,11 @@
         this.#storeCalls.inc({ kind, result });
     }
 
+    /** Counts a request that is refused since it could not be served in time. */
+    countRefusal(service: string, reason: string): void {
+        this.#refusals.inc({ service, reason });
+    }
+
     /** Observes the time from a request's arrival to the first byte of its response's body, in milliseconds. */
     observeFirstByte(route: string, milliseconds: number): void {
         this.#firstByteSeconds.observe({ route }, milliseconds / 1000);
@@ -133,6 +147,7 @@
         ["knapweed_serving_dropped_log_lines", "Log lines dropped since the start.", options.countDroppedLines],
         ["knapweed_serving_configuration_version", "Version in use.", options.getConfigurationVersion],
         ["knapweed_serving_limited_targets", "Targets that state a limit.", options.countLimitedTargets],
+        ["knapweed_serving_waiting", "Requests that wait for a target.", options.countWaiting],
     ];
     for (const [name, help, read] of gauges) {
         const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -124,6 +124,7 @@
             countDroppedLines: () => log.droppedTotal,
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
+            countWaiting: () => this.#scheduler.waiting,
         });
         this.#malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
@@ -172,6 +173,7 @@
         this.#scheduler = new RequestScheduler({ ...shared, zone: settings.zone });
         this.#context = {
             ...shared,
+            zone: settings.zone,
             scheduler: this.#scheduler,
             connections: this.#connections,
             engines,
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -10,6 +10,7 @@
     type CrashEvidence,
     DigestReason,
     EvacuatedZones,
+    type LineStatement,
     LoadTracker,
     type QuarantinedPart,
     type RateShareInput,
@@ -20,6 +21,7 @@
     RequestQuarantine,
     RetryBudgetShare,
     RouteTable,
+    ServiceAdmission,
     type ServiceDefinition,
     type ServingConfiguration,
     type ServingTarget,
@@ -134,6 +136,7 @@
     readonly health = new TargetHealth();
     /** Pace at which each target works. */
     readonly targetPace = new TargetPace();
+    readonly #admissions = new Map<string, ServiceAdmission>();
     /** Targets that have asked this instance to send nothing for a time. */
     readonly backpressure = new TargetBackpressure();
     /** Requests that crash targets, and parts of prompts that crash engines. */
@@ -501,6 +504,31 @@
         return share;
     }
 
+    /** Gets the admission of a service whose targets state their pace. */
+    getAdmission(service: string): ServiceAdmission {
+        const admission = this.#admissions.get(service) ?? new ServiceAdmission(this.#now());
+        this.#admissions.set(service, admission);
+        return admission;
+    }
+
+    /** Builds the statement on each service for a digest, while there is no room. */
+    takeLineStatements(): Record<string, LineStatement> {
+        const now = this.#now();
+        return Object.fromEntries([...this.#admissions].flatMap(([service, admission]) => {
+            const statement = admission.takeStatement(now);
+            return statement === undefined ? [] : [[service, statement]];
+        }));
+    }
+
+    /** Applies what a peer states of the requests that wait or were refused there. */
+    applyLineStatements(instance: string, statements: Readonly<Record<string, LineStatement>>): void {
+        for (const [service, statement] of Object.entries(statements)) {
+            if (this.targetPace.isPaced(service)) {
+                this.getAdmission(service).applyStatement(instance, statement, this.#now());
+            }
+        }
+    }
+
     /** Lists the targets of a service that accept new requests, with their load, penalties and limits. */
     listCandidates(service: ServiceDefinition): TargetCandidate[] {
         const now = this.#now();
@@ -522,6 +550,21 @@
         }));
     }
 
+    /** Finds the time at which the first target that takes no request from this instance now may take one again. */
+    findNextOpening(service: ServiceDefinition, candidates: readonly TargetCandidate[]): number | undefined {
+        const now = this.#now();
+        const { instances, rank } = this.#position;
+        const wallTime = this.#options.clock.getWallTime();
+        const cold = { now, wallTime, instances, rank, ratePerSecond: service.coldRequestsPerSecond };
+        const openings = candidates.flatMap(({ target, pausedUntil = now, limitedUntil = now, crowdedUntil = now }) => [
+            Math.max(pausedUntil, limitedUntil),
+            crowdedUntil,
+            now + this.coldRateShare.computeDelay(target.id, cold),
+        ]);
+        const next = Math.min(...openings.filter(time => time > now));
+        return Number.isFinite(next) ? next : undefined;
+    }
+
     /** Finds the time until which this instance has used up its share of a target's request rate, or of its refusals. */
     #findLimitEnd(
         { id, slots }: ServingTarget,
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -169,6 +169,7 @@
             }));
             quarantineWatch.stop();
             this.#headAt = clock.getMonotonic();
+            reservation.markResponseStarted();
             applyResponseNotice(this.#context, this.#exchange, {
                 target: reservation.target,
                 head: targetResponse.head,
--- a/support/platform/idle_metrics.ts
+++ b/support/platform/idle_metrics.ts
@@ -12,5 +12,6 @@
         countDroppedLines: () => 0,
         getConfigurationVersion: () => 0,
         countLimitedTargets: () => 0,
+        countWaiting: () => 0,
     });
 }
