State waiting and refused requests in digests, and wait at the instance for plain targets that refuse

Cause: nothing knew that a caller had been refused at another instance, or how often accounts, kinds and zones are served. A request that all targets of a plain service had refused was refused at once, although a slot is free within milliseconds.

Change: digests carry a bounded statement of each paced service while there is no room. A unary request waits for about the response time and is sent again to targets that refused it for want of room, while its objective allows that.

Not run: the wait for plain targets.

--- a/core/serving/room_estimate.ts
+++ b/core/serving/room_estimate.ts
@@ -60,10 +60,13 @@
         this.#runningSize += size;
     }
 
-    /** Records that a request which this instance has sent releases its target. */
-    recordRelease(size: number, now: number): void {
+    /** Records that a request which this instance has sent releases its target; one that was refused frees nothing. */
+    recordRelease(size: number, { now, hasResponded }: { now: number; hasResponded: boolean; }): void {
         this.#update(now);
         this.#runningSize = Math.max(0, this.#runningSize - size);
+        if (!hasResponded) {
+            return;
+        }
         this.#size += size;
         this.#count += 1;
         this.#releasedSize += size;
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -371,6 +371,7 @@
         this.#options.state.applyRateStatements(message.instance, message.rateStatements);
         this.#options.state.applyRefusalStatements(message.instance, message.refusalStatements);
         this.#options.state.applyBaselines(message.baselines);
+        this.#options.state.applyLineStatements(message.instance, message.lines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
         if (isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
@@ -510,7 +511,8 @@
         }
     }
 
-    #buildDigest(now: number): DigestMessage {
+    /** Builds a digest; statements on what waits are taken once, and go to all peers. */
+    #buildDigest(now: number, lines: DigestMessage["lines"] = {}): DigestMessage {
         const { state, instance, isWatching, getRelayAddress } = this.#options;
         return {
             kind: "digest",
@@ -524,6 +526,7 @@
             refusalStatements: state.refusalLimits.listTold(now),
             promptEvidence: state.requestQuarantine.getEvidence(now),
             baselines: state.softwareVersions.listBaselines(),
+            lines,
             versions: this.#getVersions(),
             isWatching: isWatching(),
             relayAddress: getRelayAddress(),
@@ -538,7 +541,7 @@
     /** Sends a digest to each peer, at a lower rate to peers that send none. */
     #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
-        const digest = this.#buildDigest(now);
+        const digest = this.#buildDigest(now, this.#options.state.takeLineStatements());
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         this.#digestRateLimiter.recordSend({ now, peers: this.#peers.size });
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -7,6 +7,7 @@
 import {
     type CrashEvidence,
     EMPTY_CRASH_EVIDENCE,
+    type LineStatement,
     type LoadDigest,
     type QuarantinedPart,
     type ServingConfiguration,
@@ -64,6 +65,8 @@
     promptEvidence: CrashEvidence;
     /** Software versions whose streams are not recorded, by service, as far as the sender relies on them. */
     baselines: Record<string, string>;
+    /** Requests that wait or were refused at the sender, by service; empty while there is room. */
+    lines: Record<string, LineStatement>;
     /** Versions of the sender's state. */
     versions: StateVersions;
     /** True if the sender watches the store and all its watches work. */
@@ -148,6 +151,18 @@
     ...RateStatementSchema.entries,
     refusedAgoMilliseconds: v.optional(FiniteSchema),
 });
+/** Statement on one service; the limits are several times those of the sender. */
+const LineStatementSchema = v.object({
+    pressure: v.pipe(
+        v.array(v.tuple([CountSchema, CountSchema, CountSchema, CountSchema, CountSchema, CountSchema])),
+        v.maxLength(40),
+    ),
+    shares: v.pipe(v.array(v.tuple([v.string(), CountSchema, CountSchema])), v.maxLength(200)),
+    refused: v.pipe(v.array(v.tuple([CountSchema, FiniteSchema, CountSchema, CountSchema])), v.maxLength(50)),
+    sessions: v.pipe(v.array(CountSchema), v.maxLength(50)),
+});
+/** Statements by service; unusable ones count as none, so that the rest of the digest is used. */
+const LineStatementsSchema = v.fallback(v.record(v.string(), LineStatementSchema), {});
 /** Load on each target; one that is no load counts as none. */
 const LoadDigestSchema = v.record(
     v.string(),
@@ -221,6 +236,7 @@
         refusalStatements: v.optional(v.array(RefusalStatementSchema), []),
         promptEvidence: v.optional(CrashEvidenceSchema, EMPTY_CRASH_EVIDENCE),
         baselines: v.optional(v.record(v.string(), v.string()), {}),
+        lines: v.optional(LineStatementsSchema, {}),
         versions: VersionsSchema,
         isWatching: v.boolean(),
         relayAddress: v.fallback(v.union([v.literal(""), TargetAddressSchema]), ""),
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -96,6 +96,11 @@
  * second, and each look at the targets takes a tenth of a millisecond.
  */
 const DIGEST_WAKE_INTERVAL_MILLISECONDS = 25;
+/**
+ * Interval at which waiting requests of a paced service without engines try again, in milliseconds: about the time in
+ * which one of the slots of a target is freed.
+ */
+const PLAIN_RETRY_MILLISECONDS = 15;
 /** Shortest time until a queue is woken by the timer, in milliseconds. */
 const MIN_TIMER_MILLISECONDS = 2;
 
@@ -271,11 +276,14 @@
             this.#refuseWaiting(entry, { admission, fleet, sizeAhead, estimateMilliseconds });
         }
         const nextCheck = line.findNextCheck();
+        // No digest tells of a slot that a request of a peer frees at a target that is no engine.
+        const isReleaseUnseen = admission !== undefined && service.engine === undefined;
+        const nextRelease = isReleaseUnseen ? now + PLAIN_RETRY_MILLISECONDS : Infinity;
         queue.dueAt = nextCheck === undefined
             ? Infinity
             : Math.max(
                 now + MIN_TIMER_MILLISECONDS,
-                Math.min(nextCheck, state.findNextOpening(service, candidates) ?? Infinity),
+                Math.min(nextCheck, nextRelease, state.findNextOpening(service, candidates) ?? Infinity),
             );
         this.#scheduleTimer();
     }
@@ -421,7 +429,7 @@
             if (!isReleased) {
                 isReleased = true;
                 loadReservation.release();
-                room?.recordRelease(size, clock.getMonotonic());
+                room?.recordRelease(size, { now: clock.getMonotonic(), hasResponded: hasResponseStarted });
                 this.#recordRelease(target.service);
                 this.#wakeQueues(target.service);
             }
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -14,6 +14,7 @@
     ResponseOutcome,
 } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
+import { waitMilliseconds } from "../network/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
 import {
     applyResponseNotice,
@@ -41,7 +42,14 @@
     /** The target sent a complete response, which is relayed to the caller. */
     | { kind: "answered"; head: TargetResponseHead; body: Buffer; }
     /** The attempt produced no response that may be relayed. */
-    | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; isConnectionLost?: boolean; };
+    | {
+        kind: "failed";
+        verdict: Verdict;
+        reason: string;
+        isUnreachable?: boolean;
+        isConnectionLost?: boolean;
+        isForWantOfRoom?: boolean;
+    };
 
 /** Load that a unary request adds to its target, in tokens; such a request states no size. */
 const EMPTY_REQUEST_LOAD = { promptTokens: 0, outputTokens: 0 };
@@ -52,6 +60,11 @@
 /** Minimum timeout of an attempt that may be followed by another, in milliseconds. */
 const MIN_ATTEMPT_MILLISECONDS = 120;
 
+/** Response time assumed before any has been seen, as a share of the latency objective. */
+const UNKNOWN_RESPONSE_SHARE = 0.25;
+/** Shortest wait for a slot of a full target, as a share of the response time; the longest is all of it. */
+const MIN_SLOT_WAIT_SHARE = 0.3;
+
 /** Handles one unary request. */
 export async function handleUnaryCall(context: ServingContext, exchange: CallerExchange): Promise<void> {
     await new UnaryCall(context, exchange).run();
@@ -61,6 +74,8 @@
     readonly #context: ServingContext;
     readonly #exchange: CallerExchange;
     readonly #avoid = new Set<string>();
+    /** Targets that refused the request for want of room; they may have room a moment later. */
+    readonly #refusedBy = new Set<string>();
     readonly #attempts: AttemptRecord[] = [];
     /** Whether the request has run, as far as the attempts so far show. */
     #verdict: Verdict = "not-run";
@@ -94,6 +109,9 @@
                 avoid: this.#avoid,
             });
             if (reserved.kind === "refused") {
+                if (reserved.reason === "no-target" && await this.#waitForRoom()) {
+                    continue;
+                }
                 reason = reserved.reason;
                 this.#retryAfterSeconds = reserved.retryAfterSeconds;
                 break;
@@ -139,6 +157,9 @@
         }
         if (result.kind === "failed") {
             this.#avoid.add(reservation.target.id);
+            if (result.isForWantOfRoom === true) {
+                this.#refusedBy.add(reservation.target.id);
+            }
             this.#verdict = mergeVerdicts(this.#verdict, result.verdict);
             this.#possibleRuns += result.verdict === "not-run" ? 0 : 1;
         }
@@ -169,7 +190,9 @@
             }));
             quarantineWatch.stop();
             this.#headAt = clock.getMonotonic();
-            reservation.markResponseStarted();
+            if (!targetResponse.head.isRefusal) {
+                reservation.markResponseStarted();
+            }
             applyResponseNotice(this.#context, this.#exchange, {
                 target: reservation.target,
                 head: targetResponse.head,
@@ -216,7 +239,8 @@
     ): AttemptResult {
         const { head, body, outcome } = targetResponse;
         if (head.isRefusal) {
-            return { kind: "failed", verdict: "not-run", reason: `refused with ${head.status}` };
+            const { status, isForWantOfRoom } = head;
+            return { kind: "failed", verdict: "not-run", reason: `refused with ${status}`, isForWantOfRoom };
         }
         if (outcome !== ResponseOutcome.complete) {
             return {
@@ -254,6 +278,31 @@
                 || state.getRetryShare(service.name).takeRetry(clock.getMonotonic(), state.instances));
     }
 
+    /**
+     * Waits until a target that refused the request for want of room has probably freed a slot, where targets state their
+     * pace and the response would still start within the objective. A slot is free again sooner than a caller returns.
+     *
+     * @returns True if the request may be sent to these targets again.
+     */
+    async #waitForRoom(): Promise<boolean> {
+        const { route, service, origin, arrivedAt, signal } = this.#exchange;
+        const { state, clock, random } = this.#context;
+        if (this.#refusedBy.size === 0 || service.engine !== undefined || !state.targetPace.isPaced(service.name)) {
+            return false;
+        }
+        const responseMilliseconds = state.getAdmission(service.name).room.estimateResponseTime(origin.kind)
+            ?? route.objectiveMilliseconds * UNKNOWN_RESPONSE_SHARE;
+        const delay = responseMilliseconds * (MIN_SLOT_WAIT_SHARE + (1 - MIN_SLOT_WAIT_SHARE) * random());
+        const untilObjective = arrivedAt + route.objectiveMilliseconds - clock.getMonotonic();
+        if (delay + responseMilliseconds > untilObjective || signal.aborted) {
+            return false;
+        }
+        await waitMilliseconds(delay);
+        this.#refusedBy.forEach(target => this.#avoid.delete(target));
+        this.#refusedBy.clear();
+        return !signal.aborted;
+    }
+
     #sendResponse(targetResponse: { head: TargetResponseHead; body: Buffer; }): void {
         const { response, route, arrivedAt } = this.#exchange;
         const { head, body } = targetResponse;
--- a/support/platform/waiting_line_simulation.ts
+++ b/support/platform/waiting_line_simulation.ts
@@ -250,9 +250,7 @@
             return;
         }
         const waiter = this.#buildWaiter(caller, instance);
-        const isPlaced = (isFormer || instance.line.length === 0) && (!isFormer || instance.line.length === 0)
-            && this.#tryPlace(waiter, instance);
-        if (isPlaced) {
+        if (instance.line.length === 0 && this.#tryPlace(waiter, instance)) {
             return;
         }
         if (isFormer) {
@@ -412,7 +410,7 @@
         });
         this.#schedule(first + decode, () => {
             reservation.release();
-            instance.admission.room.recordRelease(size, this.#now);
+            instance.admission.room.recordRelease(size, { now: this.#now, hasResponded: true });
             instance.releases.push(this.#now);
             instance.wakeAt = this.#now;
             engine.usedTokens -= size;
