Let callers that return early leave room for others, and estimate waits among equals

Cause: a caller that returned at once three times was served more often than one that returned when told to, and requests that go first were refused by an estimate that counted all that wait at peers.

Change: a caller that returns early is placed only where another request still fits, never waits, and keeps its time of return. The estimate of a preferred request counts preferred ones and higher priorities.

--- a/core/serving/refused_callers.ts
+++ b/core/serving/refused_callers.ts
@@ -76,6 +76,11 @@
         return ReturnKind.onTime;
     }
 
+    /** Finds the time at which a refused caller was told to return; `undefined` if it is not known. */
+    findReturnTime(caller: number): number | undefined {
+        return this.#refusals.get(caller)?.returnAt;
+    }
+
     /**
      * Computes the size of the requests of all instances that were refused and have not been told to return yet. Without
      * word from peers, they are taken to have refused as many as this instance.
--- a/core/serving/service_admission.ts
+++ b/core/serving/service_admission.ts
@@ -94,6 +94,7 @@
     sizeWaiting: number,
     refusedAgoMilliseconds: number,
     meanSize: number,
+    largestPreferredSize: number,
 ];
 
 /** What an instance states of one service in a digest. */
@@ -121,6 +122,8 @@
 const PRESSURE_LIFETIME_MILLISECONDS = 2500;
 /** Interval at which what all instances lack is added up, in milliseconds. */
 const PRESSURE_SUM_INTERVAL_MILLISECONDS = 50;
+/** Latest return of a caller that returned early, as a share of the time until its deadline, as for other callers. */
+const MAX_RETURN_SHARE = 0.3;
 /** Number of refusals of a session after which its next request goes first. */
 const MAX_SESSION_REFUSALS = 2;
 /** Number of sessions that are remembered. */
@@ -207,13 +210,16 @@
         const inputs = this.describeWait(entry, { fleet, ownSize: this.line.computeSizeAhead(entry) + entry.size });
         const { allowedMilliseconds, estimateMilliseconds } = inputs;
         this.#shortAt = fleet.now;
+        if (entry.origin.returnKind === ReturnKind.early) {
+            return { reason: "full", inputs };
+        }
         return { reason: decideTimedAdmission({ closure, allowedMilliseconds, estimateMilliseconds }), inputs };
     }
 
     /** Describes how long a request has to wait behind a size at this instance, and what that follows from. */
     describeWait(entry: Entry, { fleet, ownSize }: { fleet: FleetView; ownSize: number; }): RefusalInputs {
         const rate = this.room.estimateRate(fleet);
-        const sizeAhead = ownSize + this.#computePeerSize(entry.priority, fleet);
+        const sizeAhead = ownSize + this.#computePeerSize(entry, fleet);
         return {
             estimateMilliseconds: this.#estimateWait(sizeAhead, rate),
             allowedMilliseconds: entry.latestAt - fleet.now,
@@ -224,36 +230,36 @@
     }
 
     /** Creates the function that estimates the wait behind a size at this instance; the rate is computed once. */
-    createWaitEstimate(fleet: FleetView): (size: number, priority: number) => number | undefined {
+    createWaitEstimate(fleet: FleetView): (size: number, entry: LineEntry) => number | undefined {
         const rate = this.room.estimateRate(fleet);
-        const peerSizes = new Map<number, number>();
-        return (size, priority) => {
-            const peerSize = peerSizes.get(priority) ?? this.#computePeerSize(priority, fleet);
-            peerSizes.set(priority, peerSize);
-            return this.#estimateWait(size + peerSize, rate);
-        };
+        return (size, entry) => this.#estimateWait(size + this.#computePeerSize(entry, fleet), rate);
     }
 
     /**
      * Computes the size that a request has to leave free at its target, beside its own, since others need it more: those
      * of a higher priority while they lack room and are not served more often, and preferred ones that wait. Of the
-     * latter there may be fewer than targets, so that only as many targets keep room for them.
+     * latter there may be fewer than targets, so that only as many targets keep room for them. A caller that returns early
+     * leaves room for another request in any case: it has its turn when it was told to return.
      */
     computeHeadroom(entry: AdmissionEntry, { fleet, random }: { fleet: FleetView; random: () => number; }): number {
         if (!this.isShort(fleet.now)) {
             return 0;
         }
-        const { priority, isPreferred } = entry;
+        const { priority, isPreferred, origin } = entry;
         const pressure = this.#listPressure(fleet.now);
         const ownRatio = this.#shares.computeServedRatio(`p:${priority}`, fleet.now);
         let headroom = 0;
-        for (const [other, waiting, preferred, , refusedAgo, meanSize] of pressure) {
+        for (const [other, waiting, preferred, , refusedAgo, meanSize, largestPreferredSize] of pressure) {
             const isHigher = other < priority
                 && (waiting > 0 || refusedAgo < SHORT_MILLISECONDS)
                 && this.#shares.computeServedRatio(`p:${other}`, fleet.now) < ownRatio + PRIORITY_LEAD;
             const isForPreferred = other === priority && !isPreferred
-                && random() * Math.max(1, fleet.targets) < preferred;
-            headroom = Math.max(headroom, isHigher || isForPreferred ? meanSize : 0);
+                && (origin.returnKind === ReturnKind.early || random() * Math.max(1, fleet.targets) < preferred);
+            headroom = Math.max(
+                headroom,
+                isHigher ? meanSize : 0,
+                isForPreferred ? Math.max(meanSize, largestPreferredSize) : 0,
+            );
         }
         return headroom;
     }
@@ -278,9 +284,13 @@
     ): number {
         const { closure, fleet, random } = options;
         const { now } = fleet;
+        if (entry.origin.returnKind === ReturnKind.early) {
+            const returnAt = this.refusedCallers.findReturnTime(entry.origin.getCaller()) ?? now;
+            return Math.max(0, Math.min(returnAt - now, MAX_RETURN_SHARE * (entry.deadline - now))) / 1000;
+        }
         const rate = this.room.estimateRate(fleet);
         const backlogSize = entry.size + this.refusedCallers.computeBacklogSize(now, fleet.instances)
-            + this.line.estimateMeanSize(now) + this.#computePeerSize(entry.priority, fleet);
+            + this.line.estimateMeanSize(now) + this.#computePeerSize(entry, fleet);
         const returnMilliseconds = estimateReturnTime({ backlogSize, sizePerSecond: rate?.sizePerSecond });
         const retryAfterSeconds = chooseRetryAfter({
             closure,
@@ -352,74 +362,60 @@
             : 1000 * size / (rate.sizePerSecond * Math.max(MIN_WAITED_SHARE, this.#waitedShare));
     }
 
-    /** Computes the size of requests of at least a priority that wait at peers. */
-    #computePeerSize(priority: number, { now, instances }: FleetView): number {
+    /** Computes the size that waits at peers and goes before a request, or is taken to, if they state nothing. */
+    #computePeerSize({ priority, isPreferred }: LineEntry, { now, instances }: FleetView): number {
+        if (this.#peerPressure.size === 0) {
+            return this.line.estimateMeanSize(now) * Math.max(0, instances - 1);
+        }
         let size = 0;
-        let peers = 0;
-        for (const [peer, { pressure, receivedAt }] of this.#peerPressure) {
-            if (now - receivedAt > PRESSURE_LIFETIME_MILLISECONDS) {
-                this.#peerPressure.delete(peer);
-                continue;
-            }
-            peers += 1;
-            for (const [other, , , sizeWaiting] of pressure) {
-                size += other <= priority ? sizeWaiting : 0;
-            }
+        for (const [other, waiting, preferred, sizeWaiting] of this.#listPeerPressure(now)) {
+            const share = other < priority ? 1 : other > priority ? 0 : isPreferred ? preferred / (waiting || 1) : 1;
+            size += share * sizeWaiting;
         }
-        return peers > 0 ? size : this.line.estimateMeanSize(now) * Math.max(0, instances - 1);
+        return size;
     }
 
     #listOwnPressure(now: number): ToldPressure[] {
         const waiting = this.line.listWaiting();
         return [...this.#pressure].map(([priority, { refusedAt, meanSize }]): ToldPressure => {
             const entries = waiting.filter(entry => entry.priority === priority);
+            const preferred = entries.filter(({ isPreferred }) => isPreferred);
             return [
                 priority,
                 entries.length,
-                entries.filter(({ isPreferred }) => isPreferred).length,
+                preferred.length,
                 Math.round(entries.reduce((sum, { size }) => sum + size, 0)),
                 Math.round(Math.min(now - refusedAt, PRESSURE_LIFETIME_MILLISECONDS)),
                 Math.round(meanSize),
+                Math.round(Math.max(0, ...preferred.map(({ size }) => size))),
             ];
         });
     }
 
-    /** Lists what all instances lack by priority; there may be hundreds, so that it is added up at intervals only. */
+    /** Lists what all instances lack by priority. */
     #listPressure(now: number): ToldPressure[] {
+        return mergePressure([...this.#listOwnPressure(now), ...this.#listPeerPressure(now)]);
+    }
+
+    /** Lists what the peers lack by priority; there may be hundreds, so that it is added up at intervals only. */
+    #listPeerPressure(now: number): ToldPressure[] {
         if (now - this.#pressureSummedAt >= PRESSURE_SUM_INTERVAL_MILLISECONDS) {
             this.#pressureSummedAt = now;
-            this.#pressureSum = this.#sumPressure(now);
+            const told: ToldPressure[] = [];
+            for (const [peer, { pressure, receivedAt }] of this.#peerPressure) {
+                if (now - receivedAt > PRESSURE_LIFETIME_MILLISECONDS) {
+                    this.#peerPressure.delete(peer);
+                    continue;
+                }
+                for (const [priority, waiting, preferred, size, refusedAgo, ...sizes] of pressure) {
+                    told.push([priority, waiting, preferred, size, refusedAgo + now - receivedAt, ...sizes]);
+                }
+            }
+            this.#pressureSum = mergePressure(told);
         }
         return this.#pressureSum;
     }
 
-    #sumPressure(now: number): ToldPressure[] {
-        const told = [...this.#peerPressure.values()]
-            .filter(({ receivedAt }) => now - receivedAt <= PRESSURE_LIFETIME_MILLISECONDS)
-            .flatMap(({ pressure, receivedAt }) =>
-                pressure.map((
-                    [priority, waiting, preferred, size, refusedAgo, meanSize],
-                ): ToldPressure => [priority, waiting, preferred, size, refusedAgo + now - receivedAt, meanSize])
-            );
-        const merged = new Map<number, ToldPressure>();
-        for (const pressure of [...this.#listOwnPressure(now), ...told]) {
-            const [priority, waiting, preferred, size, refusedAgo, meanSize] = pressure;
-            const sum = merged.get(priority);
-            merged.set(
-                priority,
-                sum === undefined ? pressure : [
-                    priority,
-                    sum[1] + waiting,
-                    sum[2] + preferred,
-                    sum[3] + size,
-                    Math.min(sum[4], refusedAgo),
-                    Math.max(sum[5], meanSize),
-                ],
-            );
-        }
-        return [...merged.values()];
-    }
-
     #updateMeanSize({ priority, size }: AdmissionEntry): void {
         const meanSize = this.#pressure.get(priority)?.meanSize ?? size;
         this.#setPressure(priority, { meanSize: meanSize + MEAN_SIZE_WEIGHT * (size - meanSize) });
@@ -440,3 +436,25 @@
         }
     }
 }
+
+/** Adds up what several instances lack, by priority. */
+function mergePressure(told: readonly ToldPressure[]): ToldPressure[] {
+    const merged = new Map<number, ToldPressure>();
+    for (const pressure of told) {
+        const [priority, waiting, preferred, size, refusedAgo, meanSize, largestPreferredSize] = pressure;
+        const sum = merged.get(priority);
+        merged.set(
+            priority,
+            sum === undefined ? pressure : [
+                priority,
+                sum[1] + waiting,
+                sum[2] + preferred,
+                sum[3] + size,
+                Math.min(sum[4], refusedAgo),
+                Math.max(sum[5], meanSize),
+                Math.max(sum[6], largestPreferredSize),
+            ],
+        );
+    }
+    return [...merged.values()];
+}
--- a/core/serving/waiting_line.ts
+++ b/core/serving/waiting_line.ts
@@ -34,8 +34,8 @@
     now: number;
     /** Tries to place a request; returns true if it needs to wait no longer. */
     tryPlace: (entry: Entry) => boolean;
-    /** Estimates the time until capacity for a size is free to a priority, in ms; `undefined` if nothing is known of it. */
-    estimateWait: (size: number, priority: number) => number | undefined;
+    /** Estimates the time until a size is free for a request, in milliseconds; `undefined` if it is not known. */
+    estimateWait: (size: number, entry: Entry) => number | undefined;
 }
 
 /** A request that is refused, with the inputs of the decision. */
@@ -161,7 +161,7 @@
         let sizeAhead = 0;
         for (const record of this.#records) {
             const needed = sizeAhead + record.entry.size;
-            const estimateMilliseconds = step.estimateWait(needed, record.entry.priority);
+            const estimateMilliseconds = step.estimateWait(needed, record.entry);
             if (this.#isRefused(record, { now: step.now, estimateMilliseconds })) {
                 refused.push({ entry: record.entry, sizeAhead: needed, estimateMilliseconds });
             }
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -154,7 +154,15 @@
 /** Statement on one service; the limits are several times those of the sender. */
 const LineStatementSchema = v.object({
     pressure: v.pipe(
-        v.array(v.tuple([CountSchema, CountSchema, CountSchema, CountSchema, CountSchema, CountSchema])),
+        v.array(v.tuple([
+            CountSchema,
+            CountSchema,
+            CountSchema,
+            CountSchema,
+            CountSchema,
+            CountSchema,
+            CountSchema,
+        ])),
         v.maxLength(40),
     ),
     shares: v.pipe(v.array(v.tuple([v.string(), CountSchema, CountSchema])), v.maxLength(200)),
--- a/support/platform/waiting_line_simulation.ts
+++ b/support/platform/waiting_line_simulation.ts
@@ -113,6 +113,8 @@
 const LONG_PER_ENGINE = 0.75;
 const PREFILL_TOKENS_PER_MILLISECOND = 14;
 const WARM_UP_MILLISECONDS = 6000;
+/** Time for which requests go on to arrive after the measured ones, whose callers may return, in milliseconds. */
+const TAIL_MILLISECONDS = 8000;
 const STEP_MILLISECONDS = 5;
 const DIGEST_MILLISECONDS = 3;
 const HASTY_RETURNS = 3;
@@ -165,8 +167,8 @@
         const end = WARM_UP_MILLISECONDS + this.#options.seconds * 1000;
         const perStep = 2 * LONG_PER_ENGINE * this.#engines.length * this.#options.overload * STEP_MILLISECONDS / 1000;
         const measuredSteps = end / STEP_MILLISECONDS;
-        for (; this.#now < end + 2 * KINDS.long.objective; this.#now += STEP_MILLISECONDS) {
-            const arrivals = this.#now < end ? Math.floor(perStep + this.#random()) : 0;
+        for (; this.#now < end + TAIL_MILLISECONDS; this.#now += STEP_MILLISECONDS) {
+            const arrivals = Math.floor(perStep + this.#random());
             for (let index = 0; index < arrivals; index += 1) {
                 this.#startAttempt(this.#createCaller());
             }
@@ -439,7 +441,8 @@
     }
 
     #isMeasured({ firstAskedAt }: Caller): boolean {
-        return firstAskedAt >= WARM_UP_MILLISECONDS;
+        return firstAskedAt >= WARM_UP_MILLISECONDS
+            && firstAskedAt < WARM_UP_MILLISECONDS + this.#options.seconds * 1000;
     }
 
     #countReleases({ releases }: Instance): number {
