--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -64,6 +64,8 @@
 
 /** Targets to which an attempt may go. */
 export interface VersionChoice {
+    /** Name of the accepted targets: choices for a service with the same name accept the same ones. */
+    name: string;
     /** Accepts the targets that are tried first, without waiting for one; `undefined` for none. */
     isPreferred: ((target: ServingTarget) => boolean) | undefined;
     /** Accepts all targets that may be used. */
@@ -447,7 +449,7 @@
         const settled = others.filter(isSettled).length;
         return settled === 0 || settled === others.length
             ? undefined
-            : { isPreferred: undefined, isAllowed: isSettled };
+            : { name: "settled", isPreferred: undefined, isAllowed: isSettled };
     }
 
     #chooseByOrder(
@@ -456,33 +458,39 @@
     ): VersionChoice | undefined {
         const { route, isLong, isFirst, softwareVersion, now } = input;
         const { plan, end, evidence, exposure, order, canaries } = rollout;
+        const oldName = `old ${order.softwareVersion}`;
         const isNew = (target: ServingTarget): boolean => isNewTarget(rollout, target);
         const isOld = (target: ServingTarget): boolean =>
             !isNewTarget(rollout, target) && !this.#isWithdrawn(target, now);
         if (end?.state === RolloutState.completed) {
             return softwareVersion !== undefined || !others.some(isNew)
                 ? undefined
-                : { isPreferred: undefined, isAllowed: isNew };
+                : { name: `new ${order.softwareVersion}`, isPreferred: undefined, isAllowed: isNew };
         }
         if (isFirst && end === undefined) {
             evidence.recordRequest(isLong);
         }
         if (end !== undefined || !this.#isConnected || plan === undefined) {
-            return { isPreferred: undefined, isAllowed: isOld };
+            return { name: oldName, isPreferred: undefined, isAllowed: isOld };
         }
         if (softwareVersion !== undefined) {
             const isNewStream = softwareVersion === order.softwareVersion;
-            return { isPreferred: undefined, isAllowed: target => isNewTarget(rollout, target) === isNewStream };
+            return {
+                name: isNewStream ? `new ${order.softwareVersion}` : oldName,
+                isPreferred: undefined,
+                isAllowed: target => isNewTarget(rollout, target) === isNewStream,
+            };
         }
         const isMoved = plan.stage === RolloutStage.all || plan.stage === RolloutStage.streams && isLong;
         if (!others.some(isOld)) {
             return undefined;
         }
         if (isFirst && isMoved) {
-            return { isPreferred: isNew, isAllowed: target => isNew(target) || isOld(target) };
+            return { name: "any", isPreferred: isNew, isAllowed: target => isNew(target) || isOld(target) };
         }
         const isChosen = isFirst && exposure.recordRequest(route, plan.share);
         return {
+            name: oldName,
             isPreferred: isChosen ? target => isNew(target) && canaries.has(target.id) : undefined,
             isAllowed: isOld,
         };
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -57,6 +57,8 @@
 export interface TargetSelectionInput {
     /** Load that the request adds to its target. */
     requestLoad: RequestLoad;
+    /** Tokens of KV cache that the request leaves free at its target, beside its own. Defaults to 0. */
+    headroomTokens?: number | undefined;
     /** Limits of the engine; `undefined` for a service whose targets are not engines. */
     engine: EngineLimits | undefined;
     /** Availability zone of this instance, or of the source engine if a running generation is copied. */
@@ -193,9 +195,9 @@
  */
 function isFull(
     { target, load }: TargetCandidate,
-    { engine, requestLoad }: TargetSelectionInput,
+    { engine, requestLoad, headroomTokens = 0 }: TargetSelectionInput,
 ): boolean {
-    const neededTokens = load.tokens + requestLoad.promptTokens + requestLoad.outputTokens;
+    const neededTokens = load.tokens + requestLoad.promptTokens + requestLoad.outputTokens + headroomTokens;
     if (engine !== undefined && load.requests > 0 && neededTokens > engine.memoryTokens * MAX_MEMORY_SHARE) {
         return true;
     }
--- a/features/steps/platform_digest_relay_steps.ts
+++ b/features/steps/platform_digest_relay_steps.ts
@@ -52,6 +52,7 @@
         refusalStatements: [],
         promptEvidence: { crashes: [], sound: [], quarantined: [] },
         baselines: {},
+        lines: {},
         versions: { configuration: 1, targets: 1, targetsEra: 0, zones: 1, zonesEra: 0 },
         isWatching: false,
         relayAddress: "",
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -10,6 +10,7 @@
     type ClientAccount,
     type PlacementEstimate,
     type RequestLoad,
+    type RequestOrigin,
     type Route,
     RouteKind,
     type ServiceDefinition,
@@ -57,6 +58,8 @@
     log: DecisionLog;
     /** Counters and histograms. */
     metrics: ServingMetrics;
+    /** Availability zone of this instance. */
+    zone: string;
     /** Source of time. */
     clock: Clock;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
@@ -81,6 +84,8 @@
     sharedPromptParts: readonly string[];
     /** Fingerprint of the request: the same for requests of one account with the same method, host, path and body. */
     fingerprint: string;
+    /** Who sent the request, for the order in which requests are served. */
+    origin: RequestOrigin;
     /** Account of the caller; `undefined` if the request needs no API key. */
     account: ClientAccount | undefined;
     /** Priority of the account or, if it has none, of the route; 0 is the highest. */
@@ -135,13 +140,14 @@
     attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
     const { exchange, ...rest } = attempt;
-    const { service, route, priority, arrivedAt, deadline, signal } = exchange;
+    const { service, route, priority, origin, arrivedAt, deadline, signal } = exchange;
     const { scheduler, state } = context;
     const now = context.clock.getMonotonic();
     const request = {
         ...rest,
         service,
         priority,
+        origin,
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
         gapMilliseconds: route.maxGapMilliseconds,
         remainingMilliseconds: deadline - now,
@@ -160,7 +166,11 @@
         ? undefined
         : scheduler.reserveTargetNow({ ...request, isAllowed: versions.isPreferred });
     const result: ReservationResult = preferred === undefined
-        ? await scheduler.reserveTarget({ ...request, isAllowed: versions?.isAllowed })
+        ? await scheduler.reserveTarget({
+            ...request,
+            isAllowed: versions?.isAllowed,
+            allowedName: versions?.name,
+        })
         : { kind: "placed", reservation: preferred };
     if (result.kind === "placed") {
         const { target, estimate } = result.reservation;
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -492,6 +492,7 @@
         this.#options.state.applyPaceNotice(message);
         this.#options.state.applyBaselines(message.baselines);
         this.#options.state.applyRolloutReports(message.instance, message.rolloutReports ?? []);
+        this.#options.state.applyLineStatements(message.instance, message.lines);
         this.#options.state.applyCrashEvidence(message.instance, message.promptEvidence);
         this.#options.state.loadTracker.applyDigest(message.instance, { work: message.work, receivedAt: now });
         if (forwarded === undefined && isNewlyReached && now - peer.lastSentAt >= MIN_REPLY_INTERVAL_MILLISECONDS) {
@@ -650,7 +651,8 @@
         }
     }
 
-    #buildDigest(now: number): DigestMessage {
+    /** Builds a digest; statements on what waits are taken once, and go to all peers. */
+    #buildDigest(now: number, lines: DigestMessage["lines"] = {}): DigestMessage {
         const { state, instance, isWatching, getRelayAddress } = this.#options;
         return {
             kind: "digest",
@@ -664,6 +666,7 @@
             refusalStatements: state.refusalLimits.listTold(now),
             promptEvidence: state.requestQuarantine.getEvidence(now),
             baselines: state.softwareVersions.listBaselines(),
+            lines,
             versions: this.#getVersions(),
             isWatching: isWatching(),
             relayAddress: getRelayAddress(),
@@ -683,7 +686,11 @@
     #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
         const { state } = this.#options;
-        const digest = { ...this.#buildDigest(now), ...state.takePaceNotice(), ...state.buildRolloutReports(now) };
+        const digest = {
+            ...this.#buildDigest(now, state.takeLineStatements()),
+            ...state.takePaceNotice(),
+            ...state.buildRolloutReports(now),
+        };
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         const recipients = this.#getRecipients(now);
@@ -792,9 +799,11 @@
         speeds,
         loads,
         rolloutReports,
+        lines,
     } = digest;
     const { crashes, sound, quarantined } = promptEvidence;
     return speeds === undefined && loads === undefined && rolloutReports === undefined
+        && Object.keys(lines).length === 0
         && [unreachable, leaving, paused, rateStatements, refusalStatements, crashes, sound, quarantined].every(list =>
             list.length === 0
         );
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -126,6 +126,7 @@
             countDroppedLines: () => log.droppedTotal,
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
+            countWaiting: () => this.#scheduler.waiting,
         });
         this.#malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
@@ -181,6 +182,7 @@
         this.#scheduler = new RequestScheduler({ ...shared, zone: settings.zone });
         this.#context = {
             ...shared,
+            zone: settings.zone,
             scheduler: this.#scheduler,
             connections: this.#connections,
             engines,
