Give long streams to a new engine once it has shown that it is not slow

Cause: engines are replaced every few seconds. A new one was assumed to be as fast as the median and is idle, so that it got the next long streams.

Change: where gaps count, an engine without evidence is assumed to be as slow as the service's slower ones. The events of short streams count as evidence too, and one step at the usual speed shows that an engine is not slow.

--- a/core/serving/engine_speeds.ts
+++ b/core/serving/engine_speeds.ts
@@ -23,6 +23,8 @@
     requests: number;
     /** Pace that the engine has stated for its machine; 1 if unknown. */
     pace: number;
+    /** Number of events. Defaults to those of a whole window. */
+    events?: number;
 }
 
 /**
@@ -44,13 +46,15 @@
     total: Evidence;
     /** Evidence of this instance that its peers have not been told of. */
     untold: Evidence;
+    /** Shortest step that was measured while the machine was not slow; nothing makes a step shorter than it is. */
+    shortestFactor: number;
 }
 
 /** Duration of a step without requests, in milliseconds. */
 const STEP_MILLISECONDS = 7;
 /** Additional duration of a step for each running request, in milliseconds. */
 const STEP_MILLISECONDS_PER_REQUEST = 0.12;
-/** Events over which one sample is measured; fewer would measure the reading of chunks rather than the engine. */
+/** Events over which one sample is measured; a shorter one, of a stream that has ended, has a smaller weight. */
 const EVENTS_PER_SAMPLE = 8;
 /**
  * Weight of a sample above the estimate, relative to one below it: slow moments of a machine and prompts that are read
@@ -68,11 +72,22 @@
 const PRIOR_WEIGHT = 2;
 /** Weight of the evidence with which an engine counts for the median. */
 const MIN_MEDIAN_WEIGHT = 2;
+/** Largest stated pace of a machine that is not slow. */
+const USUAL_PACE = 1.1;
+/** Factor by which a usual step may be longer than the shortest one that was measured. */
+const SHORTEST_STEP_MARGIN = 1.1;
+/**
+ * Share of the service's engines that are no slower than a new engine is assumed to be where a slow one would do most
+ * harm: a new engine is idle, and would otherwise get the next long streams although it may be slow.
+ */
+const CAUTIOUS_QUANTILE = 0.8;
+/** Engines with evidence from which that share is computed. */
+const MIN_QUANTILE_ENGINES = 4;
 /** Interval at which the median is computed, and at which peers are told, in milliseconds. */
 const MEDIAN_INTERVAL_MILLISECONDS = 1000;
 const TELLING_INTERVAL_MILLISECONDS = 1000;
 /** Weight of the evidence from which peers are told of it. */
-const MIN_TOLD_WEIGHT = 1;
+const MIN_TOLD_WEIGHT = 0.25;
 /** Number of engines in a message, which bounds its size. */
 const MAX_TOLD_ENGINES = 24;
 const PERCENT = 100;
@@ -109,6 +124,18 @@
         return milliseconds;
     }
 
+    /**
+     * Ends the window with its stream.
+     *
+     * @returns The number of its events, and the time per event in milliseconds; `undefined` if it holds none.
+     */
+    finishWindow(now: number): { events: number; milliseconds: number; } | undefined {
+        const events = this.#events;
+        const milliseconds = (now - this.#startedAt) / events;
+        this.restart();
+        return events === 0 ? undefined : { events, milliseconds };
+    }
+
     /** Discards the window: the time since its start is not the engine's, as the caller has not read. */
     restart(): void {
         this.#startedAt = Number.NaN;
@@ -120,11 +147,15 @@
 export class EngineSpeeds {
     readonly #records = new Map<string, SpeedRecord>();
     #medians = new Map<string, number>();
+    #cautiousFactors = new Map<string, number>();
     #mediansComputedAt = Number.NEGATIVE_INFINITY;
     #toldAt = Number.NEGATIVE_INFINITY;
 
     /** Records a sample of the events that an engine has sent to this instance. */
-    recordSample(engine: EngineStart, { millisecondsPerToken, requests, pace }: EventSample): void {
+    recordSample(
+        engine: EngineStart,
+        { millisecondsPerToken, requests, pace, events = EVENTS_PER_SAMPLE }: EventSample,
+    ): void {
         const measured = millisecondsPerToken / computeStepMilliseconds(requests) / pace;
         if (!(measured >= MIN_FACTOR && measured <= MAX_FACTOR)) {
             return;
@@ -132,8 +163,11 @@
         const record = this.#getRecord(engine);
         const { total, untold } = record;
         const estimate = total.weight > 0 ? total.sum / total.weight : measured;
-        const weight = measured > estimate ? LONG_SAMPLE_WEIGHT : 1;
+        const weight = (measured > estimate ? LONG_SAMPLE_WEIGHT : 1) * events / EVENTS_PER_SAMPLE;
         const factor = Math.min(measured, estimate * MAX_SAMPLE_RATIO);
+        if (pace <= USUAL_PACE) {
+            record.shortestFactor = Math.min(record.shortestFactor, measured);
+        }
         addEvidence(total, factor, weight);
         addEvidence(untold, factor, weight);
     }
@@ -144,7 +178,9 @@
         if (start !== getStartValue(engine) || !(weight > 0) || !(factor >= MIN_FACTOR && factor <= MAX_FACTOR)) {
             return;
         }
-        addEvidence(this.#getRecord(engine).total, factor, Math.min(weight, MAX_WEIGHT));
+        const record = this.#getRecord(engine);
+        record.shortestFactor = Math.min(record.shortestFactor, factor);
+        addEvidence(record.total, factor, Math.min(weight, MAX_WEIGHT));
     }
 
     /** Takes what peers have not been told of, at most once a second; `undefined` if there is nothing. */
@@ -157,7 +193,7 @@
         for (const [id, { startedAt, untold }] of this.#records) {
             if (untold.weight >= MIN_TOLD_WEIGHT && count < MAX_TOLD_ENGINES) {
                 const percent = Math.round(PERCENT * untold.sum / untold.weight);
-                told[id] = [getStartValue({ id, startedAt }), percent, Math.round(untold.weight)];
+                told[id] = [getStartValue({ id, startedAt }), percent, Number(untold.weight.toFixed(2))];
                 untold.sum = 0;
                 untold.weight = 0;
                 count += 1;
@@ -176,7 +212,22 @@
      */
     estimateStepFactor(engine: EngineStart, now: number): number {
         this.#updateMedians(now);
-        const prior = this.#medians.get(engine.service) ?? 1;
+        return this.#estimateFactor(engine, this.#medians.get(engine.service) ?? 1);
+    }
+
+    /** Estimates the same; with little evidence, it is close to that of the service's slower engines. */
+    estimateCautiousFactor(engine: EngineStart, now: number): number {
+        this.#updateMedians(now);
+        const prior = this.#cautiousFactors.get(engine.service) ?? this.#medians.get(engine.service) ?? 1;
+        const record = this.#records.get(engine.id);
+        const isSameStart = record?.startedAt === engine.startedAt;
+        return this.#estimateFactor(
+            engine,
+            isSameStart ? Math.min(prior, SHORTEST_STEP_MARGIN * record.shortestFactor) : prior,
+        );
+    }
+
+    #estimateFactor(engine: EngineStart, prior: number): number {
         const record = this.#records.get(engine.id);
         if (record === undefined || record.startedAt !== engine.startedAt) {
             return prior;
@@ -204,7 +255,13 @@
         if (known?.startedAt === startedAt) {
             return known;
         }
-        const record = { service, startedAt, total: { sum: 0, weight: 0 }, untold: { sum: 0, weight: 0 } };
+        const record = {
+            service,
+            startedAt,
+            total: { sum: 0, weight: 0 },
+            untold: { sum: 0, weight: 0 },
+            shortestFactor: Infinity,
+        };
         this.#records.set(id, record);
         return record;
     }
@@ -222,7 +279,16 @@
                 factors.set(service, list);
             }
         }
-        this.#medians = new Map([...factors].map(([service, list]) => [service, computeMedian(list)]));
+        this.#medians = new Map();
+        this.#cautiousFactors = new Map();
+        for (const [service, list] of factors) {
+            list.sort((a, b) => a - b);
+            this.#medians.set(service, list[Math.floor(list.length / 2)] ?? 1);
+            const cautious = list[Math.floor(list.length * CAUTIOUS_QUANTILE)];
+            if (list.length >= MIN_QUANTILE_ENGINES && cautious !== undefined) {
+                this.#cautiousFactors.set(service, cautious);
+            }
+        }
     }
 }
 
@@ -236,11 +302,6 @@
     }
 }
 
-function computeMedian(values: number[]): number {
-    values.sort((a, b) => a - b);
-    return values[Math.floor(values.length / 2)] ?? 1;
-}
-
 /** Gets the number that stands for an engine's start in messages. */
 function getStartValue({ startedAt }: TargetStart): number {
     return startedAt % START_VALUES;
--- a/core/serving/paced_selection.ts
+++ b/core/serving/paced_selection.ts
@@ -16,6 +16,8 @@
 export interface CandidatePace extends PaceEstimate {
     /** Duration of an engine's step as a multiple of the usual one. */
     stepFactor: number;
+    /** The same, close to that of slower engines while little is known of the engine. Defaults to `stepFactor`. */
+    cautiousFactor?: number;
     /** Requests of other instances at a target of a plain service, whose digests do not contain them. */
     othersRequests: number;
 }
@@ -121,7 +123,7 @@
         + (load.requests > 0 ? prefillTokens / CHUNK_TOKENS * stepMilliseconds : 0);
     const workMilliseconds = usualMilliseconds * stepFactor;
     const firstMilliseconds = workMilliseconds * estimateMeanPace(pace, workMilliseconds);
-    const gapMilliseconds = engine.tokensPerEvent * SLOW_PACE * stepFactor
+    const gapMilliseconds = engine.tokensPerEvent * SLOW_PACE * (pace.cautiousFactor ?? stepFactor)
         * (stepMilliseconds + CHUNK_TOKENS / PREFILL_TOKENS_PER_MILLISECOND);
     const memoryShare = (load.tokens + promptTokens + outputTokens) / engine.memoryTokens;
     const slotShare = (load.requests + 1) / Math.max(1, slots);
--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -70,3 +70,8 @@
 
     Scenario: digests with and without figures on pace are understood, and unusable figures are ignored
         Then a digest without figures on pace, one with them and one with unusable ones are understood
+
+    Scenario: a new engine gets no long streams while it may be one of the slower ones
+        When 8 of 10 engines have shown that their steps take 1 times as long as usual, and 2 that they take 2.2 times as long
+        Then the step of a new engine is expected to take 1 times as long, and 2.2 times as long where gaps count
+        And after the two events of 1 checks at the usual speed, less than 1.2 times as long where gaps count
--- a/features/steps/platform_pace_steps.ts
+++ b/features/steps/platform_pace_steps.ts
@@ -5,7 +5,7 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { EngineSpeeds, estimateMeanPace, TargetPace } from "../../core/serving/mod.ts";
+import { EngineSpeeds, estimateMeanPace, EventWindow, TargetPace } from "../../core/serving/mod.ts";
 import { parsePeerMessage } from "../../serving/peer_messages.ts";
 import {
     type PlainSelectionOptions,
@@ -165,6 +165,56 @@
     assert.equal(another.estimateStepFactor(restarted, 0), 1);
 });
 
+const newEngine = { id: "new", service: "engines", startedAt: 1 };
+
+/** Step of an idle engine of the usual speed, in milliseconds. */
+const USUAL_STEP_MILLISECONDS = 7;
+
+When(
+    /^(\d+) of 10 engines have shown that their steps take ([\d.]+) times as long as usual, and 2 that they take ([\d.]+) times as long$/,
+    (count: string, usual: string, slow: string) => {
+        speeds = new EngineSpeeds();
+        for (let index = 0; index < 10; index += 1) {
+            const factor = Number(index < Number(count) ? usual : slow);
+            const known = { id: `known-${index}`, service: "engines", startedAt: 1 };
+            for (let sample = 0; sample < 10; sample += 1) {
+                speeds.recordSample(known, {
+                    millisecondsPerToken: USUAL_STEP_MILLISECONDS * factor,
+                    requests: 0,
+                    pace: 1,
+                });
+            }
+        }
+    },
+);
+
+Then(
+    /^the step of a new engine is expected to take ([\d.]+) times as long, and ([\d.]+) times as long where gaps count$/,
+    (usual: string, cautious: string) => {
+        assert.equal(speeds.estimateStepFactor(newEngine, 2000).toFixed(1), Number(usual).toFixed(1));
+        assert.equal(speeds.estimateCautiousFactor(newEngine, 2000).toFixed(1), Number(cautious).toFixed(1));
+    },
+);
+
+Then(
+    "after the two events of {int} checks at the usual speed, less than {float} times as long where gaps count",
+    (checks: number, factor: number) => {
+        for (let check = 0; check < checks; check += 1) {
+            const window = new EventWindow();
+            window.addEvents(1, 0);
+            window.addEvents(1, 4 * USUAL_STEP_MILLISECONDS);
+            const { events = 0, milliseconds = 0 } = window.finishWindow(4 * USUAL_STEP_MILLISECONDS) ?? {};
+            speeds.recordSample(newEngine, {
+                millisecondsPerToken: milliseconds / 4,
+                requests: 0,
+                pace: 1,
+                events,
+            });
+        }
+        assert.ok(speeds.estimateCautiousFactor(newEngine, 4000) < factor);
+    },
+);
+
 const targetPace = new TargetPace();
 
 When("a target states a pace of {float}", function(pace: number) {
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -12,6 +12,7 @@
     DigestReason,
     EngineSpeeds,
     EvacuatedZones,
+    type EventSample,
     LoadTracker,
     type QuarantinedPart,
     type RateShareInput,
@@ -351,11 +352,14 @@
     }
 
     /** Records how long the events of a stream took that an engine of a paced service has sent. */
-    recordEventSample(engine: ServingTarget, millisecondsPerToken: number): void {
+    recordEventSample(
+        engine: ServingTarget,
+        sample: Pick<EventSample, "millisecondsPerToken" | "events">,
+    ): void {
         const now = this.#now();
         const { pace, ageMilliseconds } = this.targetPace.getEstimate(engine.id, now);
         this.engineSpeeds.recordSample(engine, {
-            millisecondsPerToken,
+            ...sample,
             requests: this.loadTracker.computeTotalLoad(engine.id, now).requests,
             pace: ageMilliseconds <= MAX_SAMPLE_PACE_AGE_MILLISECONDS ? pace : 1,
         });
@@ -590,6 +594,7 @@
             ageMilliseconds,
             meanPace,
             stepFactor: isEngine ? this.engineSpeeds.estimateStepFactor(target, now) : 1,
+            ...isEngine ? { cautiousFactor: this.engineSpeeds.estimateCautiousFactor(target, now) } : {},
             othersRequests: isEngine ? 0 : this.targetPace.estimateOthersRequests(target, now),
         };
     }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -487,6 +487,7 @@
         const isTooLate = shown === ResponseOutcome.complete && this.#exchange.signal.aborted;
         const outcome = isTooLate ? ResponseOutcome.unknown : shown;
         if (outcome === ResponseOutcome.complete) {
+            this.#finishPace(attempt.reservation.target);
             return { kind: "complete" };
         }
         const reason = attempt.attemptAbort.signal.aborted
@@ -495,18 +496,39 @@
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
-    /** Adds events to what is known of an engine's speed, if its service is paced. */
-    #recordPace(target: ServingTarget, count: number): void {
-        const { state } = this.#context;
+    /** True if the events of the stream show how fast the engine is: its service is paced. */
+    get #isPaceMeasured(): boolean {
         const { engine, name } = this.#exchange.service;
-        if (count > 0 && engine !== undefined && state.targetPace.isPaced(name)) {
+        return engine !== undefined && this.#context.state.targetPace.isPaced(name);
+    }
+
+    /** Adds events to what is known of an engine's speed. */
+    #recordPace(target: ServingTarget, count: number): void {
+        if (count > 0 && this.#isPaceMeasured) {
             const milliseconds = this.#eventWindow.addEvents(count, this.#now);
             if (milliseconds > 0) {
-                state.recordEventSample(target, milliseconds / engine.tokensPerEvent);
+                this.#recordEventSample(target, { milliseconds });
             }
         }
     }
 
+    /** Adds the last events of a stream to what is known of an engine's speed; short streams have no others. */
+    #finishPace(target: ServingTarget): void {
+        const window = this.#isPaceMeasured ? this.#eventWindow.finishWindow(this.#now) : undefined;
+        if (window !== undefined) {
+            this.#recordEventSample(target, window);
+        }
+    }
+
+    #recordEventSample(target: ServingTarget, sample: { milliseconds: number; events?: number; }): void {
+        const { milliseconds, ...rest } = sample;
+        const tokensPerEvent = this.#exchange.service.engine?.tokensPerEvent ?? 1;
+        this.#context.state.recordEventSample(target, {
+            ...rest,
+            millisecondsPerToken: milliseconds / tokensPerEvent,
+        });
+    }
+
     /** Binds the stream to the software version of the target that sends its first event, which the caller gets after this. */
     async #recordBeginning(target: ServingTarget): Promise<void> {
         const { route, request, service } = this.#exchange;
