Limit what one instance holds for all its callers

Cause: no bound covered the bodies of all callers together, bodies had no timeout, and the connection of a body over the limit stayed open. 1,500 clients with many header fields ended the process under the flags of the smallest machine, and 2,000 bodies without their last byte took 225 MB there.

Change: one budget derived from limits.memory_mb and one limit of connections derived from limits.max_fds, both optional. core/serving/client_limits.ts chooses who is closed: the clients that hold most for longest without completing their request or reading their response. Bodies without progress get 408, unread responses and unused bodies are closed. Pipelined requests are handled in turn, at most 16 are kept. Small pieces of a body share a buffer. The readiness and administrative ports have small limits of their own. A late head no longer puts a 408 in the place of the response to an earlier request on the same connection.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./attempt_end.ts";
+export * from "./client_limits.ts";
 export * from "./configuration_broadcast.ts";
 export * from "./digest_rate_limiter.ts";
 export * from "./evacuated_zones.ts";
--- a/network/http_server.ts
+++ b/network/http_server.ts
@@ -6,7 +6,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Address } from "./address.ts";
-import type { ByteBudget } from "./response_limits.ts";
+import type { ClientGuard } from "./client_guard.ts";
+import { BodyTooLargeError, type ByteBudget } from "./response_limits.ts";
 
 /** Handles one HTTP request. */
 export type HttpHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
@@ -23,6 +24,8 @@
     requestTimeout?: number;
     /** Maximum total size of a request's headers, in bytes. Defaults to 16 KiB. */
     maxHeaderSize?: number;
+    /** Limits the clients of the server. Defaults to none. */
+    guard?: ClientGuard;
 }
 
 /**
@@ -32,11 +35,35 @@
  * @returns The listening server.
  */
 export async function openHttpServer(options: OpenHttpServerOptions): Promise<Server> {
-    const { address, handler, headersTimeout = 5000, requestTimeout = 30_000, maxHeaderSize = 16_384 } = options;
+    const { address, handler, headersTimeout = 5000, requestTimeout = 30_000, maxHeaderSize = 16_384, guard } = options;
     const server = createServer({ headersTimeout, requestTimeout, maxHeaderSize, connectionsCheckingInterval: 1000 });
-    server.on("clientError", (error, socket) => sendClientError(error, socket));
+    if (guard !== undefined) {
+        guard.setServer(server);
+        server.on("connection", socket => guard.handleConnection(socket));
+    }
+    server.on("clientError", (error, socket) => {
+        if (guard?.hasActiveRequests(socket) === true) {
+            // The client would take an error response for the one of the request that is running.
+            socket.destroy();
+            return;
+        }
+        sendClientError(error, socket);
+        guard?.markRefused(socket);
+    });
     server.on("request", (request, response) => {
-        Promise.resolve(handler(request, response)).catch(() => response.destroy());
+        if (guard?.handleRequest(request, response) === false) {
+            return;
+        }
+        const handle = (): void => {
+            Promise.resolve(handler(request, response)).catch(() => response.destroy());
+        };
+        // eslint-disable-next-line no-restricted-syntax
+        if (guard !== undefined && response.socket === null) {
+            // A pipelined request waits for its turn, so that one connection does not take the room of many clients.
+            response.once("socket", handle);
+            return;
+        }
+        handle();
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -77,11 +104,6 @@
     socket.end(`HTTP/1.1 ${status}\r\n${headers}\r\n\r\n${body}`);
 }
 
-/** Thrown if a message body exceeds the allowed size. */
-export class BodyTooLargeError extends Error {
-    override name = "BodyTooLargeError";
-}
-
 /**
  * Reads the entire body of an HTTP message into memory.
  *
--- a/network/response_limits.ts
+++ b/network/response_limits.ts
@@ -25,6 +25,11 @@
     });
 }
 
+/** Thrown if a message body exceeds the allowed size. */
+export class BodyTooLargeError extends Error {
+    override name = "BodyTooLargeError";
+}
+
 /** Number of bytes that may be buffered at the same time by all reads that share the budget. */
 export class ByteBudget {
     readonly #maxBytes: number;
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -6,12 +6,23 @@
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import {
     type CallerLimits,
+    ClientDrop,
+    type ClientTimeouts,
     isAcceptedDuringShutdown,
     pickService,
     type Route,
     type RouteResult,
 } from "../core/serving/mod.ts";
-import { type Address, BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
+import {
+    type Address,
+    BodyTooLargeError,
+    ClientDroppedError,
+    type ClientGuard,
+    countHeaderBytes,
+    openHttpServer,
+    readRequestBody,
+    waitMilliseconds,
+} from "../network/mod.ts";
 import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
 import {
     abortResponse,
@@ -38,6 +49,15 @@
 const STOPPING_RETRY_SECONDS = 0.1;
 /** Maximum size of a request's headers, in bytes, whatever limit the configuration sets. */
 const MAX_PARSED_HEADER_BYTES = 65_536;
+/**
+ * Additional bytes of headers that are parsed, so that a request somewhat above the limit gets a response with its
+ * identifier. Far above it, the parser refuses the request before it holds the memory of many fields.
+ */
+const HEADER_MARGIN_BYTES = 4096;
+/** Mean `retry-after` of a request that was refused because the memory for callers is used up, in seconds. */
+const NO_MEMORY_RETRY_SECONDS = 0.5;
+/** Reason of the abort when a response is closed, whole or not; a new one for each would record its stack. */
+const RESPONSE_CLOSED = new DOMException("This operation was aborted", "AbortError");
 /** Limits that apply until a configuration has been received. */
 const INITIAL_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
@@ -53,9 +73,18 @@
     "unknown-key": { code: "unauthorized", message: "Cannot accept the key: no account holds it." },
 };
 
+/** Gets the timeouts of a caller that follow from the configuration's limits. */
+export function getClientTimeouts(limits: CallerLimits = INITIAL_LIMITS): ClientTimeouts {
+    return {
+        idleMilliseconds: limits.idleTimeoutMilliseconds,
+        bodyMilliseconds: Math.max(DEFAULT_CALLER_TIMEOUT_MILLISECONDS, limits.idleTimeoutMilliseconds),
+    };
+}
+
 /** Serves callers' requests over HTTP. */
 export class CallerServer {
     readonly #context: ServingContext;
+    readonly #guard: ClientGuard;
     readonly #activeStreams = new Set<ActiveStream>();
     /**
      * One controller for each active request, which aborts it when the process is about to end. A signal that all
@@ -66,8 +95,10 @@
     #isAborting = false;
     #server: Server | undefined;
 
-    constructor(context: ServingContext) {
+    /** @param guard Limits on the callers. */
+    constructor(context: ServingContext, guard: ClientGuard) {
         this.#context = context;
+        this.#guard = guard;
     }
 
     /** Streams that are being relayed to callers. */
@@ -86,7 +117,9 @@
             address,
             handler: (request, response) => this.#handleRequest(request, response),
             maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+            guard: this.#guard,
         });
+        // The guard limits the time of bodies, whose length a single caller may use up.
         this.#server.requestTimeout = 0;
         this.applyLimits(INITIAL_LIMITS);
     }
@@ -96,6 +129,11 @@
         if (this.#server !== undefined) {
             this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
             this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
+            // Node reads the property for each new connection, but does not declare it.
+            Object.assign(this.#server, {
+                maxHeaderSize: Math.min(MAX_PARSED_HEADER_BYTES, limits.maxHeaderBytes + HEADER_MARGIN_BYTES),
+            });
+            this.#guard.setLimits({ timeouts: getClientTimeouts(limits) });
         }
     }
 
@@ -144,8 +182,8 @@
     async #handleRequest(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.#context.clock.getMonotonic();
         const disconnect = new AbortController();
-        response.on("close", () => disconnect.abort());
-        response.on("error", () => disconnect.abort());
+        response.on("close", () => disconnect.abort(RESPONSE_CLOSED));
+        response.on("error", () => disconnect.abort(RESPONSE_CLOSED));
         const stopAbort = new AbortController();
         this.#stopAborts.add(stopAbort);
         if (this.#isAborting) {
@@ -157,7 +195,7 @@
         try {
             const request = await this.#readRequest(incoming, response);
             if (request !== undefined) {
-                await this.#serve({
+                await this.#serve(incoming, {
                     request,
                     response,
                     arrivedAt,
@@ -191,7 +229,13 @@
             return undefined;
         }
         try {
-            const request = decodeCallerRequest(incoming, await readBody(incoming, { maxBytes }));
+            const body = await readRequestBody(incoming, {
+                maxBytes,
+                reserve: bytes => this.#guard.reserveBody(incoming, response, bytes),
+                onSmallPieces: pieces => this.#guard.countSmallPieces(incoming, pieces),
+                onRefusal: refuse => this.#guard.setBodyRefusal(incoming, refuse),
+            });
+            const request = decodeCallerRequest(incoming, body);
             if (request.id === "") {
                 this.#refuse({ request, response }, {
                     code: "bad_request",
@@ -207,13 +251,35 @@
                 this.#refuse({ request, response }, { code: "body_too_large", message: error.message });
                 return undefined;
             }
-            this.#context.log.record("trouble", "request not read", { error: String(error) });
+            if (error instanceof ClientDroppedError && !this.#guard.hasDropped(incoming)) {
+                this.#refuseUnreadBody(incoming, response, error);
+                return undefined;
+            }
+            if (!this.#guard.hasDropped(incoming)) {
+                this.#context.log.record("trouble", "request not read", { error: String(error) });
+            }
             abortResponse(response);
             return undefined;
         }
     }
 
+    /** Refuses a request whose body was not read to its end, so that it has not run. */
+    #refuseUnreadBody(incoming: IncomingMessage, response: ServerResponse, error: ClientDroppedError): void {
+        const call = { request: decodeCallerRequest(incoming, Buffer.alloc(0)), response };
+        response.shouldKeepAlive = false;
+        if (error.reason === ClientDrop.bodyTimeout) {
+            this.#refuse(call, { code: "body_timeout", message: error.message });
+            return;
+        }
+        this.#refuse(call, {
+            code: "busy",
+            message: error.message,
+            retryAfterSeconds: NO_MEMORY_RETRY_SECONDS * (0.7 + 0.6 * this.#context.random()),
+        });
+    }
+
     async #serve(
+        incoming: IncomingMessage,
         call: {
             request: CallerRequest;
             response: ServerResponse;
@@ -243,6 +309,7 @@
             this.#refuse(call, { code: "no_target", message: "Cannot serve the route: it names no known service." });
             return;
         }
+        this.#guard.markAccepted(incoming);
         const { route, account, priority } = result;
         const remainingGrace = this.#context.getRemainingGraceMilliseconds();
         if (
@@ -316,12 +383,6 @@
     }
 }
 
-/** Counts the bytes of a request's headers, including the separators and line endings. */
-function countHeaderBytes({ rawHeaders }: IncomingMessage): number {
-    const separatorBytes = ": \r\n".length * rawHeaders.length / 2;
-    return rawHeaders.reduce((sum, text) => sum + text.length, separatorBytes);
-}
-
 function computeDeadline(call: { request: CallerRequest; arrivedAt: number; }, route: Route): number {
     const callerTimeout = call.request.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS;
     const usableTime = Math.max(1, callerTimeout - RESPONSE_RESERVE_MILLISECONDS);
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -15,6 +15,10 @@
     getConfigurationVersion: () => number;
     /** Counts the targets that state a limit for their request rate. */
     countLimitedTargets: () => number;
+    /** Counts the open connections of callers. */
+    countClientConnections: () => number;
+    /** Estimates the memory that is held for callers, in bytes. */
+    countClientBytes: () => number;
 }
 
 /** Bucket bounds of the latency histogram, in seconds: from a fast unary request to the longest generation. */
@@ -28,6 +32,7 @@
     readonly #responseEnds: Counter<"framed" | "outcome">;
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
+    readonly #clientDrops: Counter<"port" | "reason">;
     readonly #storeCalls: Counter<"kind" | "result">;
     readonly #firstByteSeconds: Histogram<"route">;
     readonly #movePauseSeconds: Histogram;
@@ -70,6 +75,12 @@
             labelNames: ["kind", "result"],
             registers,
         });
+        this.#clientDrops = new Counter({
+            name: "knapweed_serving_clients_closed_total",
+            help: "Clients whose connection was closed or whose request was refused by a limit on clients.",
+            labelNames: ["port", "reason"],
+            registers,
+        });
         this.#firstByteSeconds = new Histogram({
             name: "knapweed_serving_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer's body.",
@@ -116,6 +127,11 @@
         this.#storeCalls.inc({ kind, result });
     }
 
+    /** Counts a client that was dropped by a limit on clients. */
+    countClientDrop(port: string, reason: string): void {
+        this.#clientDrops.inc({ port, reason });
+    }
+
     /** Observes the time from a request's arrival to the first byte of its response's body, in milliseconds. */
     observeFirstByte(route: string, milliseconds: number): void {
         this.#firstByteSeconds.observe({ route }, milliseconds / 1000);
@@ -133,6 +149,8 @@
         ["knapweed_serving_dropped_log_lines", "Log lines dropped since the start.", options.countDroppedLines],
         ["knapweed_serving_configuration_version", "Version in use.", options.getConfigurationVersion],
         ["knapweed_serving_limited_targets", "Targets that state a limit.", options.countLimitedTargets],
+        ["knapweed_serving_client_connections", "Open connections of callers.", options.countClientConnections],
+        ["knapweed_serving_client_bytes", "Memory held for callers, as estimated.", options.countClientBytes],
     ];
     for (const [name, help, read] of gauges) {
         const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -5,8 +5,14 @@
  */
 import type { Server } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import { DigestReason } from "../core/serving/mod.ts";
-import { type OpenConnection, openHttpServer, openObservedConnection, waitMilliseconds } from "../network/mod.ts";
+import { type ClientCapacity, computeClientCapacity, DigestReason } from "../core/serving/mod.ts";
+import {
+    ClientGuard,
+    type OpenConnection,
+    openHttpServer,
+    openObservedConnection,
+    waitMilliseconds,
+} from "../network/mod.ts";
 import {
     decodePeer,
     encodePeer,
@@ -18,7 +24,8 @@
 } from "../platform/mod.ts";
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
-import { CallerServer } from "./caller_server.ts";
+import { CallerServer, getClientTimeouts } from "./caller_server.ts";
+import { ClientDropLog } from "./client_drop_log.ts";
 import { EngineClient } from "./engine_client.ts";
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
 import { MalformedObjectLog } from "./malformed_object_log.ts";
@@ -77,6 +84,14 @@
 /** Delay between attempts to register this instance in the store, in milliseconds. */
 const REGISTRATION_RETRY_MILLISECONDS = 1000;
 
+/** Sizes for the clients of the readiness port; balancers keep a few connections and send small requests. */
+const READINESS_CAPACITY: ClientCapacity = { maxBytes: 4_000_000, maxConnections: 64 };
+/** Sizes for the clients of the administrative port. */
+const ADMIN_CAPACITY: ClientCapacity = { maxBytes: 4_000_000, maxConnections: 32 };
+
+/** Ports whose clients are limited. */
+type GuardedPort = "callers" | "readiness" | "admin";
+
 /** Serves callers until it is stopped. */
 export class ServingProcess {
     #settings: InstanceSettings;
@@ -93,6 +108,8 @@
     readonly #connections: TargetConnections;
     readonly #partitionMonitor: PartitionMonitor;
     readonly #metrics: ServingMetrics;
+    readonly #guards: Record<GuardedPort, ClientGuard>;
+    readonly #clientDrops: ClientDropLog;
     readonly #callerServer: CallerServer;
     readonly #leavingEnginePoller: LeavingEnginePoller;
     readonly #context: ServingContext;
@@ -124,7 +141,15 @@
             countDroppedLines: () => log.droppedTotal,
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
+            countClientConnections: () => this.#guards.callers.connectionCount,
+            countClientBytes: () => this.#guards.callers.usedBytes,
         });
+        this.#clientDrops = new ClientDropLog({ log, metrics: this.#metrics });
+        this.#guards = {
+            callers: this.#createGuard("callers", computeClientCapacity(settings.machine)),
+            readiness: this.#createGuard("readiness", READINESS_CAPACITY),
+            admin: this.#createGuard("admin", ADMIN_CAPACITY),
+        };
         this.#malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
             address: settings.storeAddress,
@@ -189,7 +214,7 @@
                     ? undefined
                     : this.#stopRequestedAt + this.#settings.stopGraceMilliseconds - this.#clock.getMonotonic(),
         };
-        this.#callerServer = new CallerServer(this.#context);
+        this.#callerServer = new CallerServer(this.#context, this.#guards.callers);
         this.#leavingEnginePoller = new LeavingEnginePoller({
             state: this.#state,
             engines,
@@ -225,6 +250,7 @@
                 registry: this.#metrics.registry,
                 dumpState: () => this.dumpState(),
                 getUnreadyReason: () => this.#getUnreadyReason(),
+                guard: this.#guards.admin,
             }),
         );
         this.#storeWatcher.start();
@@ -241,6 +267,7 @@
     applySettings(settings: InstanceSettings): void {
         this.#settings = settings;
         this.#state.applySettings(settings);
+        this.#guards.callers.setLimits({ capacity: computeClientCapacity(settings.machine) });
     }
 
     /**
@@ -301,10 +328,28 @@
         };
     }
 
+    #createGuard(port: GuardedPort, capacity: ClientCapacity): ClientGuard {
+        return new ClientGuard({
+            capacity,
+            timeouts: getClientTimeouts(),
+            onDrop: reason => this.#clientDrops.recordDrop(port, reason),
+        });
+    }
+
+    /** Closes the clients whose time is over, and logs what was closed. */
+    #updateGuards(): void {
+        Object.values(this.#guards).forEach(guard => guard.update());
+        this.#clientDrops.update(this.#clock.getMonotonic(), port => {
+            const { connectionCount, usedBytes } = this.#guards[port as GuardedPort];
+            return { connections: connectionCount, bytes: usedBytes };
+        });
+    }
+
     async #openReadinessServer(): Promise<void> {
         this.#servers.push(
             await openHttpServer({
                 address: this.#settings.readinessAddress,
+                guard: this.#guards.readiness,
                 handler: (_, response) => {
                     const reason = this.#getUnreadyReason();
                     response.writeHead(reason === "" ? 200 : 503, { "content-length": Buffer.byteLength(reason) });
@@ -363,6 +408,7 @@
             void this.#quarantineStore.update();
             this.#streamVersions.update();
             this.#partitionMonitor.update();
+            this.#updateGuards();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
                 this.#wasReady = isReady;
--- a/support/platform/idle_metrics.ts
+++ b/support/platform/idle_metrics.ts
@@ -12,5 +12,7 @@
         countDroppedLines: () => 0,
         getConfigurationVersion: () => 0,
         countLimitedTargets: () => 0,
+        countClientConnections: () => 0,
+        countClientBytes: () => 0,
     });
 }
--- a/support/platform/prompt_quarantine_simulation.ts
+++ b/support/platform/prompt_quarantine_simulation.ts
@@ -9,7 +9,7 @@
  */
 import { VirtualClock } from "../../core/clock/mod.ts";
 import { DigestRateLimiter, DigestReason } from "../../core/serving/mod.ts";
-import type { InstanceSettings } from "../../platform/mod.ts";
+import { DEFAULT_MACHINE, type InstanceSettings } from "../../platform/mod.ts";
 import { ServingState } from "../../serving/mod.ts";
 import { DecisionLog } from "../../telemetry/mod.ts";
 import { createRandom, pickExponential, type Random } from "../fixtures/random.ts";
@@ -366,5 +366,6 @@
         storeAddress: address,
         stopGraceMilliseconds: 0,
         bounds: { retryRatio: 0, retryWindowMilliseconds: 0, retrySlack: 0, coldOverage: 1, coldSlack: 0 },
+        machine: DEFAULT_MACHINE,
     };
 }
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type OpenConnection, parseAddress, waitMilliseconds } from "../../network/mod.ts";
-import { type InstanceSettings } from "../../platform/mod.ts";
+import { DEFAULT_MACHINE, type InstanceSettings } from "../../platform/mod.ts";
 import { ServingProcess } from "../../serving/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { callHttp, findAddresses, type HttpResult } from "../processes/mod.ts";
@@ -226,6 +226,7 @@
                 coldOverage: 1.5,
                 coldSlack: 5,
             },
+            machine: DEFAULT_MACHINE,
         };
         const targetLink = new TargetLink();
         const instance = { settings, targetLink, ...await this.#startProcess(settings, targetLink) };
--- a/telemetry/admin_server.ts
+++ b/telemetry/admin_server.ts
@@ -5,7 +5,7 @@
  */
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
-import { type Address, openHttpServer, sendJson } from "../network/mod.ts";
+import { type Address, type ClientGuard, openHttpServer, sendJson } from "../network/mod.ts";
 
 /** Options of {@linkcode openAdminServer}. */
 export interface AdminServerOptions {
@@ -17,6 +17,8 @@
     dumpState: () => unknown;
     /** Returns the reason why the process is not ready; empty if it is ready. */
     getUnreadyReason: () => string;
+    /** Limits on the clients of the server. Defaults to none. */
+    guard?: ClientGuard;
 }
 
 /**
@@ -34,6 +36,7 @@
     process.on("SIGUSR2", writeDump);
     const server = await openHttpServer({
         address: options.address,
+        ...options.guard === undefined ? {} : { guard: options.guard },
         handler: async (request, response) => {
             const path = (request.url ?? "").split("?")[0] ?? "";
             if (path === "/metrics") {
