--- a/support/processes/child_process.ts
+++ b/support/processes/child_process.ts
@@ -11,6 +11,8 @@
 
 /** A running child process. */
 export interface RunningChild {
+    /** Identifier of the process. */
+    pid: number;
     /** Sends a signal to the child. */
     sendSignal: (signal: NodeJS.Signals) => void;
     /** Waits until the child has exited. @returns Its exit code; -1 if a signal terminated it. */
@@ -28,11 +30,17 @@
  * Starts a Node.js program as a child process.
  *
  * @param file Path of the program.
- * @param options Command-line arguments.
+ * @param options Command-line arguments, and flags for Node.js, which default to none.
  * @returns The running child.
  */
-export function startChild(file: string, options: { arguments: readonly string[]; }): RunningChild {
-    const child = spawn(process.execPath, [file, ...options.arguments], { stdio: ["ignore", "pipe", "pipe"] });
+export function startChild(
+    file: string,
+    options: { arguments: readonly string[]; nodeFlags?: readonly string[]; },
+): RunningChild {
+    const { arguments: programArguments, nodeFlags = [] } = options;
+    const child = spawn(process.execPath, [...nodeFlags, file, ...programArguments], {
+        stdio: ["ignore", "pipe", "pipe"],
+    });
     children.add(child);
     let output = "";
     const appendOutput = (chunk: Buffer): void => {
@@ -47,6 +55,7 @@
         });
     });
     return {
+        pid: child.pid ?? -1,
         sendSignal: signal => void child.kill(signal),
         waitForExit: () => exited,
         isRunning: () => children.has(child),
