Merge the limits on clients

`clients` limits what an instance holds for all its callers, and the connections of the peer port that have not identified themselves. Its changes and those merged before are beside each other in the settings, the metrics, the process and the tests' settings; both sides of each conflict are kept.

--- a/support/platform/idle_metrics.ts
+++ b/support/platform/idle_metrics.ts
@@ -13,5 +13,7 @@
         getConfigurationVersion: () => 0,
         countLimitedTargets: () => 0,
         countWaiting: () => 0,
+        countClientConnections: () => 0,
+        countClientBytes: () => 0,
     });
 }
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -6,7 +6,7 @@
  */
 import type { RolloutBounds } from "../../core/serving/mod.ts";
 import { type OpenConnection, parseAddress, waitMilliseconds } from "../../network/mod.ts";
-import { type InstanceSettings } from "../../platform/mod.ts";
+import { DEFAULT_MACHINE, type InstanceSettings } from "../../platform/mod.ts";
 import { ServingProcess } from "../../serving/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { callHttp, findAddresses, type HttpResult } from "../processes/mod.ts";
@@ -236,6 +236,7 @@
                 coldSlack: 5,
             },
             rollout: this.#rollout,
+            machine: DEFAULT_MACHINE,
         };
         const targetLink = new TargetLink();
         const instance = { settings, targetLink, ...await this.#startProcess(settings, targetLink) };
