Weigh cached parts of prompts against the wait, by own knowledge

Cause: selection did not know that an engine may still have the beginning of a prompt cached, and read it again elsewhere.

Change: PrefixCache estimates for each engine start which parts are cached, from the prompts that this instance has seen read there: chained keys, least recently used first, within the KV cache that running requests leave, less what other instances are estimated to add. Selection subtracts the saving in the unit of the wait, at most 3000 tokens; the load of the request counts half of the saving as read. Attempts log the tokens believed to be cached, and two metrics count them. Only requests to engines of paced services have keys; all others are placed as before.

--- a/core/serving/load_tracker.ts
+++ b/core/serving/load_tracker.ts
@@ -24,6 +24,8 @@
     promptTokens: number;
     /** Expected tokens of the output. */
     outputTokens: number;
+    /** Tokens of the prompt that the target is believed to have cached; 0 if absent. */
+    heldTokens?: number | undefined;
 }
 
 /** Load that the requests of one instance put on each engine, by identifier; sent to peers in this form. */
@@ -56,6 +58,17 @@
     return generatedTokens > expectedTokens ? generatedTokens * OVERRUN_FACTOR : expectedTokens;
 }
 
+/**
+ * Share of the tokens believed to be cached that do not count as waiting. What an engine has cached is an estimate, and
+ * a wait that is taken for too short draws more requests than one that is taken for too long keeps away.
+ */
+const TRUSTED_HELD_SHARE = 0.5;
+
+/** Computes how many tokens of a waiting prompt its target has to read. */
+function computeUnreadTokens({ promptTokens, heldTokens = 0 }: RequestLoad): number {
+    return promptTokens - Math.floor(Math.min(promptTokens, heldTokens) * TRUSTED_HELD_SHARE);
+}
+
 /** Age at which a peer's digest is no longer counted: several times the interval between digests in a large fleet. */
 const DIGEST_LIFETIME_MILLISECONDS = 6000;
 /** Interval between checks for expired digests: short compared with their lifetime. */
@@ -147,7 +160,7 @@
         for (const request of this.#ownRequests.get(target)?.values() ?? []) {
             load.requests += 1;
             load.tokens += request.promptTokens + request.outputTokens;
-            load.waitingPromptTokens += request.hasResponseStarted ? 0 : request.promptTokens;
+            load.waitingPromptTokens += request.hasResponseStarted ? 0 : computeUnreadTokens(request);
         }
         return load;
     }
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -13,6 +13,7 @@
 export * from "./load_tracker.ts";
 export * from "./move_action.ts";
 export * from "./plan_moves.ts";
+export * from "./prefix_cache.ts";
 export * from "./queue_admission.ts";
 export * from "./recent_sends.ts";
 export * from "./request_quarantine.ts";
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -40,6 +40,8 @@
      * targets instead, which would refuse them next.
      */
     crowdedUntil?: number | undefined;
+    /** Tokens of the prompt's leading parts that the engine is believed to have cached; 0 if absent. */
+    heldTokens?: number | undefined;
 }
 
 /** Input of {@linkcode chooseLeastLoadedTarget}. */
@@ -64,8 +66,11 @@
 
 /** Result of {@linkcode chooseLeastLoadedTarget}. */
 export type TargetSelection =
-    /** A target was selected; `score` is its load with all penalties, where 1 is a full target. */
-    | { kind: "placed"; target: ServingTarget; score: number; }
+    /**
+     * A target was selected; `score` is its load with all penalties, where 1 is a full target. `heldTokens` are the tokens
+     * of the prompt that it is believed to have cached, if any.
+     */
+    | { kind: "placed"; target: ServingTarget; score: number; heldTokens?: number; }
     /** There is no target, or the request has failed at all of them. */
     | { kind: "no-target"; }
     /** All targets are full or limited at present. */
@@ -79,6 +84,11 @@
 const PREFILL_WEIGHT = 1.2;
 /** Prompt tokens that wait at one engine in a second of high load; an engine prefills them in about half a second. */
 const PREFILL_SCALE_TOKENS = 7000;
+/**
+ * Maximum number of cached tokens that count for an engine: one long prompt. An engine is then chosen only while it is
+ * fuller than another by no more than its saving, and one long prompt that waits there outweighs any saving.
+ */
+const MAX_HELD_TOKENS = 3000;
 /**
  * Cost of a target in another zone, in units of a full target's load; about one request at a target of a plain service.
  */
@@ -128,7 +138,8 @@
         const score = computeLoad(candidate, input)
             + candidate.penalty
             + (candidate.target.zone === input.zone ? 0 : input.isCopy === true ? COPY_ZONE_COST : ZONE_COST)
-            + input.random() * (JITTER + JITTER_PER_INSTANCE * (input.instances - 1));
+            + input.random() * (JITTER + JITTER_PER_INSTANCE * (input.instances - 1))
+            - computeSaving(candidate, input);
         if (score < bestScore) {
             best = candidate;
             bestScore = score;
@@ -138,7 +149,8 @@
         return { kind: "limited", until: best.crowdedUntil };
     }
     if (best !== undefined) {
-        return { kind: "placed", target: best.target, score: bestScore };
+        const { target, heldTokens = 0 } = best;
+        return { kind: "placed", target, score: bestScore, ...heldTokens > 0 ? { heldTokens } : {} };
     }
     if (untried.length === 0) {
         return { kind: "no-target" };
@@ -175,6 +187,12 @@
     return load.requests >= Math.max(1, target.slots) * factor;
 }
 
+/** Computes the value of the prefill that cached parts of the prompt save: as much as a wait for the same tokens costs. */
+function computeSaving({ heldTokens = 0 }: TargetCandidate, { requestLoad }: TargetSelectionInput): number {
+    const savedTokens = Math.min(heldTokens, requestLoad.promptTokens, MAX_HELD_TOKENS);
+    return PREFILL_WEIGHT * savedTokens / PREFILL_SCALE_TOKENS;
+}
+
 /** Computes the load of a target including the request, where 1 is full; prompts that wait for prefill add to it. */
 function computeLoad(
     { target, load }: TargetCandidate,
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -5,7 +5,14 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import type { ClientAccount, RequestLoad, Route, ServiceDefinition, ServingTarget } from "../core/serving/mod.ts";
+import type {
+    ClientAccount,
+    PrefixPart,
+    RequestLoad,
+    Route,
+    ServiceDefinition,
+    ServingTarget,
+} from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
 import { describeError, ERROR_STATUS, type ErrorCode, ServingError } from "../network/serving_error.ts";
@@ -70,6 +77,8 @@
      * Parts of the prompt that other requests may share: all but the last; empty unless engines handle the request.
      */
     sharedPromptParts: readonly string[];
+    /** Keys of the prompt's parts, by which engines that have them cached are known; empty unless it is compared with waits. */
+    promptPrefix: readonly PrefixPart[];
     /** Fingerprint of the request: the same for requests of one account with the same method, host, path and body. */
     fingerprint: string;
     /** Account of the caller; `undefined` if the request needs no API key. */
@@ -98,6 +107,8 @@
     result: string;
     /** Score of the target when it was selected: its load, where 1 is full, plus penalties. */
     load: number;
+    /** Tokens of the prompt that the target was believed to have cached; absent if none. */
+    heldTokens?: number;
     /** Duration of the attempt, in milliseconds. */
     milliseconds: number;
     /** Time from the start of the attempt to the head of the response, in milliseconds; absent if no head arrived. */
@@ -117,12 +128,13 @@
     attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
     const { exchange, ...rest } = attempt;
-    const { service, route, priority, arrivedAt, deadline, signal } = exchange;
+    const { service, route, priority, promptPrefix, arrivedAt, deadline, signal } = exchange;
     const now = context.clock.getMonotonic();
     return context.scheduler.reserveTarget({
         ...rest,
         service,
         priority,
+        promptPrefix,
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
         remainingMilliseconds: deadline - now,
         signal,
@@ -141,6 +153,7 @@
         ...softwareVersion === undefined ? {} : { softwareVersion },
         result,
         load: Number(reservation.score.toFixed(2)),
+        ...reservation.heldTokens > 0 ? { heldTokens: reservation.heldTokens } : {},
         milliseconds: Math.round(now - startedAt),
         ...headAt === undefined ? {} : { headMilliseconds: Math.round(headAt - startedAt) },
         ...events === undefined ? {} : { events },
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -21,6 +21,7 @@
     type ServingContext,
 } from "./caller_exchange.ts";
 import { sendThroughPeer } from "./peer_relay.ts";
+import { buildRequestPrefix } from "./prompt_prefix.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
@@ -279,6 +280,7 @@
             route,
             service,
             sharedPromptParts,
+            promptPrefix: buildRequestPrefix(state, { service, request }),
             fingerprint,
             account,
             priority,
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -12,6 +12,7 @@
     chooseRetryAfter,
     type Closure,
     decideQueueAdmission,
+    type PrefixPart,
     type RequestLoad,
     type ServiceDefinition,
     type ServingTarget,
@@ -26,6 +27,8 @@
     service: ServiceDefinition;
     /** Load that the request adds to its target. */
     requestLoad: RequestLoad;
+    /** Keys of the prompt's parts; absent or empty if cached parts do not count. */
+    promptPrefix?: readonly PrefixPart[];
     /** Priority; 0 is the highest. */
     priority: number;
     /** Identifiers of the targets at which the request has failed already. */
@@ -46,6 +49,8 @@
     target: ServingTarget;
     /** Score of the target when it was selected: its load, where 1 is full, plus penalties; 0 for a given target. */
     score: number;
+    /** Tokens of the prompt that the target is believed to have cached. */
+    heldTokens: number;
     /** Records that the target has started to respond. */
     markResponseStarted: () => void;
     /** Records how many output tokens have been received so far. */
@@ -142,19 +147,19 @@
         if (selection.kind !== "placed") {
             return this.#refuse(request, selection);
         }
-        const { requestLoad } = request;
-        const { target, score } = selection;
+        const { target, score, heldTokens } = selection;
+        const requestLoad = heldTokens === undefined ? request.requestLoad : { ...request.requestLoad, heldTokens };
         return { kind: "placed", reservation: this.#createReservation(target, { requestLoad, score }) };
     }
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
     chooseTarget(
-        request: Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion"> & {
+        request: Pick<ReservationRequest, "service" | "requestLoad" | "promptPrefix" | "avoid" | "softwareVersion"> & {
             copyZone?: string;
         },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
-        return chooseLeastLoadedTarget(state.listCandidates(request.service), {
+        return chooseLeastLoadedTarget(state.listCandidates(request.service, request.promptPrefix), {
             requestLoad: request.requestLoad,
             engine: request.service.engine,
             zone: request.copyZone ?? zone,
@@ -179,7 +184,8 @@
             }
         };
         const { markResponseStarted, recordOutput } = loadReservation;
-        return { target, score: options.score, markResponseStarted, recordOutput, release };
+        const heldTokens = options.requestLoad.heldTokens ?? 0;
+        return { target, score: options.score, heldTokens, markResponseStarted, recordOutput, release };
     }
 
     /** Finds out why no target accepts requests; `undefined` if one does or there is none. */
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -25,6 +25,8 @@
     readonly registry = new Registry();
     readonly #requests: Counter<"route" | "end">;
     readonly #attempts: Counter<"service" | "result">;
+    readonly #prefixRequests: Counter<"service">;
+    readonly #prefixTokens: Counter<"service">;
     readonly #responseEnds: Counter<"framed" | "outcome">;
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
@@ -46,6 +48,18 @@
             labelNames: ["service", "result"],
             registers,
         });
+        this.#prefixRequests = new Counter({
+            name: "knapweed_serving_prefix_cache_requests_total",
+            help: "Attempts at engines that were believed to have leading parts of the prompt cached, by service.",
+            labelNames: ["service"],
+            registers,
+        });
+        this.#prefixTokens = new Counter({
+            name: "knapweed_serving_prefix_cache_tokens_total",
+            help: "Prompt tokens of these attempts that were believed to be cached, by service.",
+            labelNames: ["service"],
+            registers,
+        });
         this.#responseEnds = new Counter({
             name: "knapweed_serving_response_ends_total",
             help: "Ends of targets' responses, by whether they have a length or chunks and what they show.",
@@ -96,6 +110,14 @@
         this.#attempts.inc({ service, result });
     }
 
+    /** Counts an attempt at an engine that is believed to have tokens of the prompt cached, if there are any. */
+    countHeldTokens(service: string, tokens: number): void {
+        if (tokens > 0) {
+            this.#prefixRequests.inc({ service });
+            this.#prefixTokens.inc({ service }, tokens);
+        }
+    }
+
     /** Counts the end of a target's response. */
     countResponseEnd({ isFramed, outcome }: { isFramed: boolean; outcome: string; }): void {
         this.#responseEnds.inc({ framed: String(isFramed), outcome });
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -11,6 +11,8 @@
     DigestReason,
     EvacuatedZones,
     LoadTracker,
+    PrefixCache,
+    type PrefixPart,
     type QuarantinedPart,
     type RateShareInput,
     type RateStatement,
@@ -134,6 +136,8 @@
     readonly health = new TargetHealth();
     /** Pace at which each target works. */
     readonly targetPace = new TargetPace();
+    /** Parts of prompts that engines are believed to have cached. */
+    readonly prefixCache = new PrefixCache();
     /** Targets that have asked this instance to send nothing for a time. */
     readonly backpressure = new TargetBackpressure();
     /** Requests that crash targets, and parts of prompts that crash engines. */
@@ -358,6 +362,7 @@
 
     /** Records that a target has refused a request for want of room; peers are informed if it survives few refusals. */
     recordRefusal(target: TargetStart): void {
+        this.prefixCache.removeTarget(target.id);
         if (this.#isCurrentStart(target) && this.refusalLimits.recordRefusal(target.id, this.#now())) {
             this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
         }
@@ -397,6 +402,7 @@
     /** Records that a target crashed under a request; peers are informed at once. */
     recordTargetCrash(crash: TargetCrash): void {
         const { parts, target } = crash;
+        this.prefixCache.removeTarget(target);
         this.#options.log.record("belief", "target crash observed", {
             target,
             parts: parts.slice(-MAX_LOGGED_PARTS),
@@ -501,8 +507,62 @@
         return share;
     }
 
-    /** Lists the targets of a service that accept new requests, with their load, penalties and limits. */
-    listCandidates(service: ServiceDefinition): TargetCandidate[] {
+    /**
+     * Records that an engine has read a prompt: it has begun to answer, or has ended an answer and given the KV cache of
+     * the request back.
+     */
+    recordPromptRead(
+        { id, startedAt }: TargetStart,
+        { service, prefix }: { service: ServiceDefinition; prefix: readonly PrefixPart[]; },
+    ): void {
+        const target = this.directory.findTarget(id);
+        if (target?.startedAt !== startedAt || service.engine === undefined || prefix.length === 0) {
+            return;
+        }
+        const now = this.#now();
+        const conditions = {
+            now,
+            freeTokens: service.engine.memoryTokens - this.loadTracker.computeTotalLoad(id, now).tokens,
+            otherTokensPerMillisecond: this.#estimateOtherTokens(service, now),
+        };
+        this.prefixCache.recordRead(target, { prefix, conditions });
+    }
+
+    /**
+     * Lists the targets of a service that accept new requests, with their load, penalties and limits; for a prompt also
+     * with what they are believed to have cached of it.
+     */
+    listCandidates(service: ServiceDefinition, prefix: readonly PrefixPart[] = []): TargetCandidate[] {
+        const candidates = this.#listLoadedTargets(service);
+        return service.engine === undefined || prefix.length === 0
+            ? candidates
+            : this.#addHeldTokens(candidates, { service, memoryTokens: service.engine.memoryTokens, prefix });
+    }
+
+    /** Adds to each candidate how many tokens of the prompt it is believed to have cached. */
+    #addHeldTokens(
+        candidates: readonly TargetCandidate[],
+        { service, memoryTokens, prefix }: {
+            service: ServiceDefinition;
+            memoryTokens: number;
+            prefix: readonly PrefixPart[];
+        },
+    ): TargetCandidate[] {
+        const now = this.#now();
+        const otherTokensPerMillisecond = this.#estimateOtherTokens(service, now);
+        return candidates.map(candidate => {
+            const { target, load } = candidate;
+            const conditions = { now, freeTokens: memoryTokens - load.tokens, otherTokensPerMillisecond };
+            return { ...candidate, heldTokens: this.prefixCache.estimateHeldTokens(target, { prefix, conditions }) };
+        });
+    }
+
+    #estimateOtherTokens({ name }: ServiceDefinition, now: number): number {
+        const engines = this.directory.listAvailable(name).length;
+        return this.prefixCache.estimateOtherTokens(name, { now, instances: this.instances, engines });
+    }
+
+    #listLoadedTargets(service: ServiceDefinition): TargetCandidate[] {
         const now = this.#now();
         const { instances, rank } = this.#position;
         const wallTime = this.#options.clock.getWallTime();
@@ -637,6 +697,7 @@
             if (change.kind === "removed") {
                 this.health.removeTarget(id);
                 this.targetPace.removeTarget(id);
+                this.prefixCache.removeTarget(id);
                 this.coldRateShare.removeTarget(id);
                 this.recentSends.removeTarget(id);
                 this.backpressure.removeTarget(id);
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -327,6 +327,10 @@
         const record = describeAttempt(reservation, { ...times, result: name, events });
         this.#attempts.push(record);
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
+        metrics.countHeldTokens(this.#exchange.service.name, reservation.heldTokens);
+        if (result.kind === "complete") {
+            this.#recordPromptRead(reservation);
+        }
         if (result.kind === "moved" || this.#progress.eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
         }
@@ -442,6 +446,9 @@
                 if (events.some(event => !event.isComment)) {
                     attempt.reservation.markResponseStarted();
                     attempt.stallDetector.restart();
+                    if (eventCount === 0) {
+                        this.#recordPromptRead(attempt.reservation);
+                    }
                 }
                 if (events.length > 0) {
                     eventCount += events.filter(event => !event.isComment).length;
@@ -490,6 +497,15 @@
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
+    /** Records that a target has read the prompt; one that a generation was moved to has not. */
+    #recordPromptRead({ target }: Reservation): void {
+        const { service, promptPrefix } = this.#exchange;
+        if (this.#moves > 0) {
+            return;
+        }
+        this.#context.state.recordPromptRead(target, { service, prefix: promptPrefix });
+    }
+
     /** Binds the stream to the software version of the target that sends its first event, which the caller gets after this. */
     async #recordBeginning(target: ServingTarget): Promise<void> {
         const { route, request, service } = this.#exchange;
