--- a/measure/serving/run_serving.ts
+++ b/measure/serving/run_serving.ts
@@ -1,8 +1,8 @@
 /**
  * Compares decisions of the serving process with simpler alternatives in simulations: target selection, with load
  * digests sent under the product's rate limit or at fixed intervals, moves of generations, planned or all started at
- * once, the election of watchers of the store, whose substitutes take over in turn or at once, and targets that limit
- * their request rate.
+ * once, the election of watchers of the store, whose substitutes take over in turn or at once, targets that limit
+ * their request rate, and estimates of what engines have cached.
  *
  * Flags: `--seeds 1,2,3,4,5`, `--rates 47,70`, `--seconds 20`, `--runs 4,6,9`, `--notice 1700`.
  *
@@ -11,6 +11,7 @@
 import { Command } from "commander";
 import { planMoves, type PlannedMove } from "../../core/serving/mod.ts";
 import { createMoveEngines, simulateMoves } from "../../support/platform/move_simulation.ts";
+import { simulatePrefixCache } from "../../support/platform/prefix_cache_simulation.ts";
 import { type RateLimitSimulationOptions, simulateRateLimits } from "../../support/platform/rate_limit_simulation.ts";
 import { FixedIntervalLimiter, simulateTargetSelection } from "../../support/platform/target_selection_simulation.ts";
 import { simulateWatcherElection } from "../../support/platform/watcher_election_simulation.ts";
@@ -163,6 +164,56 @@
     }
 }
 
+/** Loads on engines that keep parts of prompts cached. */
+const PREFIX_LOADS = {
+    "usual": {},
+    "heavy": { generationsPerSecond: 110 },
+    "popular, 350": { hotShare: 0.28 },
+    "popular, 2000": { hotShare: 0.28, hotTokens: 2000 },
+    "10 % return": { returnedShare: 0.1 },
+    "to the same": { returnedShare: 0.1, returnsToSameInstance: true },
+};
+/** What instances know of the caches, by its name in the table. */
+const CACHE_KNOWLEDGE = { "no estimate": "none", "own prompts": "own", "all prompts": "all" } as const;
+
+function printPrefixCache({ seeds, seconds }: ServingOptions): void {
+    printRow([
+        "prefix cache",
+        "load",
+        "tokens read",
+        "believed",
+        "confirmed",
+        "p50 ms",
+        "p95 ms",
+        "late",
+        "refused",
+        "max/mean",
+    ]);
+    for (const [load, options] of Object.entries(PREFIX_LOADS)) {
+        for (const [name, knowledge] of Object.entries(CACHE_KNOWLEDGE)) {
+            const outcomes = seeds.map(seed => simulatePrefixCache({ ...options, knowledge, seed, seconds }));
+            const sum = (
+                field: "promptTokens" | "readTokens" | "believedTokens" | "confirmedTokens" | "refused",
+            ): number => outcomes.reduce((total, outcome) => total + outcome[field], 0);
+            const times = outcomes.flatMap(outcome => outcome.firstTokenMilliseconds).sort((a, b) => a - b);
+            const peaks = outcomes.map(({ requests }) =>
+                Math.max(...requests) * requests.length / requests.reduce((total, count) => total + count, 0)
+            );
+            printRow([
+                name,
+                load,
+                `${(100 * sum("readTokens") / sum("promptTokens")).toFixed(2)} %`,
+                `${(100 * sum("believedTokens") / sum("promptTokens")).toFixed(2)} %`,
+                `${(100 * sum("confirmedTokens") / Math.max(1, sum("believedTokens"))).toFixed(0)} %`,
+                ...[0.5, 0.95].map(share => Math.round(pickPercentile(times, share))),
+                computeShare(times.map(time => time > FIRST_TOKEN_OBJECTIVE_MILLISECONDS)),
+                sum("refused"),
+                Math.max(...peaks).toFixed(2),
+            ]);
+        }
+    }
+}
+
 const options = new Command("measure:serving")
     .option("--seeds <list>", "seeds of the simulations", parseNumbers, [1, 2, 3, 4, 5])
     .option("--rates <list>", "generations per second", parseNumbers, [47, 70])
@@ -175,3 +226,4 @@
 printMoves(options);
 printElections();
 printLimits(options);
+printPrefixCache(options);
