Count cached parts only for the model that a request names

Cause: the same parts were taken as cached for all models of a service. Change: the header model is decoded, and starts the chain of keys together with the service.

--- a/features/steps/prefix_cache_steps.ts
+++ b/features/steps/prefix_cache_steps.ts
@@ -156,7 +156,7 @@
     coldRequestsPerSecond: 0,
     engine: ENGINE,
 };
-const REQUEST = { promptParts: ["s", "x"], promptPartTokens: [200, 2800] };
+const REQUEST = { model: "m", promptParts: ["s", "x"], promptPartTokens: [200, 2800] };
 let prompt: PrefixPart[] = [];
 let state: ServingState;
 
--- a/serving/prompt_prefix.ts
+++ b/serving/prompt_prefix.ts
@@ -15,15 +15,14 @@
     state: Pick<ServingState, "targetPace">,
     { service, request }: {
         service: ServiceDefinition;
-        request: Pick<CallerRequest, "promptParts" | "promptPartTokens">;
+        request: Pick<CallerRequest, "model" | "promptParts" | "promptPartTokens">;
     },
 ): PrefixPart[] {
     if (service.engine === undefined || !state.targetPace.isPaced(service.name)) {
         return [];
     }
-    // All engines of a service run the same model.
     return buildPromptPrefix(
-        service.name,
+        `${service.name} ${request.model}`,
         request.promptParts.map((id, index) => ({ id, tokens: request.promptPartTokens[index] ?? 0 })),
     );
 }
