Prefix cache: first whole path

Cause: an estimate for each engine cost 3 µs in a selection, mostly to find the first entry of a map with many deleted ones; what was weighed was not written down.

--- a/core/serving/prefix_cache.ts
+++ b/core/serving/prefix_cache.ts
@@ -50,6 +50,8 @@
     readonly parts: Map<number, CachedPart>;
     /** Tokens of all parts. */
     tokens: number;
+    /** Time of the last use of the least recently used part, or earlier. */
+    oldestAt: number;
 }
 
 /** Decaying sum of the tokens that engines of a service have read for this instance. */
@@ -98,7 +100,7 @@
         { prefix, conditions }: { prefix: readonly PrefixPart[]; conditions: CacheConditions; },
     ): void {
         const { now } = conditions;
-        const engine = this.#getEngine(target);
+        const engine = this.#getEngine(target, now);
         this.#expireParts(engine, conditions);
         let addedTokens = 0;
         // The leading parts are used by more prompts, and an engine frees the parts behind them first.
@@ -120,7 +122,9 @@
         { prefix, conditions }: { prefix: readonly PrefixPart[]; conditions: CacheConditions; },
     ): number {
         const engine = this.#engines.get(id);
-        if (engine === undefined || engine.startedAt !== startedAt) {
+        // Most engines have never read the first part, and are done with that.
+        const first = prefix[0]?.key;
+        if (engine === undefined || engine.startedAt !== startedAt || first === undefined || !engine.parts.has(first)) {
             return 0;
         }
         this.#expireParts(engine, conditions);
@@ -161,28 +165,34 @@
         return [...this.#engines.values()].reduce((sum, { parts }) => sum + parts.size, 0);
     }
 
-    #getEngine({ id, startedAt }: TargetStart): EngineCache {
+    #getEngine({ id, startedAt }: TargetStart, now: number): EngineCache {
         const known = this.#engines.get(id);
         if (known?.startedAt === startedAt) {
             return known;
         }
-        const engine: EngineCache = { startedAt, parts: new Map(), tokens: 0 };
+        const engine: EngineCache = { startedAt, parts: new Map(), tokens: 0, oldestAt: now };
         this.#engines.set(id, engine);
         return engine;
     }
 
     /** Removes the least recently used parts that no longer fit behind those used later by this and other instances. */
     #expireParts(engine: EngineCache, { now, freeTokens, otherTokensPerMillisecond }: CacheConditions): void {
+        const isHeld = (usedAt: number): boolean =>
+            engine.parts.size <= MAX_ENGINE_PARTS && now - usedAt <= PART_LIFETIME_MILLISECONDS
+            && engine.tokens + (now - usedAt) * otherTokensPerMillisecond <= freeTokens;
+        // Finding the first entry of a map from which many were deleted takes some microseconds.
+        if (isHeld(engine.oldestAt)) {
+            return;
+        }
         for (const [key, { tokens, usedAt }] of engine.parts) {
-            const age = now - usedAt;
-            const isHeld = engine.parts.size <= MAX_ENGINE_PARTS && age <= PART_LIFETIME_MILLISECONDS
-                && engine.tokens + age * otherTokensPerMillisecond <= freeTokens;
-            if (isHeld) {
+            if (isHeld(usedAt)) {
+                engine.oldestAt = usedAt;
                 return;
             }
             engine.parts.delete(key);
             engine.tokens -= tokens;
         }
+        engine.oldestAt = now;
     }
 
     #getReadRate(service: string, now: number): ReadRate {
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -534,9 +534,10 @@
      */
     listCandidates(service: ServiceDefinition, prefix: readonly PrefixPart[] = []): TargetCandidate[] {
         const candidates = this.#listLoadedTargets(service);
-        return service.engine === undefined || prefix.length === 0
-            ? candidates
-            : this.#addHeldTokens(candidates, { service, memoryTokens: service.engine.memoryTokens, prefix });
+        if (service.engine !== undefined && prefix.length > 0) {
+            this.#addHeldTokens(candidates, { service, memoryTokens: service.engine.memoryTokens, prefix });
+        }
+        return candidates;
     }
 
     /** Adds to each candidate how many tokens of the prompt it is believed to have cached. */
@@ -547,14 +548,14 @@
             memoryTokens: number;
             prefix: readonly PrefixPart[];
         },
-    ): TargetCandidate[] {
+    ): void {
         const now = this.#now();
         const otherTokensPerMillisecond = this.#estimateOtherTokens(service, now);
-        return candidates.map(candidate => {
+        for (const candidate of candidates) {
             const { target, load } = candidate;
             const conditions = { now, freeTokens: memoryTokens - load.tokens, otherTokensPerMillisecond };
-            return { ...candidate, heldTokens: this.prefixCache.estimateHeldTokens(target, { prefix, conditions }) };
-        });
+            candidate.heldTokens = this.prefixCache.estimateHeldTokens(target, { prefix, conditions });
+        }
     }
 
     #estimateOtherTokens({ name }: ServiceDefinition, now: number): number {
