Report how a selection judges each target to an observer

Cause: nothing showed why a request went to its target; the log has the score of the chosen one only.

Change: the selection computes the parts of each score by name and reports them, and the reason of each exclusion, if an observer is given. The scheduler decides a placement without carrying it out, and the request for a reservation, its deadline and the software versions to try are built in one place, for callers and for explanations.

--- a/core/serving/load_tracker.ts
+++ b/core/serving/load_tracker.ts
@@ -177,6 +177,13 @@
         };
     }
 
+    /** Lists the ages of the peers' latest digests, or of those with load on one target, in milliseconds. */
+    listDigestAges(now: number, target?: string): number[] {
+        return [...this.#peerDigests.values()]
+            .filter(({ work }) => target === undefined || work[target] !== undefined)
+            .map(({ receivedAt }) => now - receivedAt);
+    }
+
     /** Adds a digest to the sums of the peers' loads, or subtracts it if `sign` is -1. */
     #addToPeerLoads(work: LoadDigest, sign: 1 | -1): void {
         for (const [target, [requests, tokens, waitingPromptTokens]] of Object.entries(work)) {
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -261,10 +261,15 @@
     /** Lists the targets of `service` that accept new requests. */
     listAvailable(service: string): ServingTarget[] {
         return [...this.#targets.values()].filter(target =>
-            target.service === service && !target.isLeaving && !this.#evacuatedZones.has(target.zone)
+            target.service === service && this.findUnavailability(target) === undefined
         );
     }
 
+    /** Finds out why a target accepts no new requests; `undefined` if it does. */
+    findUnavailability({ isLeaving, zone }: ServingTarget): "leaving" | "zone evacuated" | undefined {
+        return isLeaving ? "leaving" : this.#evacuatedZones.has(zone) ? "zone evacuated" : undefined;
+    }
+
     /** Lists the software versions of all targets, by service. */
     listSoftwareVersions(): Map<string, Set<string>> {
         const versions = new Map<string, Set<string>>();
--- a/core/serving/target_pace.ts
+++ b/core/serving/target_pace.ts
@@ -51,6 +51,11 @@
         return record === undefined || now - record.statedAt > PACE_LIFETIME_MILLISECONDS ? 1 : record.pace;
     }
 
+    /** Finds the time at which a target last stated its pace; `undefined` if it has not. */
+    findStatementTime(target: string): number | undefined {
+        return this.#records.get(target)?.statedAt;
+    }
+
     /** Removes what is known of a target that is gone or has restarted. */
     removeTarget(target: string): void {
         this.#records.delete(target);
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -44,6 +44,43 @@
     heldTokens?: number | undefined;
 }
 
+/** Parts of a candidate's score, in units of a full target's load: the sum of all but the saving, less the saving. */
+export interface ScoreParts {
+    /** Load of the target with the request, and prompts that wait there. */
+    load: number;
+    /** Penalty for failures. */
+    penalty: number;
+    /** Cost of another zone. */
+    zone: number;
+    /** Random part, which keeps instances from selecting the same target. */
+    jitter: number;
+    /** Value of the cached parts of the prompt. */
+    saving: number;
+}
+
+/** Why a candidate cannot be selected for a request. */
+export type CandidateExclusion =
+    /** The request has failed at the target. */
+    | "failed before"
+    /** The target has another software version than the stream. */
+    | "other software version"
+    /** The target has asked for a pause. */
+    | "paused"
+    /** This instance has used up its share of the target's request rate, or of its refusals. */
+    | "rate limited"
+    /** This instance has used up its share of the target's connections, or of its request rate while it is cold. */
+    | "share used up"
+    /** The target has no KV cache or no queue capacity for the request. */
+    | "full";
+
+/** Receives how a selection judges each candidate, in order to explain it. */
+export interface SelectionObserver {
+    /** Called with the score of each candidate that can be selected; the lowest is. */
+    recordScore: (candidate: TargetCandidate, score: number, parts: ScoreParts) => void;
+    /** Called with each other candidate. */
+    recordExclusion: (candidate: TargetCandidate, reason: CandidateExclusion) => void;
+}
+
 /** Input of {@linkcode chooseLeastLoadedTarget}. */
 export interface TargetSelectionInput {
     /** Load that the request adds to its target. */
@@ -62,6 +99,8 @@
     softwareVersion?: string | undefined;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
+    /** Receives how each candidate is judged. Defaults to none. */
+    observer?: SelectionObserver | undefined;
 }
 
 /** Result of {@linkcode chooseLeastLoadedTarget}. */
@@ -132,14 +171,15 @@
     }
     const accepting = untried.filter(candidate => findClosedUntil(candidate) === undefined);
     const usable = accepting.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
+    if (input.observer !== undefined) {
+        recordExclusions(input.observer, { candidates, untried, accepting, usable, avoid: input.avoid });
+    }
     let best: TargetCandidate | undefined;
     let bestScore = Infinity;
     for (const candidate of usable) {
-        const score = computeLoad(candidate, input)
-            + candidate.penalty
-            + (candidate.target.zone === input.zone ? 0 : input.isCopy === true ? COPY_ZONE_COST : ZONE_COST)
-            + input.random() * (JITTER + JITTER_PER_INSTANCE * (input.instances - 1))
-            - computeSaving(candidate, input);
+        const parts = computeScoreParts(candidate, input);
+        const score = parts.load + parts.penalty + parts.zone + parts.jitter - parts.saving;
+        input.observer?.recordScore(candidate, score, parts);
         if (score < bestScore) {
             best = candidate;
             bestScore = score;
@@ -164,6 +204,40 @@
     return { kind: "full" };
 }
 
+/** Tells an observer which candidates the steps of a selection have excluded, and by which step. */
+function recordExclusions(
+    observer: SelectionObserver,
+    { candidates, untried, accepting, usable, avoid }: {
+        candidates: readonly TargetCandidate[];
+        untried: readonly TargetCandidate[];
+        accepting: readonly TargetCandidate[];
+        usable: readonly TargetCandidate[];
+        avoid: ReadonlySet<string>;
+    },
+): void {
+    for (const candidate of candidates.filter(other => !usable.includes(other))) {
+        const { target, pausedUntil, isLimited } = candidate;
+        const reason: CandidateExclusion = !untried.includes(candidate)
+            ? avoid.has(target.id) ? "failed before" : "other software version"
+            : !accepting.includes(candidate)
+            ? pausedUntil === undefined ? "rate limited" : "paused"
+            : isLimited
+            ? "share used up"
+            : "full";
+        observer.recordExclusion(candidate, reason);
+    }
+}
+
+function computeScoreParts(candidate: TargetCandidate, input: TargetSelectionInput): ScoreParts {
+    return {
+        load: computeLoad(candidate, input),
+        penalty: candidate.penalty,
+        zone: candidate.target.zone === input.zone ? 0 : input.isCopy === true ? COPY_ZONE_COST : ZONE_COST,
+        jitter: input.random() * (JITTER + JITTER_PER_INSTANCE * (input.instances - 1)),
+        saving: computeSaving(candidate, input),
+    };
+}
+
 /** Finds the time until which a target accepts no requests from this instance; `undefined` if it accepts them. */
 function findClosedUntil({ pausedUntil, limitedUntil }: TargetCandidate): number | undefined {
     return pausedUntil === undefined || limitedUntil === undefined
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -122,15 +122,58 @@
 /** Maximum number of a prompt's parts in a log line; a prompt may have many more. */
 const MAX_LOGGED_PROMPT_PARTS = 12;
 
+/** Part of a caller's timeout that is reserved for sending the response, in milliseconds. */
+const RESPONSE_RESERVE_MILLISECONDS = 15;
+/** Timeout of a request whose caller sets none, in milliseconds. */
+const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 60_000;
+
+/** Computes the time at which the timeout of the caller or of the route expires. */
+export function computeDeadline(
+    call: { request: Pick<CallerRequest, "timeoutMilliseconds">; arrivedAt: number; },
+    route: Route,
+): number {
+    const callerTimeout = call.request.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS;
+    const usableTime = Math.max(1, callerTimeout - RESPONSE_RESERVE_MILLISECONDS);
+    return call.arrivedAt + Math.min(usableTime, route.timeoutMilliseconds ?? usableTime);
+}
+
 /** Reserves a target for one attempt at a request. */
 export function reserveForAttempt(
     context: ServingContext,
-    attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
+    attempt: Parameters<typeof buildReservationRequest>[1],
 ): Promise<ReservationResult> {
+    return context.scheduler.reserveTarget(buildReservationRequest(context, attempt));
+}
+
+/**
+ * Lists the software versions at which a target for a request is looked for, one after the other; `undefined` stands for
+ * any. A stream that has begun stays at its version.
+ */
+export function listVersionChoices(
+    { streamVersions }: Pick<ServingContext, "streamVersions">,
+    { route, service }: Pick<CallerExchange, "route" | "service">,
+    softwareVersion?: string,
+): (string | undefined)[] {
+    const preferred = softwareVersion === undefined && route.isResumable
+        ? streamVersions.getPreferredVersion(service.name)
+        : undefined;
+    return preferred === undefined ? [softwareVersion] : [preferred, softwareVersion];
+}
+
+/** Builds the request for a target for one attempt at a caller's request. */
+export function buildReservationRequest(
+    context: Pick<ServingContext, "clock">,
+    attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & {
+        exchange: Pick<
+            CallerExchange,
+            "service" | "route" | "priority" | "promptPrefix" | "arrivedAt" | "deadline" | "signal"
+        >;
+    },
+): ReservationRequest {
     const { exchange, ...rest } = attempt;
     const { service, route, priority, promptPrefix, arrivedAt, deadline, signal } = exchange;
     const now = context.clock.getMonotonic();
-    return context.scheduler.reserveTarget({
+    return {
         ...rest,
         service,
         priority,
@@ -138,7 +181,7 @@
         objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
         remainingMilliseconds: deadline - now,
         signal,
-    });
+    };
 }
 
 /** Describes a finished attempt for the log. */
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -4,18 +4,13 @@
  * @module
  */
 import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import {
-    type CallerLimits,
-    isAcceptedDuringShutdown,
-    pickService,
-    type Route,
-    type RouteResult,
-} from "../core/serving/mod.ts";
+import { type CallerLimits, isAcceptedDuringShutdown, pickService, type RouteResult } from "../core/serving/mod.ts";
 import { type Address, BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
 import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
 import {
     abortResponse,
     type CallerExchange,
+    computeDeadline,
     estimateRequestLoad,
     sendError,
     type ServingContext,
@@ -27,10 +22,6 @@
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
 import { handleUnaryCall } from "./unary_call.ts";
 
-/** Part of a caller's timeout that is reserved for sending the response, in milliseconds. */
-const RESPONSE_RESERVE_MILLISECONDS = 15;
-/** Timeout of a request whose caller sets none, in milliseconds. */
-const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 60_000;
 /** Interval at which a stopping process checks for active requests, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 20;
 /** Mean `retry-after` of an instance that has no configuration, targets or zones yet, in seconds. */
@@ -323,9 +314,3 @@
     const separatorBytes = ": \r\n".length * rawHeaders.length / 2;
     return rawHeaders.reduce((sum, text) => sum + text.length, separatorBytes);
 }
-
-function computeDeadline(call: { request: CallerRequest; arrivedAt: number; }, route: Route): number {
-    const callerTimeout = call.request.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS;
-    const usableTime = Math.max(1, callerTimeout - RESPONSE_RESERVE_MILLISECONDS);
-    return call.arrivedAt + Math.min(usableTime, route.timeoutMilliseconds ?? usableTime);
-}
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -13,7 +13,9 @@
     type Closure,
     decideQueueAdmission,
     type PrefixPart,
+    type QueueAdmission,
     type RequestLoad,
+    type SelectionObserver,
     type ServiceDefinition,
     type ServingTarget,
     type TargetSelection,
@@ -67,6 +69,15 @@
 /** Why a request got no target: there is none, all are full, or none accepts requests from this instance. */
 export type RefusalReason = "no-target" | "full" | Closure["reason"];
 
+/** Where a request would go; `waiting` is the number of requests that wait already. */
+export type PlacementDecision =
+    & { waiting: number; }
+    & (
+        | { kind: "placed"; target: string; score: number; heldTokens: number; }
+        | { kind: "waits"; milliseconds: number; }
+        | { kind: "refused"; reason: RefusalReason; retryAfterSeconds: number; }
+    );
+
 /** Options of a {@linkcode RequestScheduler}. */
 export interface RequestSchedulerOptions {
     /** State that targets and their loads are read from. */
@@ -98,25 +109,37 @@
 
     /** Reserves a target at once if possible; otherwise queues the request, or refuses it if it would wait too long. */
     async reserveTarget(request: ReservationRequest): Promise<ReservationResult> {
-        const queue = this.#getQueue(request);
-        const waiting = queue.size + queue.pending;
         const selection = this.chooseTarget(request);
-        if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
+        const decision = this.#decideAdmission(request, selection);
+        if (decision === undefined) {
             return this.#applySelection(request, selection);
         }
-        const decision = decideQueueAdmission({
-            closure: this.#findClosure(selection),
-            waiting,
-            freedPerSecond: this.#countReleases(request.service.name),
-            objectiveMilliseconds: request.objectiveMilliseconds,
-            remainingMilliseconds: request.remainingMilliseconds,
-            random: this.#options.random,
-        });
         if (decision.kind === "refuse") {
             return { kind: "refused", reason: decision.reason, retryAfterSeconds: decision.retryAfterSeconds };
         }
         const waitDeadline = this.#options.clock.getMonotonic() + decision.milliseconds;
-        return queue.add(() => this.#waitForReservation(request, waitDeadline), { priority: -request.priority });
+        return this.#getQueue(request).add(() => this.#waitForReservation(request, waitDeadline), {
+            priority: -request.priority,
+        });
+    }
+
+    /** Decides as {@linkcode reserveTarget} does where a request goes, without reserving a target or queueing it. */
+    decidePlacement(request: ReservationRequest, observer: SelectionObserver): PlacementDecision {
+        const selection = this.chooseTarget({ ...request, observer });
+        const admission = this.#decideAdmission(request, selection);
+        const waiting = this.#countWaiting(request);
+        if (admission?.kind === "wait") {
+            return { kind: "waits", waiting, milliseconds: admission.milliseconds };
+        }
+        if (admission !== undefined) {
+            const { reason, retryAfterSeconds } = admission;
+            return { kind: "refused", waiting, reason, retryAfterSeconds };
+        }
+        if (selection.kind === "placed") {
+            const { target, score, heldTokens = 0 } = selection;
+            return { kind: "placed", waiting, target: target.id, score, heldTokens };
+        }
+        return { waiting, ...this.#refuse(request, selection) };
     }
 
     /** Reserves capacity at a given target without checking its load, for a generation that is moved there. */
@@ -129,6 +152,25 @@
         return Object.fromEntries([...this.#queues].map(([name, queue]) => [name, queue.size + queue.pending]));
     }
 
+    /**
+     * Decides whether a request is queued or refused; `undefined` if its selection applies at once: it is placed while no
+     * other request waits, or there is no target.
+     */
+    #decideAdmission(request: ReservationRequest, selection: TargetSelection): QueueAdmission | undefined {
+        const waiting = this.#countWaiting(request);
+        if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
+            return undefined;
+        }
+        return decideQueueAdmission({
+            closure: this.#findClosure(selection),
+            waiting,
+            freedPerSecond: this.#countReleases(request.service.name),
+            objectiveMilliseconds: request.objectiveMilliseconds,
+            remainingMilliseconds: request.remainingMilliseconds,
+            random: this.#options.random,
+        });
+    }
+
     async #waitForReservation(request: ReservationRequest, waitDeadline: number): Promise<ReservationResult> {
         for (;;) {
             const selection = this.chooseTarget(request);
@@ -156,6 +198,7 @@
     chooseTarget(
         request: Pick<ReservationRequest, "service" | "requestLoad" | "promptPrefix" | "avoid" | "softwareVersion"> & {
             copyZone?: string;
+            observer?: SelectionObserver;
         },
     ): TargetSelection {
         const { state, zone, random } = this.#options;
@@ -168,6 +211,7 @@
             avoid: request.avoid,
             softwareVersion: request.softwareVersion,
             random,
+            observer: request.observer,
         });
     }
 
@@ -197,7 +241,10 @@
         return { reason: selection.kind, milliseconds };
     }
 
-    #refuse(request: ReservationRequest, selection: Exclude<TargetSelection, { kind: "placed"; }>): ReservationResult {
+    #refuse(
+        request: ReservationRequest,
+        selection: Exclude<TargetSelection, { kind: "placed"; }>,
+    ): Extract<ReservationResult, { kind: "refused"; }> {
         const reason = selection.kind;
         const closure = this.#findClosure(selection);
         const releases = Math.max(1, this.#countReleases(request.service.name));
@@ -212,13 +259,18 @@
     }
 
     /** Gets the queue of a service, or of one software version: its full targets must not delay requests for others. */
-    #getQueue({ service, softwareVersion }: ReservationRequest): PQueue {
-        const name = softwareVersion === undefined ? service.name : `${service.name} ${softwareVersion}`;
+    #getQueue(request: ReservationRequest): PQueue {
+        const name = getQueueName(request);
         const queue = this.#queues.get(name) ?? new PQueue({ concurrency: 1 });
         this.#queues.set(name, queue);
         return queue;
     }
 
+    #countWaiting(request: ReservationRequest): number {
+        const queue = this.#queues.get(getQueueName(request));
+        return queue === undefined ? 0 : queue.size + queue.pending;
+    }
+
     #recordRelease(service: string): void {
         const times = this.#releaseTimes.get(service) ?? [];
         times.push(this.#options.clock.getMonotonic());
@@ -235,3 +287,7 @@
         return times.length;
     }
 }
+
+function getQueueName({ service, softwareVersion }: Pick<ReservationRequest, "service" | "softwareVersion">): string {
+    return softwareVersion === undefined ? service.name : `${service.name} ${softwareVersion}`;
+}
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -32,6 +32,7 @@
     estimateRequestLoad,
     isOwnAnswer,
     isUnconfirmedRefusal,
+    listVersionChoices,
     recordOutcome,
     reserveForAttempt,
     sendError,
@@ -256,18 +257,13 @@
     }
 
     async #reserveTarget(): Promise<Reservation | undefined> {
-        const { route, service } = this.#exchange;
-        const preferred = this.#softwareVersion === undefined && route.isResumable
-            ? this.#context.streamVersions.getPreferredVersion(service.name)
-            : undefined;
-        const atPreferred = preferred === undefined ? undefined : await this.#reserveAtVersion(preferred);
-        const result = atPreferred?.kind === "placed"
-            ? atPreferred
-            : await this.#reserveAtVersion(this.#softwareVersion);
-        if (result.kind === "placed") {
-            return result.reservation;
-        }
-        this.#retryAfterSeconds = result.retryAfterSeconds;
+        for (const softwareVersion of listVersionChoices(this.#context, this.#exchange, this.#softwareVersion)) {
+            const result = await this.#reserveAtVersion(softwareVersion);
+            if (result.kind === "placed") {
+                return result.reservation;
+            }
+            this.#retryAfterSeconds = result.retryAfterSeconds;
+        }
         return undefined;
     }
 
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -44,7 +44,7 @@
     | { kind: "failed"; verdict: Verdict; reason: string; isUnreachable?: boolean; isConnectionLost?: boolean; };
 
 /** Load that a unary request adds to its target, in tokens; such a request states no size. */
-const EMPTY_REQUEST_LOAD = { promptTokens: 0, outputTokens: 0 };
+export const EMPTY_REQUEST_LOAD = { promptTokens: 0, outputTokens: 0 };
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 /** Timeout of an attempt that may be followed by another, as a multiple of the route's latency objective. */
