knapweedctl explain: where a request would go now, and why

Cause: an operator could see where a request went only after it had been sent.

Change: GET /explain of the administrative address of an instance, and the command, which prints tables or JSON: route, services with their share, each target with its score, the score's parts and the ages of the inputs, exclusions, and why the request would wait or be refused. The administrative server refuses all methods but GET and HEAD.

--- a/control/build_command.ts
+++ b/control/build_command.ts
@@ -8,6 +8,7 @@
 import { stringify } from "yaml";
 import { type Address, parseAddress } from "../network/mod.ts";
 import { KeyValueStore, type PlatformClient } from "../platform/mod.ts";
+import type { RequestExplanation } from "../serving/mod.ts";
 import {
     applyInventory,
     type ApplyResult,
@@ -17,6 +18,7 @@
 import { diffInventories } from "./diff_inventory.ts";
 import { readInventoryFiles } from "./document_file.ts";
 import { fetchAdminPage } from "./fetch_admin_page.ts";
+import { formatExplanation } from "./format_explanation.ts";
 import { applyRuleEdit, type RuleEdit, type Selector } from "./rule_edits.ts";
 
 /** Exit codes of `knapweedctl`. */
@@ -160,6 +162,7 @@
                 output.print(`${address.host}:${address.port} ${describeStatus(state)}`);
             }
         });
+    addExplainCommand(command, { output, createAdminOption });
     command.command("dump")
         .description("prints the complete state of each process as JSON")
         .addOption(createAdminOption())
@@ -170,6 +173,52 @@
         });
 }
 
+/** Options of the command `explain`; all but the addresses are sent to the process. */
+interface ExplainOptions {
+    admin: Address[];
+    json?: true;
+    host: string;
+    path: string;
+    account?: string;
+    model?: string;
+    prompt?: string;
+    output?: string;
+    parts?: string;
+    deadline?: string;
+}
+
+function addExplainCommand(
+    command: Command,
+    { output, createAdminOption }: { output: CommandOutput; createAdminOption: () => Option; },
+): void {
+    command.command("explain")
+        .description("shows where each serving process would send a request now, and why, without sending it")
+        .addOption(createAdminOption())
+        .requiredOption("--host <name>", "host that the request names")
+        .requiredOption("--path <path>", "path of the request")
+        .option("--account <name>", "account of the caller")
+        .option("--model <name>", "model that the request names")
+        .option("--prompt <tokens>", "tokens of the prompt")
+        .option("--output <tokens>", "maximum number of output tokens")
+        .option("--parts <list>", "parts of the prompt in order, as ID:TOKENS,ID:TOKENS")
+        .option("--deadline <milliseconds>", "timeout of the caller, in milliseconds")
+        .option("--json", "prints JSON instead of tables")
+        .action(async ({ admin, json, ...parameters }: ExplainOptions) => {
+            const path = `/explain?${new URLSearchParams(parameters as Record<string, string>).toString()}`;
+            for (const address of admin) {
+                const explanation = await fetchAdminPage(address, path) as Partial<RequestExplanation>;
+                if (explanation.inputs === undefined) {
+                    throw new Error(`Cannot explain: ${address.host}:${address.port} is no serving process.`);
+                }
+                const name = `${address.host}:${address.port}`;
+                const lines = json === true
+                    ? [JSON.stringify({ address: name, ...explanation }, undefined, 2)]
+                    : [name, ...formatExplanation(explanation as RequestExplanation)];
+                lines.forEach(line => output.print(line));
+            }
+        });
+}
+
 interface DumpSummary {
     self?: { id: string; zone: string; };
     instance?: string;
--- /dev/null
+++ b/features/steps/platform_explain_steps.ts
@@ -0,0 +1,160 @@
+/**
+ * Steps about explanations of where a request would go.
+ *
+ * @module
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { buildCommand } from "../../control/mod.ts";
+import { waitMilliseconds } from "../../network/mod.ts";
+import type { RequestExplanation, ServiceExplanation } from "../../serving/mod.ts";
+import { startServingSite } from "../../support/platform/mod.ts";
+import { callHttp } from "../../support/processes/mod.ts";
+import {
+    createRequestId,
+    formatRequestId,
+    getInstance,
+    getSite,
+    listTargets,
+    siteContext,
+} from "../support/site_context.ts";
+
+function getAdminAddress(): string {
+    const { host, port } = getInstance(1).settings.adminAddress;
+    return `${host}:${port}`;
+}
+
+let printed: string[] = [];
+let sentBefore = 0;
+
+function countReceived(): number {
+    return getSite().targets.reduce((sum, { standIn }) => sum + standIn.arrivals.length, 0);
+}
+
+async function runExplain(args: readonly string[]): Promise<void> {
+    printed = [];
+    sentBefore = countReceived();
+    const output = {
+        print: (line: string): void => void printed.push(line),
+        printError: (line: string): void => void printed.push(line),
+        setExitCode: (): void => undefined,
+    };
+    const command = buildCommand({ version: "test", output });
+    const request = ["--admin", getAdminAddress(), "--host", "site.example", ...args];
+    await command.parseAsync(["node", "knapweedctl", "explain", ...request]);
+}
+
+function getService(): ServiceExplanation {
+    const { services } = JSON.parse(printed.join("\n")) as RequestExplanation;
+    assert.ok(services[0] !== undefined, printed.join("\n"));
+    return services[0];
+}
+
+Given("a serving site whose engines state the load {string}", async function(load: string) {
+    siteContext.site = await startServingSite();
+    listTargets("engines").forEach(({ standIn }) => standIn.faults.statedLoad = load);
+});
+
+When("an operator asks for {string} as JSON, with the parts {string}", async function(path: string, parts: string) {
+    const request = ["--path", path, "--account", "night-shift", "--parts", parts, "--model", "m"];
+    await runExplain(["--json", ...request, "--prompt", "100", "--output", "48"]);
+});
+
+Then("the explained service is paced, and the engine with the lowest score would get the request", function() {
+    const { isPaced, decision, targets, share } = getService();
+    assert.deepEqual([isPaced, share, targets.length], [true, 1, 2]);
+    const [best, other] = targets;
+    assert.ok(decision.kind === "placed" && decision.target === best?.target, printed.join("\n"));
+    assert.ok((best.score ?? Infinity) < (other?.score ?? 0));
+    assert.equal(decision.score, best.score);
+});
+
+Then("each score is the sum of its parts less the saving, and has the ages of its inputs", function() {
+    const { targets } = getService();
+    for (const { score = NaN, parts, agesMilliseconds, load } of targets) {
+        assert.ok(parts !== undefined && load?.requests === 0, printed.join("\n"));
+        const sum = parts.load + parts.penalty + parts.zone + parts.jitter - parts.saving;
+        assert.ok(Math.abs(sum - score) < 1e-9, `${sum} and ${score}`);
+        assert.ok(agesMilliseconds !== undefined);
+    }
+    assert.ok(targets.some(({ pace, agesMilliseconds }) => pace === 1.5 && (agesMilliseconds?.pace ?? -1) >= 0));
+});
+
+Then(
+    "one engine is believed to have {int} tokens of the prompt cached, which weighs as much as a wait for them",
+    function(tokens: number) {
+        const holders = getService().targets.filter(({ heldTokens }) => heldTokens === tokens);
+        assert.equal(holders.length, 1, printed.join("\n"));
+        assert.ok(Math.abs((holders[0]?.parts?.saving ?? 0) - 1.2 * tokens / 7000) < 1e-9);
+        assert.ok((holders[0]?.agesMilliseconds?.cache ?? -1) >= 0);
+    },
+);
+
+Then("no target has received a request for it, and none has load", async function() {
+    await runExplain(["--json", "--path", "/verdict/1", "--account", "night-shift", "--prompt", "100"]);
+    assert.equal(countReceived(), sentBefore);
+    assert.deepEqual(getService().targets.map(({ load }) => load?.requests), [0, 0]);
+});
+
+interface RequestLine {
+    attempts: { heldTokens?: number; }[];
+}
+
+function findLastLine(): RequestLine | undefined {
+    const request = formatRequestId(siteContext.requestCount);
+    return getInstance(1).lines.find(line =>
+        line["event"] === "request ended" && line["request"] === request
+    ) as unknown as RequestLine | undefined;
+}
+
+When("callers send a {string} until one goes to an engine that has its prompt cached", async function(kind: string) {
+    for (let calls = 0; calls < 40 && findLastLine()?.attempts[0]?.heldTokens === undefined; calls += 1) {
+        siteContext.responses.push(await getSite().call({ kind, id: createRequestId() }));
+    }
+});
+
+Then("the log line of the attempt says that {int} tokens were believed to be cached", function(tokens: number) {
+    assert.deepEqual(findLastLine()?.attempts.map(({ heldTokens }) => heldTokens), [tokens]);
+});
+
+Then("the metrics count these tokens and the request", async function() {
+    const body = (await callHttp({ address: getAdminAddress(), path: "/metrics" })).body.toString();
+    assert.match(body, /knapweed_serving_prefix_cache_tokens_total\{service="engines"\} 100\n/);
+    assert.match(body, /knapweed_serving_prefix_cache_requests_total\{service="engines"\} 1\n/);
+});
+
+const EVENTS: Record<string, () => unknown> = {
+    "nothing special": () => undefined,
+    "the engine leaves": () =>
+        listTargets("engines").forEach(target => getSite().writeTarget(target, { state: "draining" })),
+    "the zone is evacuated": () => getSite().store.putObject("evacuations", "zone-a", {}),
+    "the engine has a request": () =>
+        void getSite().call({ kind: "verdict", id: createRequestId() }).catch(() => undefined),
+};
+
+Given(/^this is so: (.+)$/, async function(event: string) {
+    assert.ok(event in EVENTS, event);
+    EVENTS[event]?.();
+    await waitMilliseconds(300);
+});
+
+When(
+    "an operator asks for {string} with {int} tokens and the account {string}",
+    async function(path: string, tokens: number, account: string) {
+        const caller = account === "-" ? [] : ["--account", account];
+        await runExplain(["--path", path, "--prompt", String(tokens), "--output", "48", ...caller]);
+    },
+);
+
+Then("the tables have {string}", function(text: string) {
+    assert.ok(printed.join("\n").includes(text), printed.join("\n"));
+});
+
+Then(
+    "a {string} of {string} gets the status {int}, and a {string} {int}",
+    async function(refused: string, path: string, status: number, read: string, readStatus: number) {
+        const call = async (method: string): Promise<number> =>
+            (await callHttp({ address: getAdminAddress(), method, path })).status;
+        assert.deepEqual([await call(refused), await call(read)], [status, readStatus]);
+    },
+);
--- a/serving/mod.ts
+++ b/serving/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./partition_monitor.ts";
 export { parsePeerMessage, type PeerMessage } from "./peer_messages.ts";
+export type { RequestExplanation, ServiceExplanation, TargetExplanation } from "./request_explanation.ts";
 export * from "./serving_metrics.ts";
 export * from "./serving_process.ts";
 export * from "./serving_state.ts";
--- /dev/null
+++ b/serving/request_explanation.ts
@@ -0,0 +1,282 @@
+/**
+ * Explains where this instance would send a request at present, and why, without sending it.
+ *
+ * Routing, quarantines, selection and admission are those of callers' requests; the selection reports how it judges each
+ * target.
+ *
+ * @module
+ */
+import {
+    type CandidateExclusion,
+    isAcceptedDuringShutdown,
+    type Route,
+    RouteKind,
+    type ScoreParts,
+    type ServiceDefinition,
+    type ServingTarget,
+    type TargetCandidate,
+} from "../core/serving/mod.ts";
+import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
+import {
+    buildReservationRequest,
+    computeDeadline,
+    estimateRequestLoad,
+    listVersionChoices,
+    type ServingContext,
+} from "./caller_exchange.ts";
+import { buildRequestPrefix } from "./prompt_prefix.ts";
+import { describeQuarantine, findQuarantine } from "./quarantine_refusal.ts";
+import type { PlacementDecision } from "./request_scheduler.ts";
+import { EMPTY_REQUEST_LOAD } from "./unary_call.ts";
+
+/** How the selection judges one target. */
+export interface TargetExplanation {
+    /** Identifier of the target. */
+    target: string;
+    /** Availability zone. */
+    zone: string;
+    /** Version of the target's software; absent if it is not known. */
+    softwareVersion?: string | undefined;
+    /** Score, of which the lowest is selected; absent if the target cannot be selected. */
+    score?: number;
+    /** Parts of the score; absent with it. */
+    parts?: ScoreParts;
+    /** Why the target cannot be selected; absent if it can. */
+    exclusion?: CandidateExclusion | "leaving" | "zone evacuated";
+    /** Load that the score is computed from; absent if the target accepts no new requests. */
+    load?: TargetCandidate["load"];
+    /** Tokens of the prompt that the target is believed to have cached. */
+    heldTokens?: number;
+    /** Duration of work on the target's machine at present, as a multiple of the usual one; 1 if unknown. */
+    pace?: number;
+    /** Ages of what is known of the target, in milliseconds; an input that does not exist is absent. */
+    agesMilliseconds?: { load?: number; pace?: number; cache?: number; };
+}
+
+/** Where a request would go if its route picked one of its services. */
+export interface ServiceExplanation {
+    /** Name of the service. */
+    service: string;
+    /** Share of the route's requests that the service gets. */
+    share: number;
+    /** True if targets of the service state their pace, so that cached parts count. */
+    isPaced: boolean;
+    /** Software version that the targets must have; absent for any. */
+    softwareVersion?: string;
+    /** Where the request would go, or why it would wait or be refused. */
+    decision: PlacementDecision;
+    /** How each target of the service is judged: those that can be selected first, by their score. */
+    targets: TargetExplanation[];
+}
+
+/** Where a request would go, and why. */
+export interface RequestExplanation {
+    /** Reason why the instance is not ready; empty if it is. */
+    readiness: string;
+    /** True if the instance reaches no target, so that it hands requests over to a peer. */
+    isPartitioned: boolean;
+    /** The request as it was understood. */
+    request: Pick<CallerRequest, "host" | "path" | "model" | "size" | "promptParts" | "promptPartTokens">;
+    /** Name of the account; absent if none was given. */
+    account?: string;
+    /** Why the request would be refused before a target is selected; absent if it would not. */
+    refusal?: string;
+    /** Route; absent if none matches. */
+    route?: Pick<Route, "name" | "kind" | "objectiveMilliseconds">;
+    /** Priority; absent if no route matches. */
+    priority?: number;
+    /** Where the request would go, for each service of the route. */
+    services: ServiceExplanation[];
+    /** Versions and ages of what the decision is based on. */
+    inputs: {
+        configuration: number | undefined;
+        targetsRevision: number;
+        evacuatedZones: string[];
+        instances: number;
+        /** Number of peers with a digest, and the lowest and highest age of their latest ones, in milliseconds. */
+        digests: { peers: number; newestMilliseconds?: number; oldestMilliseconds?: number; };
+    };
+}
+
+/** Explains where a request would go; `parameters` are `host`, `path`, `account`, `model`, `prompt`, `output`, `parts` and `deadline`. */
+export function buildRequestExplanation(
+    context: ServingContext,
+    { parameters, readiness }: { parameters: URLSearchParams; readiness: string; },
+): RequestExplanation {
+    const { state, partitionMonitor } = context;
+    const accountName = parameters.get("account") ?? undefined;
+    const account = state.table?.configuration.accounts?.find(({ name }) => name === accountName);
+    const request = buildExplainedRequest(parameters, account?.keys[0]);
+    const { host, path, model, size, promptParts, promptPartTokens } = request;
+    const explanation: RequestExplanation = {
+        readiness,
+        isPartitioned: partitionMonitor.isPartitioned,
+        request: { host, path, model, size, promptParts, promptPartTokens },
+        ...accountName === undefined ? {} : { account: accountName },
+        services: [],
+        inputs: describeInputs(context),
+    };
+    if (state.table === undefined || state.unreadyReason !== "") {
+        return { ...explanation, refusal: state.unreadyReason };
+    }
+    if (accountName !== undefined && account === undefined) {
+        return { ...explanation, refusal: `no account has the name ${accountName}` };
+    }
+    const result = state.table.findRoute(request);
+    if (result.kind !== "routed") {
+        const refusal = result.kind === "no-route"
+            ? "no route matches this host and path"
+            : "the route needs an account";
+        return { ...explanation, refusal };
+    }
+    const { route, priority } = result;
+    const { name, kind, objectiveMilliseconds } = route;
+    const routed = { ...explanation, route: { name, kind, objectiveMilliseconds }, priority };
+    const refusal = findEarlyRefusal(context, { request, route });
+    if (refusal !== undefined) {
+        return { ...routed, refusal };
+    }
+    const totalWeight = route.services.reduce((sum, { weight }) => sum + Math.max(0, weight), 0);
+    const services = route.services.flatMap(({ service: serviceName, weight }) => {
+        const service = state.table?.findService(serviceName);
+        const share = totalWeight > 0 ? Math.max(0, weight) / totalWeight : 0;
+        return service === undefined
+            ? []
+            : [buildServiceExplanation(context, { request, route, priority, service, share })];
+    });
+    return { ...routed, services, ...services.length > 0 ? {} : { refusal: "the route names no known service" } };
+}
+
+function buildExplainedRequest(parameters: URLSearchParams, key: string | undefined): CallerRequest {
+    const headers = {
+        "host": parameters.get("host") ?? undefined,
+        "authorization": key === undefined ? undefined : `Bearer ${key}`,
+        "token-counts": `${parameters.get("prompt") ?? ""},${parameters.get("output") ?? "0"}`,
+        "model": parameters.get("model") ?? undefined,
+        "prompt-prefix": parameters.get("parts") ?? undefined,
+        "deadline-ms": parameters.get("deadline") ?? undefined,
+    };
+    const url = parameters.get("path") ?? "/";
+    return decodeCallerRequest({ method: "POST", url, headers, rawHeaders: [] }, Buffer.alloc(0));
+}
+
+/** Finds out why a request would be refused before a target is selected. */
+function findEarlyRefusal(
+    { state, getRemainingGraceMilliseconds }: ServingContext,
+    { request, route }: { request: CallerRequest; route: Route; },
+): string | undefined {
+    const remainingMilliseconds = getRemainingGraceMilliseconds();
+    const { objectiveMilliseconds } = route;
+    const { outputTokens } = estimateRequestLoad(request);
+    if (
+        remainingMilliseconds !== undefined
+        && !isAcceptedDuringShutdown({ remainingMilliseconds, objectiveMilliseconds, outputTokens })
+    ) {
+        return `this instance stops in ${Math.round(remainingMilliseconds)} ms`;
+    }
+    // The body is not known, so that a quarantine of the whole request is not found.
+    const quarantined = findQuarantine(state, {
+        fingerprint: "",
+        sharedPromptParts: request.promptParts.slice(0, -1),
+    });
+    return quarantined === undefined ? undefined : describeQuarantine(quarantined);
+}
+
+function buildServiceExplanation(
+    context: ServingContext,
+    options: { request: CallerRequest; route: Route; priority: number; service: ServiceDefinition; share: number; },
+): ServiceExplanation {
+    const { request, route, priority, service, share } = options;
+    const { state, clock, scheduler } = context;
+    const arrivedAt = clock.getMonotonic();
+    const exchange = {
+        ...{ service, route, priority, arrivedAt },
+        promptPrefix: buildRequestPrefix(state, { service, request }),
+        deadline: computeDeadline({ request, arrivedAt }, route),
+        signal: new AbortController().signal,
+    };
+    const requestLoad = route.kind === RouteKind.stream ? estimateRequestLoad(request) : EMPTY_REQUEST_LOAD;
+    let explanation: ServiceExplanation | undefined;
+    for (const softwareVersion of listVersionChoices(context, exchange)) {
+        const targets: TargetExplanation[] = [];
+        const reservation = buildReservationRequest(context, {
+            exchange,
+            requestLoad,
+            avoid: new Set(),
+            softwareVersion,
+        });
+        const decision = scheduler.decidePlacement(reservation, {
+            recordScore: (candidate, score, parts) =>
+                targets.push({ ...describeCandidate(context, candidate), score, parts }),
+            recordExclusion: (candidate, exclusion) =>
+                targets.push({ ...describeCandidate(context, candidate), exclusion }),
+        });
+        targets.sort((a, b) => (a.score ?? Infinity) - (b.score ?? Infinity));
+        explanation = {
+            service: service.name,
+            share,
+            isPaced: state.targetPace.isPaced(service.name),
+            ...softwareVersion === undefined ? {} : { softwareVersion },
+            decision,
+            targets: [...targets, ...listUnavailableTargets(context, service)],
+        };
+        if (decision.kind === "placed") {
+            break;
+        }
+    }
+    if (explanation === undefined) {
+        throw new Error(`Cannot explain the request: no version of ${service.name} is to be tried.`);
+    }
+    return explanation;
+}
+
+function describeCandidate(
+    { state, clock }: ServingContext,
+    { target, load, heldTokens = 0 }: TargetCandidate,
+): TargetExplanation {
+    const now = clock.getMonotonic();
+    const digestAges = state.loadTracker.listDigestAges(now, target.id);
+    const statedAt = state.targetPace.findStatementTime(target.id);
+    const readAt = state.prefixCache.findLastRead(target);
+    return {
+        ...describeTarget(target),
+        load,
+        heldTokens,
+        pace: state.targetPace.estimateFactor(target.id, now),
+        agesMilliseconds: {
+            ...digestAges.length === 0 ? {} : { load: Math.round(Math.max(...digestAges)) },
+            ...statedAt === undefined ? {} : { pace: Math.round(now - statedAt) },
+            ...readAt === undefined ? {} : { cache: Math.round(now - readAt) },
+        },
+    };
+}
+
+function listUnavailableTargets({ state }: ServingContext, service: ServiceDefinition): TargetExplanation[] {
+    return state.directory.getSnapshot().targets.flatMap(target => {
+        const exclusion = target.service === service.name ? state.directory.findUnavailability(target) : undefined;
+        return exclusion === undefined ? [] : [{ ...describeTarget(target), exclusion }];
+    });
+}
+
+function describeTarget(
+    { id, zone, softwareVersion }: ServingTarget,
+): Pick<TargetExplanation, "target" | "zone" | "softwareVersion"> {
+    return { target: id, zone, ...softwareVersion === undefined ? {} : { softwareVersion } };
+}
+
+function describeInputs({ state, clock }: ServingContext): RequestExplanation["inputs"] {
+    const ages = state.loadTracker.listDigestAges(clock.getMonotonic());
+    return {
+        configuration: state.table?.configuration.version,
+        targetsRevision: state.directory.revision,
+        evacuatedZones: [...state.directory.evacuatedZones],
+        instances: state.instances,
+        digests: {
+            peers: ages.length,
+            ...ages.length === 0 ? {} : {
+                newestMilliseconds: Math.round(Math.min(...ages)),
+                oldestMilliseconds: Math.round(Math.max(...ages)),
+            },
+        },
+    };
+}
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -26,6 +26,7 @@
 import { PartitionMonitor } from "./partition_monitor.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { QuarantineStore } from "./quarantine_store.ts";
+import { buildRequestExplanation } from "./request_explanation.ts";
 import { RequestScheduler } from "./request_scheduler.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
 import { ServingState } from "./serving_state.ts";
@@ -224,6 +225,10 @@
                 address: settings.adminAddress,
                 registry: this.#metrics.registry,
                 dumpState: () => this.dumpState(),
+                pages: {
+                    "/explain": parameters =>
+                        buildRequestExplanation(this.#context, { parameters, readiness: this.#getUnreadyReason() }),
+                },
                 getUnreadyReason: () => this.#getUnreadyReason(),
             }),
         );
--- a/telemetry/admin_server.ts
+++ b/telemetry/admin_server.ts
@@ -15,12 +15,15 @@
     registry: Registry;
     /** Returns the complete state of the process, without secrets. */
     dumpState: () => unknown;
+    /** Further read-only pages of the process by path; each gets the parameters of the request. Defaults to none. */
+    pages?: Record<string, (parameters: URLSearchParams) => unknown>;
     /** Returns the reason why the process is not ready; empty if it is ready. */
     getUnreadyReason: () => string;
 }
 
 /**
- * Opens the administrative server, which serves `/metrics`, `/dump`, `/ready` and `/live`.
+ * Opens the administrative server, which serves `/metrics`, `/dump`, `/ready`, `/live` and the process's
+ * further pages. They change nothing; other methods than `GET` and `HEAD` are refused.
  *
  * On `SIGUSR2`, the process also writes the state dump to standard error.
  *
@@ -35,7 +38,11 @@
     const server = await openHttpServer({
         address: options.address,
         handler: async (request, response) => {
-            const path = (request.url ?? "").split("?")[0] ?? "";
+            const [path = "", query = ""] = (request.url ?? "").split("?", 2);
+            if (request.method !== "GET" && request.method !== "HEAD") {
+                sendJson(response, { status: 405, value: {}, headers: { allow: "GET, HEAD" } });
+                return;
+            }
             if (path === "/metrics") {
                 const text = await options.registry.metrics();
                 response.writeHead(200, { "content-type": options.registry.contentType });
@@ -47,12 +54,18 @@
                 sendJson(response, { status: reason === "" ? 200 : 503, value: { isReady: reason === "", reason } });
                 return;
             }
-            const pages: Record<string, () => unknown> = {
+            const pages: AdminServerOptions["pages"] = {
+                ...options.pages,
                 "/dump": options.dumpState,
                 "/live": () => ({ isLive: true }),
             };
             const page = pages[path];
-            sendJson(response, page === undefined ? { status: 404, value: {} } : { status: 200, value: page() });
+            sendJson(
+                response,
+                page === undefined
+                    ? { status: 404, value: {} }
+                    : { status: 200, value: page(new URLSearchParams(query)) },
+            );
         },
     });
     server.on("close", () => process.off("SIGUSR2", writeDump));
