Merge the prefix cache and explanations

Resolution of conflicts: - In a paced score, cached tokens lower the estimated time to the first event. Its `ScoreParts.load` is the score without cached tokens, and the saving is by how much they lower it; other services keep the saving in units of load. - Waiting requests are compared by their own cached tokens: the candidates of one look are shared by all. - `decidePlacement` decides for paced services as the waiting line does, and counts nothing: neither a request, nor a refusal, nor the exposure of a rollout (`isCounted`). It explains targets that a rollout excludes as such. - `ServiceAdmission.chooseReturnTime` is split off `recordRefusal`, so that an explanation does not record one. - An explanation also states `meanPace` and `stepFactor`.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -17,6 +17,7 @@
 export * from "./move_action.ts";
 export * from "./paced_selection.ts";
 export * from "./plan_moves.ts";
+export * from "./prefix_cache.ts";
 export * from "./queue_admission.ts";
 export * from "./recent_sends.ts";
 export * from "./refused_callers.ts";
--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -82,6 +82,8 @@
     isLong: boolean;
     /** True for the first attempt at the request. */
     isFirst: boolean;
+    /** False if the attempt is not made, but explained. */
+    isCounted: boolean;
     /** Version that began the stream; `undefined` before its first event. */
     softwareVersion: string | undefined;
     /** Time on the monotonic clock, in milliseconds. */
@@ -456,7 +458,7 @@
         rollout: Rollout,
         { input, others }: { input: VersionChoiceInput; others: readonly ServingTarget[]; },
     ): VersionChoice | undefined {
-        const { route, isLong, isFirst, softwareVersion, now } = input;
+        const { route, isLong, isFirst, isCounted, softwareVersion, now } = input;
         const { plan, end, evidence, exposure, order, canaries } = rollout;
         const oldName = `old ${order.softwareVersion}`;
         const isNew = (target: ServingTarget): boolean => isNewTarget(rollout, target);
@@ -467,7 +469,7 @@
                 ? undefined
                 : { name: `new ${order.softwareVersion}`, isPreferred: undefined, isAllowed: isNew };
         }
-        if (isFirst && end === undefined) {
+        if (isFirst && isCounted && end === undefined) {
             evidence.recordRequest(isLong);
         }
         if (end !== undefined || !this.#isConnected || plan === undefined) {
@@ -488,7 +490,7 @@
         if (isFirst && isMoved) {
             return { name: "any", isPreferred: isNew, isAllowed: target => isNew(target) || isOld(target) };
         }
-        const isChosen = isFirst && exposure.recordRequest(route, plan.share);
+        const isChosen = isFirst && isCounted && exposure.recordRequest(route, plan.share);
         return {
             name: oldName,
             isPreferred: isChosen ? target => isNew(target) && canaries.has(target.id) : undefined,
--- a/core/serving/service_admission.ts
+++ b/core/serving/service_admission.ts
@@ -282,22 +282,11 @@
         entry: AdmissionEntry,
         options: { closure: Closure | undefined; fleet: FleetView; random: () => number; },
     ): number {
-        const { closure, fleet, random } = options;
-        const { now } = fleet;
+        const { now } = options.fleet;
+        const retryAfterSeconds = this.chooseReturnTime(entry, options);
         if (entry.origin.returnKind === ReturnKind.early) {
-            const returnAt = this.refusedCallers.findReturnTime(entry.origin.getCaller()) ?? now;
-            return Math.max(0, Math.min(returnAt - now, MAX_RETURN_SHARE * (entry.deadline - now))) / 1000;
+            return retryAfterSeconds;
         }
-        const rate = this.room.estimateRate(fleet);
-        const backlogSize = entry.size + this.refusedCallers.computeBacklogSize(now, fleet.instances)
-            + this.line.estimateMeanSize(now) + this.#computePeerSize(entry, fleet);
-        const returnMilliseconds = estimateReturnTime({ backlogSize, sizePerSecond: rate?.sizePerSecond });
-        const retryAfterSeconds = chooseRetryAfter({
-            closure,
-            expectedMilliseconds: Math.max(returnMilliseconds, closure?.milliseconds ?? 0),
-            remainingMilliseconds: entry.deadline - now,
-            random,
-        });
         const { origin, size, priority } = entry;
         this.refusedCallers.recordRefusal(origin.getCaller(), {
             now,
@@ -314,6 +303,29 @@
         return retryAfterSeconds;
     }
 
+    /** Chooses the time after which the caller of a refused request returns, in seconds. */
+    chooseReturnTime(
+        entry: AdmissionEntry,
+        options: { closure: Closure | undefined; fleet: FleetView; random: () => number; },
+    ): number {
+        const { closure, fleet, random } = options;
+        const { now } = fleet;
+        if (entry.origin.returnKind === ReturnKind.early) {
+            const returnAt = this.refusedCallers.findReturnTime(entry.origin.getCaller()) ?? now;
+            return Math.max(0, Math.min(returnAt - now, MAX_RETURN_SHARE * (entry.deadline - now))) / 1000;
+        }
+        const rate = this.room.estimateRate(fleet);
+        const backlogSize = entry.size + this.refusedCallers.computeBacklogSize(now, fleet.instances)
+            + this.line.estimateMeanSize(now) + this.#computePeerSize(entry, fleet);
+        const returnMilliseconds = estimateReturnTime({ backlogSize, sizePerSecond: rate?.sizePerSecond });
+        return chooseRetryAfter({
+            closure,
+            expectedMilliseconds: Math.max(returnMilliseconds, closure?.milliseconds ?? 0),
+            remainingMilliseconds: entry.deadline - now,
+            random,
+        });
+    }
+
     /** Builds the statement for a digest; `undefined` while there is room. */
     takeStatement(now: number): LineStatement | undefined {
         if (!this.isShort(now)) {
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -9,12 +9,14 @@
     type AnswerKind,
     type ClientAccount,
     type PlacementEstimate,
+    type PrefixPart,
     type RequestLoad,
     type RequestOrigin,
     type Route,
     RouteKind,
     type ServiceDefinition,
     type ServingTarget,
+    type VersionChoice,
 } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
 import { sendJson } from "../network/mod.ts";
@@ -82,6 +84,8 @@
      * Parts of the prompt that other requests may share: all but the last; empty unless engines handle the request.
      */
     sharedPromptParts: readonly string[];
+    /** Keys of the prompt's parts, by which engines that have them cached are known; empty unless it is compared with waits. */
+    promptPrefix: readonly PrefixPart[];
     /** Fingerprint of the request: the same for requests of one account with the same method, host, path and body. */
     fingerprint: string;
     /** Who sent the request, for the order in which requests are served. */
@@ -114,6 +118,8 @@
     load: number;
     /** Estimates that the target of a paced service was selected by; absent for others. */
     estimate?: PlacementEstimate;
+    /** Tokens of the prompt that the target was believed to have cached; absent if none. */
+    heldTokens?: number;
     /** Duration of the attempt, in milliseconds. */
     milliseconds: number;
     /** Time from the start of the attempt to the head of the response, in milliseconds; absent if no head arrived. */
@@ -133,55 +139,111 @@
 const MAX_PACE = 2.5;
 /** Output tokens from which a stream counts as long: it may run for longer than a rollout's last seconds. */
 const LONG_OUTPUT_TOKENS = 100;
+/** Part of a caller's timeout that is reserved for sending the response, in milliseconds. */
+const RESPONSE_RESERVE_MILLISECONDS = 15;
+/** Timeout of a request whose caller sets none, in milliseconds. */
+export const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 60_000;
+
+/** Computes the time at which the timeout of the caller or of the route expires. */
+export function computeDeadline(
+    call: { request: Pick<CallerRequest, "timeoutMilliseconds">; arrivedAt: number; },
+    route: Route,
+): number {
+    const callerTimeout = call.request.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS;
+    const usableTime = Math.max(1, callerTimeout - RESPONSE_RESERVE_MILLISECONDS);
+    return call.arrivedAt + Math.min(usableTime, route.timeoutMilliseconds ?? usableTime);
+}
+
+/** An attempt at a caller's request, as far as its target is selected by it. */
+type PlannedAttempt = Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & {
+    exchange: Pick<
+        CallerExchange,
+        "service" | "route" | "priority" | "origin" | "promptPrefix" | "arrivedAt" | "deadline" | "signal"
+    >;
+};
 
 /** Reserves a target for one attempt at a request. */
 export async function reserveForAttempt(
     context: ServingContext,
-    attempt: Pick<ReservationRequest, "requestLoad" | "avoid" | "softwareVersion"> & { exchange: CallerExchange; },
+    attempt: PlannedAttempt & { exchange: CallerExchange; },
 ): Promise<ReservationResult> {
-    const { exchange, ...rest } = attempt;
-    const { service, route, priority, origin, arrivedAt, deadline, signal } = exchange;
-    const { scheduler, state } = context;
-    const now = context.clock.getMonotonic();
-    const request = {
-        ...rest,
-        service,
-        priority,
-        origin,
-        objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
-        gapMilliseconds: route.maxGapMilliseconds,
-        remainingMilliseconds: deadline - now,
-        signal,
-    };
-    const versions = state.chooseVersions({
-        service: service.name,
-        route: route.name,
-        isLong: route.kind === RouteKind.stream && !(attempt.requestLoad.outputTokens < LONG_OUTPUT_TOKENS),
-        isFirst: !countedExchanges.has(exchange),
-        softwareVersion: attempt.softwareVersion,
-        now,
-    });
+    const { scheduler, state, metrics } = context;
+    const { exchange } = attempt;
+    const request = buildReservationRequest(context, attempt);
+    const versions = chooseVersions(context, attempt, { isFirst: !countedExchanges.has(exchange), isCounted: true });
     countedExchanges.add(exchange);
     const preferred = versions?.isPreferred === undefined
         ? undefined
         : scheduler.reserveTargetNow({ ...request, isAllowed: versions.isPreferred });
     const result: ReservationResult = preferred === undefined
-        ? await scheduler.reserveTarget({
-            ...request,
-            isAllowed: versions?.isAllowed,
-            allowedName: versions?.name,
-        })
+        ? await scheduler.reserveTarget({ ...request, isAllowed: versions?.isAllowed, allowedName: versions?.name })
         : { kind: "placed", reservation: preferred };
     if (result.kind === "placed") {
         const { target, estimate } = result.reservation;
-        state.rollouts?.recordSend(route.name, target);
+        state.rollouts?.recordSend(exchange.route.name, target);
         if (estimate !== undefined) {
-            context.metrics.countPacedSelection(service.name, estimate.ageMilliseconds);
+            metrics.countPacedSelection(exchange.service.name, estimate.ageMilliseconds);
         }
     }
     return result;
 }
 
+/**
+ * Chooses the targets that a rollout allows for an attempt; `undefined` for all. The attempt counts as exposure and as a
+ * request only if `isCounted` is true.
+ */
+export function chooseVersions(
+    { state, clock }: Pick<ServingContext, "state" | "clock">,
+    { exchange: { service, route }, requestLoad, softwareVersion }: PlannedAttempt,
+    { isFirst, isCounted }: { isFirst: boolean; isCounted: boolean; },
+): VersionChoice | undefined {
+    return state.chooseVersions({
+        service: service.name,
+        route: route.name,
+        isLong: route.kind === RouteKind.stream && !(requestLoad.outputTokens < LONG_OUTPUT_TOKENS),
+        isFirst,
+        isCounted,
+        softwareVersion,
+        now: clock.getMonotonic(),
+    });
+}
+
+/**
+ * Lists the software versions at which a target for a request is looked for, one after the other; `undefined` stands for
+ * any. A stream that has begun stays at its version.
+ */
+export function listVersionChoices(
+    { streamVersions }: Pick<ServingContext, "streamVersions">,
+    { route, service }: Pick<CallerExchange, "route" | "service">,
+    softwareVersion?: string,
+): (string | undefined)[] {
+    const preferred = softwareVersion === undefined && route.isResumable
+        ? streamVersions.getPreferredVersion(service.name)
+        : undefined;
+    return preferred === undefined ? [softwareVersion] : [preferred, softwareVersion];
+}
+
+/** Builds the request for a target for one attempt at a caller's request. */
+export function buildReservationRequest(
+    context: Pick<ServingContext, "clock">,
+    attempt: PlannedAttempt,
+): ReservationRequest {
+    const { exchange, ...rest } = attempt;
+    const { service, route, priority, origin, promptPrefix, arrivedAt, deadline, signal } = exchange;
+    const now = context.clock.getMonotonic();
+    return {
+        ...rest,
+        service,
+        priority,
+        origin,
+        promptPrefix,
+        objectiveMilliseconds: Math.max(0, arrivedAt + route.objectiveMilliseconds - now),
+        gapMilliseconds: route.maxGapMilliseconds,
+        remainingMilliseconds: deadline - now,
+        signal,
+    };
+}
+
 /** Records for a rollout how an attempt has ended. */
 export function recordRolloutEnd(
     { state, clock }: ServingContext,
@@ -221,6 +283,7 @@
         result,
         load: Number(reservation.score.toFixed(2)),
         ...reservation.estimate === undefined ? {} : { estimate: reservation.estimate },
+        ...reservation.heldTokens > 0 ? { heldTokens: reservation.heldTokens } : {},
         milliseconds: Math.round(now - startedAt),
         ...headAt === undefined ? {} : { headMilliseconds: Math.round(headAt - startedAt) },
         ...events === undefined ? {} : { events },
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -10,7 +10,6 @@
     type ClientTimeouts,
     isAcceptedDuringShutdown,
     pickService,
-    type Route,
     type RouteResult,
 } from "../core/serving/mod.ts";
 import {
@@ -27,21 +26,20 @@
 import {
     abortResponse,
     type CallerExchange,
+    computeDeadline,
+    DEFAULT_CALLER_TIMEOUT_MILLISECONDS,
     estimateRequestLoad,
     sendError,
     type ServingContext,
 } from "./caller_exchange.ts";
 import { sendThroughPeer } from "./peer_relay.ts";
+import { buildRequestPrefix } from "./prompt_prefix.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 import { buildRequestOrigin } from "./request_origin.ts";
 import { type ActiveStream, handleStreamCall } from "./stream_call.ts";
 import { handleUnaryCall } from "./unary_call.ts";
 
-/** Part of a caller's timeout that is reserved for sending the response, in milliseconds. */
-const RESPONSE_RESERVE_MILLISECONDS = 15;
-/** Timeout of a request whose caller sets none, in milliseconds. */
-const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 60_000;
 /** Interval at which a stopping process checks for active requests, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 20;
 /** Mean `retry-after` of an instance that has no configuration, targets or zones yet, in seconds. */
@@ -347,6 +345,7 @@
             route,
             service,
             sharedPromptParts,
+            promptPrefix: buildRequestPrefix(state, { service, request }),
             fingerprint,
             origin: buildRequestOrigin(request, {
                 account: account?.name,
@@ -389,9 +388,3 @@
         sendError(call, { ...error, verdict: "not-run" });
     }
 }
-
-function computeDeadline(call: { request: CallerRequest; arrivedAt: number; }, route: Route): number {
-    const callerTimeout = call.request.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS;
-    const usableTime = Math.max(1, callerTimeout - RESPONSE_RESERVE_MILLISECONDS);
-    return call.arrivedAt + Math.min(usableTime, route.timeoutMilliseconds ?? usableTime);
-}
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -12,11 +12,16 @@
     chooseRetryAfter,
     type Closure,
     decideQueueAdmission,
+    decideTimedAdmission,
     type FleetView,
     type PlacementEstimate,
+    type PrefixPart,
+    type QueueAdmission,
     type RefusalInputs,
     type RequestLoad,
     type RequestOrigin,
+    ReturnKind,
+    type SelectionObserver,
     type ServiceAdmission,
     type ServiceDefinition,
     type ServingTarget,
@@ -34,6 +39,8 @@
     service: ServiceDefinition;
     /** Load that the request adds to its target. */
     requestLoad: RequestLoad;
+    /** Keys of the prompt's parts; absent or empty if cached parts do not count. */
+    promptPrefix?: readonly PrefixPart[];
     /** Who sent the request. */
     origin: RequestOrigin;
     /** Priority; 0 is the highest. */
@@ -64,6 +71,8 @@
     score: number;
     /** What the target of a paced service was selected by. */
     estimate?: PlacementEstimate | undefined;
+    /** Tokens of the prompt that the target is believed to have cached. */
+    heldTokens: number;
     /** Records that the target has started to respond. */
     markResponseStarted: () => void;
     /** Records how many output tokens have been received so far. */
@@ -80,17 +89,30 @@
 /** Why a request got no target: there is none, all are full, or none accepts requests from this instance. */
 export type RefusalReason = "no-target" | "full" | Closure["reason"];
 
+/** Where a request would go; `waiting` is the number of requests that wait already. */
+export type PlacementDecision =
+    & { waiting: number; }
+    & (
+        | { kind: "placed"; target: string; score: number; heldTokens: number; }
+        | { kind: "waits"; milliseconds: number; }
+        | { kind: "refused"; reason: RefusalReason; retryAfterSeconds: number; }
+    );
+
 /** What a target is selected for. */
 type SelectionRequest =
-    & Pick<ReservationRequest, "service" | "requestLoad" | "avoid" | "softwareVersion" | "isAllowed">
+    & Pick<ReservationRequest, "service" | "requestLoad" | "promptPrefix" | "avoid" | "softwareVersion" | "isAllowed">
     & Partial<Pick<ReservationRequest, "objectiveMilliseconds" | "gapMilliseconds">>
     & {
         /** Zone of the engine that a running generation is copied from; absent unless one is copied. */
         copyZone?: string;
         /** Tokens of KV cache that the request leaves free at its target, beside its own. Defaults to 0. */
         headroomTokens?: number;
+        /** Receives how each candidate is judged. Defaults to none. */
+        observer?: SelectionObserver;
     };
 
+type DistributiveOmit<Union, Key extends PropertyKey> = Union extends unknown ? Omit<Union, Key> : never;
+
 /** Options of a {@linkcode RequestScheduler}. */
 export interface RequestSchedulerOptions {
     /** State that targets and their loads are read from. */
@@ -165,26 +187,17 @@
 
     /** Reserves a target of a service whose targets state no pace; only the first waiting request is placed. */
     #reserveUnpaced(request: ReservationRequest): ReservationResult | Promise<ReservationResult> {
-        const queue = this.#getQueue(request, undefined);
-        const waiting = queue.line.length;
         const selection = this.chooseTarget(request);
-        if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
+        const decision = this.#decideUnpaced(request, selection);
+        if (decision === undefined) {
             return this.#applySelection(request, selection);
         }
         const now = this.#options.clock.getMonotonic();
-        const { objectiveMilliseconds, remainingMilliseconds, priority, origin } = request;
-        const decision = decideQueueAdmission({
-            closure: this.#findClosure(selection),
-            waiting,
-            freedPerSecond: this.#countReleases(request.service.name),
-            objectiveMilliseconds,
-            remainingMilliseconds,
-            random: this.#options.random,
-        });
+        const { remainingMilliseconds, priority, origin } = request;
         if (decision.kind === "refuse") {
             return { kind: "refused", reason: decision.reason, retryAfterSeconds: decision.retryAfterSeconds };
         }
-        return this.#enqueue(queue, request, {
+        return this.#enqueue(this.#getQueue(request, undefined), request, {
             priority,
             place: "",
             size: 1,
@@ -199,6 +212,26 @@
         });
     }
 
+    /**
+     * Decides whether a request is queued or refused; `undefined` if its selection applies at once: it is placed while no
+     * other request waits, or there is no target.
+     */
+    #decideUnpaced(request: ReservationRequest, selection: TargetSelection): QueueAdmission | undefined {
+        const waiting = this.#countWaiting(request, undefined);
+        if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
+            return undefined;
+        }
+        const { objectiveMilliseconds, remainingMilliseconds } = request;
+        return decideQueueAdmission({
+            closure: this.#findClosure(selection),
+            waiting,
+            freedPerSecond: this.#countReleases(request.service.name),
+            objectiveMilliseconds,
+            remainingMilliseconds,
+            random: this.#options.random,
+        });
+    }
+
     /** Reserves a target of a service whose targets state their pace; every waiting request that fits is placed. */
     #reservePaced(request: ReservationRequest): ReservationResult | Promise<ReservationResult> {
         const { state, clock } = this.#options;
@@ -207,7 +240,7 @@
         const queue = this.#getQueue(request, admission);
         const now = clock.getMonotonic();
         const entry = buildAdmissionEntry(request, { admission, now });
-        const candidates = state.listCandidates(service);
+        const candidates = state.listCandidates(service, request.promptPrefix);
         const selection = this.#choosePacedTarget(request, { entry, admission, candidates });
         if (selection.kind === "no-target") {
             return this.#applySelection(request, selection);
@@ -232,7 +265,7 @@
         const { state, clock } = this.#options;
         const { service } = request;
         const now = clock.getMonotonic();
-        const candidates = state.listCandidates(service);
+        const candidates = state.listCandidates(service, request.promptPrefix);
         const admission = state.targetPace.isPaced(service.name) ? state.getAdmission(service.name) : undefined;
         const entry = admission && buildAdmissionEntry(request, { admission, now });
         const selection = admission === undefined || entry === undefined
@@ -252,6 +285,72 @@
         return this.#createReservation(target, { requestLoad, score: 0 });
     }
 
+    /** Decides as {@linkcode reserveTarget} does where a request goes, without reserving a target or queueing it. */
+    decidePlacement(request: ReservationRequest, observer: SelectionObserver): PlacementDecision {
+        const { state } = this.#options;
+        const { name } = request.service;
+        return state.targetPace.isPaced(name)
+            ? this.#decidePacedPlacement(request, { observer, admission: state.getAdmission(name) })
+            : this.#decideUnpacedPlacement(request, observer);
+    }
+
+    #decideUnpacedPlacement(request: ReservationRequest, observer: SelectionObserver): PlacementDecision {
+        const selection = this.chooseTarget({ ...request, observer });
+        const decision = this.#decideUnpaced(request, selection);
+        const waiting = this.#countWaiting(request, undefined);
+        if (decision?.kind === "wait") {
+            return { kind: "waits", waiting, milliseconds: decision.milliseconds };
+        }
+        if (decision !== undefined) {
+            const { reason, retryAfterSeconds } = decision;
+            return { kind: "refused", waiting, reason, retryAfterSeconds };
+        }
+        return { waiting, ...this.#describeSelection(request, selection) };
+    }
+
+    #decidePacedPlacement(
+        request: ReservationRequest,
+        { observer, admission }: { observer: SelectionObserver; admission: ServiceAdmission; },
+    ): PlacementDecision {
+        const { state, clock, random } = this.#options;
+        const { service } = request;
+        const waiting = admission.line.length;
+        // The request of a newcomer whose kind is known is not counted.
+        const origin = { ...request.origin, returnKind: ReturnKind.newcomer };
+        const entry = buildAdmissionEntry({ ...request, origin }, { admission, now: clock.getMonotonic() });
+        const candidates = state.listCandidates(service, request.promptPrefix);
+        const selection = this.#choosePacedTarget({ ...request, observer }, { entry, admission, candidates });
+        if (selection.kind === "no-target" || selection.kind === "placed" && waiting === 0) {
+            return { waiting, ...this.#describeSelection(request, selection) };
+        }
+        const closure = this.#findClosure(selection);
+        const fleet = this.#getFleetView(service, candidates);
+        const ownSize = admission.line.computeSizeAhead(entry) + entry.size;
+        const { allowedMilliseconds, estimateMilliseconds } = admission.describeWait(entry, { fleet, ownSize });
+        const reason = selection.kind === "placed"
+            ? undefined
+            : decideTimedAdmission({ closure, allowedMilliseconds, estimateMilliseconds });
+        return reason === undefined
+            ? { kind: "waits", waiting, milliseconds: allowedMilliseconds }
+            : {
+                kind: "refused",
+                waiting,
+                reason,
+                retryAfterSeconds: admission.chooseReturnTime(entry, { closure, fleet, random }),
+            };
+    }
+
+    #describeSelection(
+        request: ReservationRequest,
+        selection: TargetSelection,
+    ): DistributiveOmit<PlacementDecision, "waiting"> {
+        if (selection.kind !== "placed") {
+            return this.#refuse(request, selection);
+        }
+        const { target, score, heldTokens = 0 } = selection;
+        return { kind: "placed", target: target.id, score, heldTokens };
+    }
+
     /** Counts the waiting requests of each service, for a state dump. */
     dumpState(): Record<string, unknown> {
         return Object.fromEntries([...this.#queues].map(([name, { line }]) => [name, line.length]));
@@ -299,6 +398,9 @@
         const refused = line.step({
             now,
             tryPlace: entry => {
+                if (admission !== undefined) {
+                    state.setHeldTokens(candidates, { service, prefix: entry.request.promptPrefix ?? [] });
+                }
                 const isSettled = this.#trySettle(entry, { candidates, admission });
                 candidates = isSettled ? state.listCandidates(service) : candidates;
                 return isSettled;
@@ -379,7 +481,8 @@
 
     /** Selects a target without reserving it; prefers the zone of this instance or, for a copy, that of the source. */
     chooseTarget(request: SelectionRequest): TargetSelection {
-        return this.#chooseAmong(this.#options.state.listCandidates(request.service), request);
+        const { service, promptPrefix } = request;
+        return this.#chooseAmong(this.#options.state.listCandidates(service, promptPrefix), request);
     }
 
     #chooseAmong(
@@ -387,7 +490,11 @@
         request: SelectionRequest,
     ): TargetSelection {
         const { state, zone, random } = this.#options;
-        const { isAllowed } = request;
+        const { isAllowed, observer } = request;
+        if (isAllowed !== undefined) {
+            candidates.filter(({ target }) => !isAllowed(target))
+                .forEach(candidate => observer?.recordExclusion(candidate, "rollout"));
+        }
         const allowed = isAllowed === undefined ? candidates : candidates.filter(({ target }) => isAllowed(target));
         return chooseLeastLoadedTarget(allowed, {
             requestLoad: request.requestLoad,
@@ -404,12 +511,13 @@
                 strictestGapMilliseconds: state.table?.findStrictestGap(request.service.name),
             },
             random,
+            observer,
         });
     }
 
     /** Selects a target that has room for the request and for what it has to leave free. */
     #choosePacedTarget(
-        request: ReservationRequest,
+        request: ReservationRequest & Pick<SelectionRequest, "observer">,
         options: { entry: AdmissionEntry; admission: ServiceAdmission; candidates: readonly TargetCandidate[]; },
     ): TargetSelection {
         const { entry, admission, candidates } = options;
@@ -443,9 +551,11 @@
     }
 
     #reserveSelected(
-        { requestLoad, origin }: ReservationRequest,
-        { target, score, estimate }: Extract<TargetSelection, { kind: "placed"; }>,
+        request: ReservationRequest,
+        { target, score, estimate, heldTokens }: Extract<TargetSelection, { kind: "placed"; }>,
     ): Reservation {
+        const { origin } = request;
+        const requestLoad = heldTokens === undefined ? request.requestLoad : { ...request.requestLoad, heldTokens };
         return this.#createReservation(target, { requestLoad, score, estimate, kind: origin.kind });
     }
 
@@ -485,7 +595,8 @@
             loadReservation.markResponseStarted();
         };
         const { recordOutput } = loadReservation;
-        return { target, score, estimate, markResponseStarted, recordOutput, release };
+        const { heldTokens = 0 } = requestLoad;
+        return { target, score, estimate, heldTokens, markResponseStarted, recordOutput, release };
     }
 
     /** Finds out why no target accepts requests; `undefined` if one does or there is none. */
@@ -497,7 +608,10 @@
         return { reason: selection.kind, milliseconds };
     }
 
-    #refuse(request: ReservationRequest, selection: Exclude<TargetSelection, { kind: "placed"; }>): ReservationResult {
+    #refuse(
+        request: ReservationRequest,
+        selection: Exclude<TargetSelection, { kind: "placed"; }>,
+    ): Extract<ReservationResult, { kind: "refused"; }> {
         const reason = selection.kind;
         const closure = this.#findClosure(selection);
         const releases = Math.max(1, this.#countReleases(request.service.name));
@@ -542,14 +656,9 @@
     }
 
     /** Gets the queue of a service, or of one software version: its full targets must not delay requests for others. */
-    #getQueue(
-        { service, softwareVersion }: ReservationRequest,
-        admission: ServiceAdmission | undefined,
-    ): Queue {
-        const name = admission !== undefined || softwareVersion === undefined
-            ? service.name
-            : `${service.name} ${softwareVersion}`;
-        const key = admission === undefined ? `${name} unpaced` : name;
+    #getQueue(request: ReservationRequest, admission: ServiceAdmission | undefined): Queue {
+        const { service } = request;
+        const key = getQueueKey(request, admission);
         const queue = this.#queues.get(key) ?? {
             service,
             line: admission === undefined
@@ -564,6 +673,10 @@
         return queue;
     }
 
+    #countWaiting(request: ReservationRequest, admission: ServiceAdmission | undefined): number {
+        return this.#queues.get(getQueueKey(request, admission))?.line.length ?? 0;
+    }
+
     /** Wakes all queues of a service, or of all services if none is given. */
     #wakeQueues(service?: string): void {
         for (const queue of this.#queues.values()) {
@@ -643,6 +756,16 @@
     }
 }
 
+function getQueueKey(
+    { service, softwareVersion }: Pick<ReservationRequest, "service" | "softwareVersion">,
+    admission: ServiceAdmission | undefined,
+): string {
+    if (admission !== undefined) {
+        return service.name;
+    }
+    return softwareVersion === undefined ? `${service.name} unpaced` : `${service.name} ${softwareVersion} unpaced`;
+}
+
 function buildAdmissionEntry(
     request: ReservationRequest,
     { admission, now }: { admission: ServiceAdmission; now: number; },
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -33,6 +33,7 @@
 import { PartitionMonitor } from "./partition_monitor.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { QuarantineStore } from "./quarantine_store.ts";
+import { buildRequestExplanation } from "./request_explanation.ts";
 import { RequestScheduler } from "./request_scheduler.ts";
 import { RolloutController } from "./rollout_controller.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
@@ -260,6 +261,10 @@
                 address: settings.adminAddress,
                 registry: this.#metrics.registry,
                 dumpState: () => this.dumpState(),
+                pages: {
+                    "/explain": parameters =>
+                        buildRequestExplanation(this.#context, { parameters, readiness: this.#getUnreadyReason() }),
+                },
                 getUnreadyReason: () => this.#getUnreadyReason(),
                 guard: this.#guards.admin,
             }),
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -33,6 +33,7 @@
     estimateRequestLoad,
     isOwnAnswer,
     isUnconfirmedRefusal,
+    listVersionChoices,
     recordOutcome,
     recordRolloutEnd,
     recordRolloutTime,
@@ -266,18 +267,13 @@
     }
 
     async #reserveTarget(): Promise<Reservation | undefined> {
-        const { route, service } = this.#exchange;
-        const preferred = this.#softwareVersion === undefined && route.isResumable
-            ? this.#context.streamVersions.getPreferredVersion(service.name)
-            : undefined;
-        const atPreferred = preferred === undefined ? undefined : await this.#reserveAtVersion(preferred);
-        const result = atPreferred?.kind === "placed"
-            ? atPreferred
-            : await this.#reserveAtVersion(this.#softwareVersion);
-        if (result.kind === "placed") {
-            return result.reservation;
-        }
-        this.#retryAfterSeconds = result.retryAfterSeconds;
+        for (const softwareVersion of listVersionChoices(this.#context, this.#exchange, this.#softwareVersion)) {
+            const result = await this.#reserveAtVersion(softwareVersion);
+            if (result.kind === "placed") {
+                return result.reservation;
+            }
+            this.#retryAfterSeconds = result.retryAfterSeconds;
+        }
         return undefined;
     }
 
@@ -339,6 +335,10 @@
         const record = describeAttempt(reservation, { ...times, result: name, events });
         this.#attempts.push(record);
         metrics.countAttempt(this.#exchange.service.name, result.kind === "failed" ? result.verdict : result.kind);
+        metrics.countHeldTokens(this.#exchange.service.name, reservation.heldTokens);
+        if (result.kind === "complete") {
+            this.#recordPromptRead(reservation);
+        }
         if (result.kind === "moved" || this.#progress.eventCount > 0) {
             this.#verdict = mergeVerdicts(this.#verdict, "may-have-run");
         }
@@ -481,6 +481,9 @@
                 if (events.some(event => !event.isComment)) {
                     attempt.reservation.markResponseStarted();
                     attempt.stallDetector.restart();
+                    if (eventCount === 0) {
+                        this.#recordPromptRead(attempt.reservation);
+                    }
                 }
                 if (events.length > 0) {
                     const newCount = events.filter(event => !event.isComment).length;
@@ -547,6 +550,15 @@
         }
     }
 
+    /** Records that a target has read the prompt; one that a generation was moved to has not. */
+    #recordPromptRead({ target }: Reservation): void {
+        const { service, promptPrefix } = this.#exchange;
+        if (this.#moves > 0) {
+            return;
+        }
+        this.#context.state.recordPromptRead(target, { service, prefix: promptPrefix });
+    }
+
     /** Binds the stream to the software version of the target that sends its first event, which the caller gets after this. */
     async #recordBeginning(target: ServingTarget): Promise<void> {
         const { route, request, service } = this.#exchange;
--- a/support/platform/rollout_simulation.ts
+++ b/support/platform/rollout_simulation.ts
@@ -331,6 +331,7 @@
             route,
             isLong: route === "long",
             isFirst,
+            isCounted: true,
             softwareVersion: undefined,
             now: this.#now,
         };
