Rollouts: fewer calls to the store, and streams of two versions side by side

Cause: the first watcher asked for rollouts every 1.6 s (23 calls in 8 s with 3 instances), the status `running` was written 2.5 s late, and a status that could not be written was tried every 0.3 s. Change: a long watch that ends when one of another kind fails, `running` without a read before it, growing delays.

--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -410,7 +410,7 @@
                 ...describeOrder(order),
                 ...describeEvidence(rollout),
                 stage: plan.stage,
-                share: plan.share,
+                share: Number(plan.share.toFixed(3)),
             };
             events.push({ event: "rollout share set", fields });
         }
--- a/features/platform/rollouts.feature
+++ b/features/platform/rollouts.feature
@@ -15,6 +15,17 @@
         And all requests are answered with 200
         And the version "v2" has got at most 0.1 of the requests and 50
 
+    # Guards against streams that go on at another version, or that are sent to old targets until these stop.
+    Scenario: streams go on only at the version that began them while a good version is completed
+        Given a serving site with 2 instances and 2 engines that take rollouts
+        When an operator orders the version "v2" of "engines" within 8 s
+        And 2 targets of the version "v2" of "engines" start
+        And callers send 40 verdicts a second until the rollout has ended
+        Then the status of the rollout is "completed" for "v2"
+        And all requests are answered with 200
+        And no response holds events of two versions
+        And the version "v2" has got at most 0.1 of the requests and 50
+
     # Guards against a bad version that is completed, or gets requests after its verdict.
     Scenario: a version that fails from the beginning is rolled back
         Given a serving site with 3 instances that take rollouts
--- a/features/steps/platform_rollout_steps.ts
+++ b/features/steps/platform_rollout_steps.ts
@@ -17,16 +17,30 @@
 /** Time from a rollback until the new targets leave, in milliseconds. */
 const LEAVING_MILLISECONDS = 2000;
 
+/** Number of events in a whole stream. */
+const STREAM_EVENTS = 12;
+
 /** The rollout of the scenario. */
 let rollout = { service: "", version: "", orderedAt: 0, endedAt: 0, milliseconds: 0 };
 /** Time at which the latest target was listed, on the monotonic clock in milliseconds. */
 let startedAt = 0;
 
-Given("a serving site with {int} instance(s) that take rollouts", async function(instances: number) {
+Given("a serving site with {int} instance(s) that take rollouts", (instances: number) => startSite(instances));
+
+Given(
+    "a serving site with {int} instance(s) and {int} engines that take rollouts",
+    (instances: number, engines: number) => startSite(instances, engines),
+);
+
+async function startSite(instances: number, engines = 0): Promise<void> {
     rollout = { service: "", version: "", orderedAt: 0, endedAt: 0, milliseconds: 0 };
     siteContext.responses = [];
-    siteContext.site = await startServingSite({ instances, engines: 0, rollout: BOUNDS });
-});
+    siteContext.site = await startServingSite({
+        instances,
+        engines,
+        rollout: BOUNDS,
+    });
+}
 
 function putOrder(version: string, service: string, spec: Record<string, unknown>): void {
     getSite().store.putObject("rollouts", service, spec);
@@ -83,13 +97,13 @@
 }
 
 /** Sends requests to the instances in turn until `isOver` or the longest wait has passed, and waits for the responses. */
-async function sendRequests(rate: number, isOver: () => boolean): Promise<void> {
+async function sendRequests(rate: number, isOver: () => boolean, kind = "lookup"): Promise<void> {
     const calls: Promise<unknown>[] = [];
     const beganAt = performance.now();
     while (performance.now() - beganAt < MAX_WAIT_MILLISECONDS && !isOver()) {
         const instance = calls.length % getSite().instances.length;
         calls.push(
-            getSite().call({ kind: "lookup", id: createRequestId(), instance })
+            getSite().call({ kind, id: createRequestId(), instance })
                 .then(response => siteContext.responses.push(response), () => undefined),
         );
         await waitMilliseconds(beganAt + calls.length * 1000 / rate - performance.now());
@@ -98,17 +112,17 @@
 }
 
 When(
-    "callers send {int} requests a second until the rollout has ended",
+    /^callers send (\d+) (request|verdict)s a second until the rollout has ended$/,
     { timeout: MAX_WAIT_MILLISECONDS + 10_000 },
-    async function(rate: number) {
+    async function(rate: string, kind: string) {
         let stopped: Promise<void> | undefined;
-        await sendRequests(rate, () => {
+        await sendRequests(Number(rate), () => {
             if (stopped === undefined && ["completed", "rolled_back"].includes(getState())) {
                 rollout.endedAt = performance.now();
                 stopped = stopTargets();
             }
             return stopped !== undefined && performance.now() - rollout.endedAt > LEAVING_MILLISECONDS;
-        });
+        }, kind === "verdict" ? kind : "lookup");
         await stopped;
     },
 );
@@ -149,6 +163,13 @@
     getSite().store.loadCopy();
 });
 
+Then("no response holds events of two versions", function() {
+    for (const { body } of siteContext.responses) {
+        const versions = [...body.toString().matchAll(/data: piece \d+(?: of (\S+))?/g)].map(([, version]) => version);
+        assert.ok(versions.length === STREAM_EVENTS && new Set(versions).size === 1, versions.join());
+    }
+});
+
 Then("the first instance logs {string}", async function(event: string) {
     await waitForLine(getSite().instances.slice(0, 1), { event });
 });
--- a/serving/rollout_controller.ts
+++ b/serving/rollout_controller.ts
@@ -14,10 +14,11 @@
     findWantedState,
     isFinalState,
     type Rollout,
+    type RolloutOrder,
     RolloutStage,
     RolloutState,
 } from "../core/serving/mod.ts";
-import { decodeRollout, type StoreClient, StoreKind } from "../platform/mod.ts";
+import { decodeRollout, type StoreClient, StoreKind, type StoreReply } from "../platform/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
@@ -40,8 +41,9 @@
     isConnected: () => boolean;
 }
 
-/** Delay after a failed write of a status, in milliseconds. */
-const RETRY_MILLISECONDS = 250;
+/** Delay after a write of a status, in milliseconds; it doubles with each further failure. */
+const MIN_RETRY_MILLISECONDS = 250;
+const MAX_RETRY_MILLISECONDS = 1000;
 /** Time between two updates from which this process must have been paused, in milliseconds. */
 const PAUSE_MILLISECONDS = 1000;
 /** Time after a pause in which nothing is written, in milliseconds: digests of the peers arrive within it. */
@@ -58,6 +60,8 @@
     /** Names of the orders whose status is being written. */
     readonly #writing = new Set<string>();
     #retryAt = Number.NEGATIVE_INFINITY;
+    /** Number of consecutive attempts to write that have failed. */
+    #failures = 0;
     #updatedAt: number | undefined;
     readonly #startedAt: number;
 
@@ -86,7 +90,7 @@
             const isOutdated = order.state !== wanted && !isFinalState(order.state);
             // What the time limit demands depends on counts that may be incomplete here; some other instance knows more.
             const overdue = now - rollout.orderedAt - order.durationMilliseconds;
-            const isInformed = end !== undefined || overdue > OVERDUE_MILLISECONDS
+            const isInformed = end !== undefined || wanted === RolloutState.running || overdue > OVERDUE_MILLISECONDS
                 || isConnected() && now - this.#startedAt > STARTUP_MILLISECONDS;
             if (!rollout.isIgnored && isOutdated && isInformed && now >= this.#retryAt && isWriter()) {
                 void this.#writeStatus(rollout, wanted);
@@ -103,15 +107,14 @@
         }
         this.#writing.add(name);
         const startedAt = clock.getMonotonic();
-        const read = await store.readObject(StoreKind.rollouts, name);
-        metrics.countStoreCall(StoreKind.rollouts, read.kind);
-        const current = read.kind === "ok" ? decodeRollout(read.value, { ageMilliseconds: 0 }) : undefined;
+        const read = await this.#readOrder(rollout, wanted);
+        const current = read.kind === "ok" ? read.value : undefined;
         const isSame = current?.softwareVersion === softwareVersion && current.service === rollout.order.service;
         const isLate = clock.getMonotonic() - startedAt > PAUSE_MILLISECONDS;
         if (
-            read.kind === "ok" && isSame && !isFinalState(current.state) && !isLate && this.#isCurrent(rollout, wanted)
+            isSame && !isFinalState(current.state) && !isLate && this.#isCurrent(rollout, wanted)
         ) {
-            const { revision } = read.value;
+            const { revision } = current;
             const status = { state: wanted, target: softwareVersion };
             const reply = await store.updateStatus(StoreKind.rollouts, { name, revision, status });
             metrics.countStoreCall(StoreKind.rollouts, reply.kind);
@@ -130,7 +133,7 @@
         }
         else {
             const found = isSame ? current.state : current?.softwareVersion;
-            if (read.kind === "ok" && isSame && current.state !== undefined && isFinalState(current.state)) {
+            if (isSame && current.state !== undefined && isFinalState(current.state)) {
                 // The reply to an earlier write was lost, or another instance has written first.
                 state.markRolloutState(rollout, { state: current.state, revision: current.revision });
             }
@@ -141,10 +144,25 @@
                 found,
             });
         }
-        this.#retryAt = Math.max(this.#retryAt, clock.getMonotonic() + RETRY_MILLISECONDS);
+        this.#failures = rollout.order.state === wanted ? 0 : this.#failures + 1;
+        const delay = Math.min(MAX_RETRY_MILLISECONDS, MIN_RETRY_MILLISECONDS * 2 ** Math.max(0, this.#failures - 1));
+        this.#retryAt = Math.max(this.#retryAt, clock.getMonotonic() + delay);
         this.#writing.delete(name);
     }
 
+    /** Reads an order as it is now. The first status undoes nothing, and is written for the revision that is known. */
+    async #readOrder(rollout: Rollout, wanted: RolloutState): Promise<StoreReply<RolloutOrder | undefined>> {
+        if (wanted === RolloutState.running && this.#failures === 0) {
+            return { kind: "ok", value: rollout.order };
+        }
+        const { store, metrics } = this.#options;
+        const read = await store.readObject(StoreKind.rollouts, rollout.order.name);
+        metrics.countStoreCall(StoreKind.rollouts, read.kind);
+        return read.kind === "ok"
+            ? { kind: "ok", value: decodeRollout(read.value, { ageMilliseconds: 0 }) }
+            : read;
+    }
+
     /** Checks that the order still holds and its end is still the one that is to be written. */
     #isCurrent(rollout: Rollout, wanted: RolloutState): boolean {
         return this.#options.state.rollouts?.findRollout(rollout.order.service) === rollout
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -215,13 +215,21 @@
         return undefined;
     }
 
-    /** Waits for changes of a kind; the wait ends early once this instance has lost its place for some time. */
+    /**
+     * Waits for changes of a kind; the wait ends early once this instance has lost its place for some time. Rollouts are
+     * rare: their watch is long, and ends as soon as one of another kind shows that connections have failed.
+     */
     async #watchKind(kind: string, position: StorePosition): Promise<StoreReply<StoreEvents>> {
         const { store, clock, isFirstWatcher } = this.#options;
         const abortController = new AbortController();
         let placeLostAt: number | undefined;
+        const isLong = kind === StoreKind.rollouts;
+        const hadOutage = this.#outages.size > 0;
         const timer = setInterval(() => {
             const now = clock.getMonotonic();
+            if (isLong && !hadOutage && this.#outages.size > 0) {
+                abortController.abort();
+            }
             placeLostAt = this.#decideWatching() ? undefined : placeLostAt ?? now;
             if (placeLostAt !== undefined && now - placeLostAt >= MAX_SURPLUS_WATCH_MILLISECONDS) {
                 abortController.abort();
@@ -229,7 +237,7 @@
         }, ELECTION_INTERVAL_MILLISECONDS);
         const reply = await store.watchObjects(kind, {
             ...position,
-            waitMilliseconds: isFirstWatcher() ? FIRST_WATCH_MILLISECONDS : OTHER_WATCH_MILLISECONDS,
+            waitMilliseconds: isFirstWatcher() && !isLong ? FIRST_WATCH_MILLISECONDS : OTHER_WATCH_MILLISECONDS,
             signal: abortController.signal,
         });
         clearInterval(timer);
