--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -210,6 +210,14 @@
         }
     }
 
+    /** Checks whether requests to a service may not go to all its targets; listing these costs time. */
+    isConcerned(service: string, now: number): boolean {
+        return this.findRollout(service) !== undefined
+            || this.#areOrdersUnknown(now)
+            || [...this.#listedAt.get(service)?.values() ?? []].some(time => now - time < NEWCOMER_MILLISECONDS)
+            || [...this.#withdrawnUntil.get(service)?.values() ?? []].some(until => until > now);
+    }
+
     /**
      * Chooses the targets to which an attempt may go. `others` are the targets of the service that accept requests, and
      * `baseline` the version that it has had for long, if it is known.
@@ -355,6 +363,10 @@
         }
     }
 
+    #areOrdersUnknown(now: number): boolean {
+        return this.#position === undefined && now - this.#startedAt < UNKNOWN_ORDERS_MILLISECONDS;
+    }
+
     #isWithdrawn(target: ServingTarget, now: number): boolean {
         return (this.#withdrawnUntil.get(target.service)?.get(getSoftwareVersion(target)) ?? 0) > now;
     }
@@ -437,7 +449,7 @@
             return undefined;
         }
         const listedAt = this.#listedAt.get(service);
-        const areOrdersUnknown = this.#position === undefined && now - this.#startedAt < UNKNOWN_ORDERS_MILLISECONDS;
+        const areOrdersUnknown = this.#areOrdersUnknown(now);
         const isSettled = (target: ServingTarget): boolean => {
             const version = getSoftwareVersion(target);
             const isNewcomer = listedAt !== undefined && now - (listedAt.get(version) ?? now) < NEWCOMER_MILLISECONDS;
--- a/serving/rollout_controller.ts
+++ b/serving/rollout_controller.ts
@@ -85,7 +85,7 @@
         state.updateRollouts(isConnected());
         for (const rollout of rollouts.listRollouts()) {
             const { order, end } = rollout;
-            metrics.setRolloutShare(order.service, computeShare(rollout));
+            metrics.setRollout(order.service, { ...rollout.verdict, share: computeShare(rollout) });
             const wanted = findWantedState(rollout);
             const isOutdated = order.state !== wanted && !isFinalState(order.state);
             // What the time limit demands depends on counts that may be incomplete here; some other instance knows more.
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -31,6 +31,7 @@
     readonly #storeCalls: Counter<"kind" | "result">;
     readonly #rolloutDecisions: Counter<"service" | "state">;
     readonly #rolloutShare: Gauge<"service">;
+    readonly #rolloutAnswers: Gauge<"service" | "result">;
     readonly #firstByteSeconds: Histogram<"route">;
     readonly #movePauseSeconds: Histogram;
 
@@ -84,6 +85,13 @@
             labelNames: ["service"],
             registers,
         });
+        this.#rolloutAnswers = new Gauge({
+            name: "knapweed_serving_rollout_answers",
+            help:
+                "Answers of the new version of a service that are known from all instances, and the bad ones among them.",
+            labelNames: ["service", "result"],
+            registers,
+        });
         this.#firstByteSeconds = new Histogram({
             name: "knapweed_serving_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer's body.",
@@ -135,9 +143,11 @@
         this.#rolloutDecisions.inc({ service, state });
     }
 
-    /** Sets the share of a service's requests that may go to its new version. */
-    setRolloutShare(service: string, share: number): void {
-        this.#rolloutShare.set({ service }, share);
+    /** Sets the share of a service's requests that may go to its new version, and what is known of its answers. */
+    setRollout(service: string, rollout: { share: number; answers: number; badAnswers: number; }): void {
+        this.#rolloutShare.set({ service }, rollout.share);
+        this.#rolloutAnswers.set({ service, result: "all" }, rollout.answers);
+        this.#rolloutAnswers.set({ service, result: "bad" }, rollout.badAnswers);
     }
 
     /** Observes the time from a request's arrival to the first byte of its response's body, in milliseconds. */
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -387,7 +387,13 @@
 
     /** Records the software versions of the targets that are listed now. */
     recordListedVersions(): void {
-        this.softwareVersions.recordListed(this.directory.listSoftwareVersions(), this.#now());
+        const listed = this.directory.listSoftwareVersions();
+        const now = this.#now();
+        this.softwareVersions.recordListed(listed, now);
+        this.rollouts?.recordListed(listed, {
+            now,
+            findBaseline: service => this.softwareVersions.findBaseline(service),
+        });
     }
 
     /** Adopts the baselines on which a peer relies. */
@@ -534,10 +540,6 @@
     updateRollouts(isConnected: boolean): void {
         const { rollouts } = this;
         const now = this.#now();
-        rollouts?.recordListed(this.directory.listSoftwareVersions(), {
-            now,
-            findBaseline: service => this.softwareVersions.findBaseline(service),
-        });
         const events = rollouts?.update({
             now,
             isConnected,
@@ -548,10 +550,12 @@
 
     /** Chooses the targets to which an attempt may go; `undefined` for all. */
     chooseVersions(input: VersionChoiceInput): VersionChoice | undefined {
-        return this.rollouts?.chooseVersions(input, {
-            others: this.directory.listAvailable(input.service),
-            baseline: this.softwareVersions.findBaseline(input.service),
-        });
+        return this.rollouts?.isConcerned(input.service, input.now) === true
+            ? this.rollouts.chooseVersions(input, {
+                others: this.directory.listAvailable(input.service),
+                baseline: this.softwareVersions.findBaseline(input.service),
+            })
+            : undefined;
     }
 
     /** Records the state of a rollout that this instance has written to the store, or has read there. */
@@ -741,6 +745,10 @@
     }
 
     #publishChanges(changes: TargetChange[], source: StateSource): void {
+        // The first request after the list must know that a version is new.
+        if (this.rollouts !== undefined && changes.some(({ kind }) => kind === "added")) {
+            this.recordListedVersions();
+        }
         for (const change of changes) {
             const { id, service, zone, address, softwareVersion } = change.target;
             const { revision } = this.directory;
