--- a/features/platform/rollout_fleet.feature
+++ b/features/platform/rollout_fleet.feature
@@ -38,6 +38,16 @@
             | plain   | fails on one route             | a few instances get most of the requests                        |
             | plain   | fails at once                  | the store is down for 6 s                                       |
 
+    # Guards against instances that go on because each of them has seen too little to decide.
+    Scenario: instances that hear no other send nothing to a new version
+        When 65 instances roll out a version of "plain" that fails always after 4 s within 40 s while no instance hears another
+        Then it got nothing later than 5000 ms after its 50th bad answer
+
+    # Guards against verdicts that each instance would have to find by itself.
+    Scenario: an instance stops as soon as a peer has told it of a verdict
+        When a peer tells an instance that the new version is bad
+        Then the instance sends the new version nothing of 100 requests
+
     # Shows that the limits do not hold by themselves.
     Scenario: without decisions a bad version gets half of the requests
         When 65 instances send requests to all targets of "plain" although a new version fails at once
--- a/features/steps/rollout_fleet_steps.ts
+++ b/features/steps/rollout_fleet_steps.ts
@@ -5,7 +5,7 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { RolloutEvidence, type RolloutVerdict } from "../../core/serving/mod.ts";
+import { createTally, RolloutEvidence, Rollouts, type RolloutVerdict } from "../../core/serving/mod.ts";
 import {
     type RolloutOutcome,
     simulateRollout,
@@ -17,6 +17,7 @@
     "fails at once": { portion: 0.3 },
     "is slow at once": { portion: 0.4, kind: "slow" },
     "fails after 15 s": { portion: 0.3, from: 15_000 },
+    "fails always after 4 s": { portion: 1, from: 4000 },
     "fails under load": { portion: 0.5, load: 2 },
     "fails on one route": { portion: 0.5, route: "check" },
 };
@@ -24,6 +25,7 @@
 let outcome: RolloutOutcome | undefined;
 let seconds = 0;
 let verdict: RolloutVerdict | undefined;
+let rollouts: Rollouts | undefined;
 
 When(
     /^65 instances roll out a version of "(plain|pool)" that (.+) within (\d+) s while (.+)$/,
@@ -107,3 +109,49 @@
 Then("the verdict is {string}", function(expected: string) {
     assert.equal(verdict?.isBad, expected === "bad", verdict?.reason);
 });
+
+const TARGET = {
+    service: "ledger",
+    address: "192.0.2.1:80",
+    zone: "zone-a",
+    slots: 8,
+    isLeaving: false,
+    coldMilliseconds: 0,
+    startedAt: 1,
+};
+const OLD_TARGET = { ...TARGET, id: "old", softwareVersion: "v1" };
+const NEW_TARGET = { ...TARGET, id: "new", softwareVersion: "v2" };
+
+/** Counts those of 100 requests that an instance prefers to send to the new version. */
+function countSends(now: number): number {
+    const input = { service: "ledger", route: "lookup", isLong: false, isFirst: true, softwareVersion: undefined, now };
+    const targets = { others: [OLD_TARGET, NEW_TARGET], baseline: "v1" };
+    return Array.from({ length: 100 }, () => rollouts?.chooseVersions(input, targets))
+        .filter(choice => choice?.isPreferred?.(NEW_TARGET) ?? choice?.isAllowed(NEW_TARGET) ?? true).length;
+}
+
+When("a peer tells an instance that the new version is bad", function() {
+    const order = {
+        name: "ledger",
+        revision: 1,
+        service: "ledger",
+        softwareVersion: "v2",
+        durationMilliseconds: 30_000,
+        ageMilliseconds: 0,
+    };
+    const bounds = { exposureShare: 0.1, exposureSlack: 50, rollbackMilliseconds: 5000 };
+    rollouts = new Rollouts({ bounds, random: () => 0.5, now: 0 });
+    rollouts.applySnapshot({ era: 1, revision: 1, changeRevision: 1, orders: [order] }, 0);
+    const findTargets = () => ({
+        available: [OLD_TARGET, NEW_TARGET],
+        cold: new Set<string>(),
+        countOldRunning: () => 0,
+    });
+    rollouts.update({ now: 100, isConnected: true, findTargets });
+    assert.ok(countSends(100) > 0);
+    rollouts.applyPeerReport("peer", { name: "ledger", softwareVersion: "v2", isBad: true, ...createTally() });
+});
+
+Then("the instance sends the new version nothing of 100 requests", function() {
+    assert.equal(countSends(200), 0);
+});
--- a/support/platform/rollout_simulation.ts
+++ b/support/platform/rollout_simulation.ts
@@ -141,6 +141,10 @@
                 }
             }),
     }],
+    "no instance hears another": [{
+        at: 3000,
+        apply: ({ instances }) => instances.forEach((instance, index) => (instance.group = index)),
+    }],
     "the first two instances die": [{
         at: 4000,
         apply: ({ instances }) => instances.slice(0, 2).forEach(instance => (instance.isAlive = false)),
