--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -42,6 +42,8 @@
     canaries: ReadonlySet<string>;
     /** Time since which no target of another version has been listed; `undefined` while one is. */
     oldGoneSince: number | undefined;
+    /** True once a target of another version was listed. */
+    hasHadOld: boolean;
 }
 
 /** Targets of a service, for {@linkcode Rollouts.update}. */
@@ -348,6 +350,7 @@
             isIgnored: false,
             canaries: new Set(),
             oldGoneSince: undefined,
+            hasHadOld: false,
         };
     }
 
@@ -397,6 +400,7 @@
         );
         const ready = fresh.filter(({ id }) => !targets.cold.has(id));
         rollout.verdict = evidence.decideVerdict(now);
+        rollout.hasHadOld ||= old.length > 0;
         rollout.oldGoneSince = old.length > 0 ? undefined : rollout.oldGoneSince ?? now;
         const previous = rollout.plan;
         const plan = planRollout({
@@ -479,6 +483,12 @@
         if (isFirst && end === undefined) {
             evidence.recordRequest(isLong);
         }
+        // Without a target of another version there is nothing to go back to; one that had some waits for them once it is bad.
+        if (!others.some(isOld) && (end === undefined || !rollout.hasHadOld)) {
+            return softwareVersion === undefined || softwareVersion === order.softwareVersion
+                ? undefined
+                : { isPreferred: undefined, isAllowed: isOld };
+        }
         if (end !== undefined || !this.#isConnected || plan === undefined) {
             return { isPreferred: undefined, isAllowed: isOld };
         }
@@ -487,9 +497,6 @@
             return { isPreferred: undefined, isAllowed: target => isNewTarget(rollout, target) === isNewStream };
         }
         const isMoved = plan.stage === RolloutStage.all || plan.stage === RolloutStage.streams && isLong;
-        if (!others.some(isOld)) {
-            return undefined;
-        }
         if (isFirst && isMoved) {
             return { isPreferred: isNew, isAllowed: target => isNew(target) || isOld(target) };
         }
--- a/features/platform/rollouts.feature
+++ b/features/platform/rollouts.feature
@@ -107,6 +107,14 @@
         Then the version "v2" has got nothing in the first 1200 ms
         And the version "v2" has got some of the requests
 
+    # Guards against a service without any target, since its only version counts as the new one.
+    Scenario: an order for the only version of a service changes nothing
+        Given a serving site with 1 instance that take rollouts
+        When an operator writes the order {"service": "ledger", "target": "v1", "duration_s": 7}
+        And callers send 30 requests a second until the rollout has ended
+        Then the status of the rollout is "completed" for "v1"
+        And all requests are answered with 200
+
     # Guards against a restored store that shows a rollout as running although its targets have stopped.
     Scenario: the status is written again to a store that was restored from an older copy
         Given a serving site with 2 instances that take rollouts
--- a/features/steps/platform_rollout_steps.ts
+++ b/features/steps/platform_rollout_steps.ts
@@ -82,7 +82,7 @@
 
 function listVersionTargets(isNew: boolean): ReturnType<typeof listTargets> {
     return listTargets(rollout.service).filter(({ standIn }) =>
-        (standIn.softwareVersion === rollout.version) === isNew
+        ((standIn.softwareVersion ?? "v1") === rollout.version) === isNew
     );
 }
 
@@ -134,7 +134,7 @@
 
 When(/^an operator writes the order (\{.+\})$/, function(text: string) {
     const spec = JSON.parse(text) as Record<string, unknown>;
-    putOrder("v2", "ledger", spec);
+    putOrder(typeof spec.target === "string" ? spec.target : "v2", "ledger", spec);
 });
 
 When("the operator withdraws the order", function() {
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -87,6 +87,8 @@
 /** Silence up to which a peer counts as heard where a verdict has to arrive, in milliseconds, and in heartbeats. */
 const MIN_SILENCE_MILLISECONDS = 2500;
 const SILENCE_FACTOR = 1.5;
+/** Longest such silence, in milliseconds: below the time within which a bad version must get nothing more. */
+const MAX_SILENCE_MILLISECONDS = 4000;
 /** The same for a peer that watches the store: a few of its heartbeats. */
 const MAX_WATCHER_SILENCE_MILLISECONDS = 1200;
 /** Digests that may be missed before a peer is considered lost. */
@@ -199,7 +201,10 @@
      */
     isConnected(): boolean {
         const now = this.#options.clock.getMonotonic();
-        const maxSilence = Math.max(MIN_SILENCE_MILLISECONDS, SILENCE_FACTOR * this.#heartbeatMilliseconds);
+        const maxSilence = Math.min(
+            MAX_SILENCE_MILLISECONDS,
+            Math.max(MIN_SILENCE_MILLISECONDS, SILENCE_FACTOR * this.#heartbeatMilliseconds),
+        );
         let heard = 0;
         for (const { lastDigestAt = Number.NEGATIVE_INFINITY, isWatching } of this.#peers.values()) {
             const silence = now - lastDigestAt;
