--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -42,6 +42,8 @@
     canaries: ReadonlySet<string>;
     /** Time since which no target of another version has been listed; `undefined` while one is. */
     oldGoneSince: number | undefined;
+    /** True once a target of another version was listed. */
+    hasHadOld: boolean;
 }
 
 /** Targets of a service, for {@linkcode Rollouts.update}. */
@@ -214,6 +216,14 @@
         }
     }
 
+    /** Checks whether requests to a service may not go to all its targets; listing these costs time. */
+    isConcerned(service: string, now: number): boolean {
+        return this.findRollout(service) !== undefined
+            || this.#areOrdersUnknown(now)
+            || [...this.#listedAt.get(service)?.values() ?? []].some(time => now - time < NEWCOMER_MILLISECONDS)
+            || [...this.#withdrawnUntil.get(service)?.values() ?? []].some(until => until > now);
+    }
+
     /**
      * Chooses the targets to which an attempt may go. `others` are the targets of the service that accept requests, and
      * `baseline` the version that it has had for long, if it is known.
@@ -344,6 +354,7 @@
             isIgnored: false,
             canaries: new Set(),
             oldGoneSince: undefined,
+            hasHadOld: false,
         };
     }
 
@@ -359,6 +370,10 @@
         }
     }
 
+    #areOrdersUnknown(now: number): boolean {
+        return this.#position === undefined && now - this.#startedAt < UNKNOWN_ORDERS_MILLISECONDS;
+    }
+
     #isWithdrawn(target: ServingTarget, now: number): boolean {
         return (this.#withdrawnUntil.get(target.service)?.get(getSoftwareVersion(target)) ?? 0) > now;
     }
@@ -389,6 +404,7 @@
         );
         const ready = fresh.filter(({ id }) => !targets.cold.has(id));
         rollout.verdict = evidence.decideVerdict(now);
+        rollout.hasHadOld ||= old.length > 0;
         rollout.oldGoneSince = old.length > 0 ? undefined : rollout.oldGoneSince ?? now;
         const previous = rollout.plan;
         const plan = planRollout({
@@ -414,7 +430,7 @@
                 ...describeOrder(order),
                 ...describeEvidence(rollout),
                 stage: plan.stage,
-                share: plan.share,
+                share: Number(plan.share.toFixed(3)),
             };
             events.push({ event: "rollout share set", fields });
         }
@@ -441,7 +457,7 @@
             return undefined;
         }
         const listedAt = this.#listedAt.get(service);
-        const areOrdersUnknown = this.#position === undefined && now - this.#startedAt < UNKNOWN_ORDERS_MILLISECONDS;
+        const areOrdersUnknown = this.#areOrdersUnknown(now);
         const isSettled = (target: ServingTarget): boolean => {
             const version = getSoftwareVersion(target);
             const isNewcomer = listedAt !== undefined && now - (listedAt.get(version) ?? now) < NEWCOMER_MILLISECONDS;
@@ -472,6 +488,12 @@
         if (isFirst && isCounted && end === undefined) {
             evidence.recordRequest(isLong);
         }
+        // Without a target of another version there is nothing to go back to; one that had some waits for them once it is bad.
+        if (!others.some(isOld) && (end === undefined || !rollout.hasHadOld)) {
+            return softwareVersion === undefined || softwareVersion === order.softwareVersion
+                ? undefined
+                : { name: oldName, isPreferred: undefined, isAllowed: isOld };
+        }
         if (end !== undefined || !this.#isConnected || plan === undefined) {
             return { name: oldName, isPreferred: undefined, isAllowed: isOld };
         }
@@ -484,9 +506,6 @@
             };
         }
         const isMoved = plan.stage === RolloutStage.all || plan.stage === RolloutStage.streams && isLong;
-        if (!others.some(isOld)) {
-            return undefined;
-        }
         if (isFirst && isMoved) {
             return { name: "any", isPreferred: isNew, isAllowed: target => isNew(target) || isOld(target) };
         }
