--- a/core/serving/service_admission.ts
+++ b/core/serving/service_admission.ts
@@ -127,6 +127,8 @@
 const MAX_RETURN_SHARE = 0.3;
 /** Number of refusals of a session after which its next request goes first. */
 const MAX_SESSION_REFUSALS = 2;
+/** Time after its last refusal for which a session is remembered, in milliseconds: several requests of a session. */
+const SESSION_LIFETIME_MILLISECONDS = 60_000;
 /** Number of sessions that are remembered. */
 const MAX_SESSIONS = 2048;
 /** Number of sessions in one statement. */
@@ -158,7 +160,7 @@
     readonly #shares = new ServiceShares();
     readonly #pressure = new Map<number, PriorityPressure>();
     readonly #peerPressure = new Map<string, { pressure: readonly ToldPressure[]; receivedAt: number; }>();
-    readonly #sessionRefusals = new Map<number, number>();
+    readonly #sessionRefusals = new Map<number, { count: number; refusedAt: number; }>();
     #untoldSessions: number[] = [];
     #shortAt = Number.NEGATIVE_INFINITY;
     #sharesToldAt = Number.NEGATIVE_INFINITY;
@@ -199,7 +201,7 @@
             origin,
             groups,
             share,
-            isPreferred: isShort && this.#isPreferred(origin, share),
+            isPreferred: isShort && this.#isPreferred(origin, { share, now }),
             enqueuedAt: now,
             objectiveAt: now + objectiveMilliseconds,
             latestAt: now + computeAllowedWait({ objectiveMilliseconds, remainingMilliseconds, responseMilliseconds }),
@@ -312,8 +314,8 @@
             size,
         });
         if (origin.session !== undefined) {
-            this.#addSessionRefusal(origin.session);
-            this.#untoldSessions.push(origin.session);
+            this.#addSessionRefusal(origin.session, now);
+            this.#untoldSessions = [...this.#untoldSessions, origin.session].slice(-MAX_TOLD_SESSIONS);
         }
         this.#shortAt = now;
         this.#updateMeanSize(entry);
@@ -330,7 +332,7 @@
         if (areSharesDue) {
             this.#sharesToldAt = now;
         }
-        const sessions = this.#untoldSessions.slice(-MAX_TOLD_SESSIONS);
+        const sessions = this.#untoldSessions;
         this.#untoldSessions = [];
         return {
             pressure: this.#listOwnPressure(now),
@@ -348,12 +350,15 @@
             this.#shares.applyToldShares(peer, shares, now);
         }
         refused.forEach(refusal => this.refusedCallers.applyToldRefusal(refusal, now));
-        sessions.forEach(session => this.#addSessionRefusal(session));
+        sessions.forEach(session => this.#addSessionRefusal(session, now));
         this.#shortAt = Math.max(this.#shortAt, now - SHORT_MILLISECONDS / 2);
     }
 
-    #isPreferred({ session, returnKind }: RequestOrigin, share: number): boolean {
-        const refusals = session === undefined ? 0 : this.#sessionRefusals.get(session) ?? 0;
+    #isPreferred(
+        { session, returnKind }: RequestOrigin,
+        { share, now }: { share: number; now: number; },
+    ): boolean {
+        const refusals = session === undefined ? 0 : this.#countSessionRefusals(session, now);
         return returnKind === ReturnKind.onTime
             || returnKind !== ReturnKind.early && share < UNDERSERVED_SHARE
             || returnKind === ReturnKind.newcomer && refusals > MAX_SESSION_REFUSALS;
@@ -435,10 +440,15 @@
         this.#pressure.set(priority, { ...known, ...change });
     }
 
-    #addSessionRefusal(session: number): void {
-        const refusals = this.#sessionRefusals.get(session) ?? 0;
+    #countSessionRefusals(session: number, now: number): number {
+        const refusals = this.#sessionRefusals.get(session);
+        return refusals === undefined || now - refusals.refusedAt > SESSION_LIFETIME_MILLISECONDS ? 0 : refusals.count;
+    }
+
+    #addSessionRefusal(session: number, now: number): void {
+        const count = this.#countSessionRefusals(session, now) + 1;
         this.#sessionRefusals.delete(session);
-        this.#sessionRefusals.set(session, refusals + 1);
+        this.#sessionRefusals.set(session, { count, refusedAt: now });
         if (this.#sessionRefusals.size > MAX_SESSIONS) {
             const [oldest] = this.#sessionRefusals.keys();
             this.#sessionRefusals.delete(oldest ?? session);
--- a/features/steps/platform_build_contract_steps.ts
+++ b/features/steps/platform_build_contract_steps.ts
@@ -228,6 +228,7 @@
             refusalStatements: [],
             promptEvidence: EMPTY_CRASH_EVIDENCE,
             baselines: {},
+            lines: {},
             versions: { configuration: 5, targets: 20, targetsEra: 0, zones: 7, zonesEra: 0 },
             isWatching: true,
             relayAddress: "",
