Limit connections of the peer port that have not identified themselves

Cause: 2,000 connections to the peer port without a message held 1,026 descriptors at the end of a flood, and the first message of an unknown client could have 16 MiB. Change: at most 128 connections without a hello and 512 in all; the oldest one without a hello is closed first. The first message has at most 4 KB.

--- a/network/frame_connection.ts
+++ b/network/frame_connection.ts
@@ -28,6 +28,8 @@
     silenceMilliseconds?: number;
     /** Maximum number of unsent bytes in the send buffer; above it the connection is closed. Defaults to 32 MiB. */
     maxBufferedBytes?: number;
+    /** Maximum length of the first received message, in bytes. Defaults to that of all messages, 16 MiB. */
+    maxFirstMessageBytes?: number;
 }
 
 const HEARTBEAT_KIND = "heartbeat";
@@ -39,7 +41,7 @@
 export class FrameConnection {
     readonly #socket: Socket;
     readonly #options: FrameConnectionOptions;
-    readonly #decoder = new FrameDecoder();
+    readonly #decoder: FrameDecoder;
     #heartbeatTimer: NodeJS.Timeout | undefined;
     /** Monotonic time from which the timeout runs; `undefined` while no data is expected from the remote end. */
     #awaitingDataSince: number | undefined = performance.now();
@@ -51,6 +53,10 @@
     constructor(socket: Socket, options: FrameConnectionOptions) {
         this.#socket = socket;
         this.#options = options;
+        const { maxFirstMessageBytes } = options;
+        this.#decoder = new FrameDecoder(
+            maxFirstMessageBytes === undefined ? {} : { maxFirstFrameBytes: maxFirstMessageBytes },
+        );
         socket.setNoDelay(true);
         socket.on("data", chunk => this.#handleData(chunk));
         socket.on("error", () => this.close());
--- a/network/frame_server.ts
+++ b/network/frame_server.ts
@@ -38,11 +38,20 @@
     connection: FrameConnection;
 }
 
+/** Connections whose clients have not identified themselves yet; a client does so as soon as it is connected. */
+const MAX_UNIDENTIFIED_CONNECTIONS = 128;
+/** Connections at the same time; the largest fleet has 340 instances. */
+const MAX_CONNECTIONS = 512;
+/** Maximum length of the first message, in bytes: until then, anyone may have connected. */
+const MAX_HELLO_BYTES = 4096;
+
 /** Accepts connections that carry framed messages; closes those whose first message is not a hello. */
 export class FrameServer {
     readonly #options: FrameServerOptions;
     readonly #server: Server;
     readonly #connections = new Set<FrameConnection>();
+    /** Connections whose clients have not identified themselves, the oldest first. */
+    readonly #unidentified = new Set<FrameConnection>();
     #count = 0;
 
     constructor(options: FrameServerOptions) {
@@ -53,12 +62,14 @@
             let client: FrameClient | undefined;
             const connection: FrameConnection = new FrameConnection(socket, {
                 suppressesIdleHeartbeats: this.#options.suppressesIdleHeartbeats ?? false,
+                maxFirstMessageBytes: MAX_HELLO_BYTES,
                 onError: this.#options.onError,
                 onMessage: message => {
                     if (client !== undefined) {
                         this.#options.onMessage(client, message);
                     }
                     else if (message.kind === "hello") {
+                        this.#unidentified.delete(connection);
                         client = { id, from: (message as HelloMessage).from, connection };
                         this.#options.onOpen?.(client);
                     }
@@ -68,12 +79,20 @@
                 },
                 onClose: () => {
                     this.#connections.delete(connection);
+                    this.#unidentified.delete(connection);
                     if (client !== undefined) {
                         this.#options.onClose?.(client);
                     }
                 },
             });
             this.#connections.add(connection);
+            this.#unidentified.add(connection);
+            const [oldest] = this.#unidentified;
+            if (
+                this.#unidentified.size > MAX_UNIDENTIFIED_CONNECTIONS || this.#connections.size > MAX_CONNECTIONS
+            ) {
+                oldest?.close();
+            }
         });
     }
 
--- a/protocol/frame_codec.ts
+++ b/protocol/frame_codec.ts
@@ -9,6 +9,8 @@
 export interface FrameDecoderOptions {
     /** Maximum accepted length of a frame's CBOR value, in bytes. Defaults to 16 MiB. */
     maxFrameBytes?: number;
+    /** Maximum accepted length of the first frame's value, in bytes. Defaults to `maxFrameBytes`. */
+    maxFirstFrameBytes?: number;
 }
 
 const LENGTH_BYTES = 4;
@@ -37,11 +39,14 @@
 /** Decodes messages from a byte stream that arrives in chunks of any size. */
 export class FrameDecoder {
     readonly #maxFrameBytes: number;
+    /** Maximum length of the next frame. */
+    #maxNextBytes: number;
     #chunks: Buffer[] = [];
     #bufferedBytes = 0;
 
     constructor(options: FrameDecoderOptions = {}) {
         this.#maxFrameBytes = options.maxFrameBytes ?? DEFAULT_MAX_FRAME_BYTES;
+        this.#maxNextBytes = options.maxFirstFrameBytes ?? this.#maxFrameBytes;
     }
 
     /**
@@ -66,14 +71,15 @@
             return undefined;
         }
         const length = this.#readLength();
-        if (length > this.#maxFrameBytes) {
+        if (length > this.#maxNextBytes) {
             throw new RangeError(
-                `Cannot decode frame: its length of ${length} bytes exceeds the limit of ${this.#maxFrameBytes} bytes.`,
+                `Cannot decode frame: its length of ${length} bytes exceeds the limit of ${this.#maxNextBytes} bytes.`,
             );
         }
         if (this.#bufferedBytes < LENGTH_BYTES + length) {
             return undefined;
         }
+        this.#maxNextBytes = this.#maxFrameBytes;
         const joined = this.#joinChunks();
         const end = LENGTH_BYTES + length;
         this.#chunks = joined.length > end ? [joined.subarray(end)] : [];
