Apply the limits on clients to the gateway's callers

Cause: the gateway had no bound on all bodies together either; only each body and its time were limited. Change: the guard of the serving process limits its caller and administrative ports, with two settings (memoryMegabytes, maxDescriptors) whose defaults are far above usual loads. Two of the largest bodies have room in any case.

--- a/core/serving/client_limits.ts
+++ b/core/serving/client_limits.ts
@@ -125,14 +125,24 @@
 /** Time in which the rest of a body must arrive after the response to its request, in milliseconds. */
 const DISCARD_MILLISECONDS = 1000;
 
-/** Computes the sizes for callers' connections from the memory, in MB, and the descriptors of the machine. */
-export function computeClientCapacity(machine: { memoryMegabytes: number; maxDescriptors: number; }): ClientCapacity {
-    const memory = machine.memoryMegabytes * BYTES_PER_MEGABYTE;
-    const maxBytes = Math.min(
-        MAX_CLIENT_BYTES,
-        Math.max(MIN_CLIENT_BYTES, (memory - PROCESS_BYTES) * CLIENT_SHARE),
+/** Resources of the machine, and the largest body, from which the sizes follow. */
+export interface ClientCapacityInput {
+    /** Memory, in MB. */
+    memoryMegabytes: number;
+    /** File descriptors. */
+    maxDescriptors: number;
+    /** Maximum size of a body, in bytes. Defaults to one far below the budget. */
+    maxBodyBytes?: number;
+}
+
+/** Computes the sizes for callers' connections; two of the largest bodies have room in any case. */
+export function computeClientCapacity(input: ClientCapacityInput): ClientCapacity {
+    const memory = input.memoryMegabytes * BYTES_PER_MEGABYTE;
+    const maxBytes = Math.max(
+        2 * (input.maxBodyBytes ?? 0),
+        Math.min(MAX_CLIENT_BYTES, Math.max(MIN_CLIENT_BYTES, (memory - PROCESS_BYTES) * CLIENT_SHARE)),
     );
-    const byDescriptors = Math.floor((machine.maxDescriptors - FILE_DESCRIPTORS) * CALLER_SHARE);
+    const byDescriptors = Math.floor((input.maxDescriptors - FILE_DESCRIPTORS) * CALLER_SHARE);
     const byMemory = Math.floor(maxBytes / (CONNECTION_BYTES + REQUEST_BYTES));
     return { maxBytes, maxConnections: Math.max(MIN_CONNECTIONS, Math.min(byDescriptors, byMemory)) };
 }
--- a/gateway/gateway_metrics.ts
+++ b/gateway/gateway_metrics.ts
@@ -19,6 +19,7 @@
     readonly #resumes: Counter;
     readonly #tokens: Counter;
     readonly #claims: Counter<"result">;
+    readonly #clientDrops: Counter<"reason">;
 
     constructor(options: GatewayMetricsOptions) {
         const registers = [this.registry];
@@ -38,6 +39,12 @@
             labelNames: ["result"],
             registers,
         });
+        this.#clientDrops = new Counter({
+            name: "knapweed_gateway_clients_closed_total",
+            help: "Clients whose connection was closed or whose request was refused by a limit on clients.",
+            labelNames: ["reason"],
+            registers,
+        });
         new Gauge({
             name: "knapweed_gateway_active_requests",
             help: "Requests being served.",
@@ -53,6 +60,11 @@
         this.#requests.inc({ kind, end });
     }
 
+    /** Counts a client that was dropped by a limit on clients. */
+    countClientDrop(reason: string): void {
+        this.#clientDrops.inc({ reason });
+    }
+
     /** Counts a retry of a request. */
     countRetry(): void {
         this.#retries.inc();
--- a/gateway/gateway_process.ts
+++ b/gateway/gateway_process.ts
@@ -6,8 +6,16 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { LengthPredictor } from "../core/prediction/mod.ts";
+import { type ClientCapacity, ClientDrop, computeClientCapacity } from "../core/serving/mod.ts";
 import { RetryBudget } from "../core/verdict/mod.ts";
-import { BodyTooLargeError, openHttpServer, readBody, waitMilliseconds } from "../network/mod.ts";
+import {
+    BodyTooLargeError,
+    ClientDroppedError,
+    ClientGuard,
+    openHttpServer,
+    readRequestBody,
+    waitMilliseconds,
+} from "../network/mod.ts";
 import { sendError, ServingError } from "../network/serving_error.ts";
 import { type ChangeLogger, openAdminServer } from "../telemetry/mod.ts";
 import { AgentClient } from "./agent_client.ts";
@@ -39,6 +47,17 @@
 /** Maximum time for which a draining gateway waits for its settlements to become durable, in milliseconds. */
 const MAX_SETTLEMENT_WAIT_MILLISECONDS = 30_000;
 
+/** Time without progress of a body, or of a caller that reads its response, in milliseconds. */
+const CLIENT_IDLE_MILLISECONDS = 15_000;
+/** Sizes for the clients of the administrative port. */
+const ADMIN_CAPACITY: ClientCapacity = { maxBytes: 4_000_000, maxConnections: 32 };
+/** Interval at which the limits on callers are checked, in milliseconds. */
+const GUARD_INTERVAL_MILLISECONDS = 200;
+/** Shortest time between two log lines about callers that were closed, in milliseconds. */
+const DROP_LINE_MILLISECONDS = 5000;
+/** Mean `retry-after` of a request that was refused because the memory for callers is used up, in seconds. */
+const NO_MEMORY_RETRY_SECONDS = 1;
+
 /** Runs one gateway in this process. */
 export class GatewayProcess {
     readonly #settings: GatewaySettings;
@@ -50,6 +69,12 @@
     readonly #generationHandler: GenerationHandler;
     readonly #serviceHandler: ServiceHandler;
     readonly #activeResponses = new Set<ServerResponse>();
+    readonly #guard: ClientGuard;
+    readonly #adminGuard: ClientGuard;
+    /** Callers that were closed since the last log line, by reason. */
+    readonly #drops = new Map<ClientDrop, number>();
+    #dropsLoggedAt = Number.NEGATIVE_INFINITY;
+    #guardTimer: NodeJS.Timeout | undefined;
     #server: Server | undefined;
     #adminServer: Server | undefined;
     #isDraining = false;
@@ -74,6 +99,16 @@
             random,
         });
         this.#metrics = new GatewayMetrics({ countActive: () => this.#activeResponses.size });
+        const timeouts = {
+            idleMilliseconds: CLIENT_IDLE_MILLISECONDS,
+            bodyMilliseconds: settings.bodyTimeoutMilliseconds,
+        };
+        const onDrop = (reason: ClientDrop): void => {
+            this.#metrics.countClientDrop(reason);
+            this.#drops.set(reason, (this.#drops.get(reason) ?? 0) + 1);
+        };
+        this.#guard = new ClientGuard({ capacity: computeClientCapacity(settings), timeouts, onDrop });
+        this.#adminGuard = new ClientGuard({ capacity: ADMIN_CAPACITY, timeouts, onDrop });
         const dependencies: HandlerDependencies = {
             settings,
             agentClient: this.#agentClient,
@@ -96,13 +131,16 @@
             handler: (request, response) => this.#handleRequest(request, response),
             maxHeaderSize: maxHeaderBytes,
             requestTimeout: bodyTimeoutMilliseconds,
+            guard: this.#guard,
         });
         this.#adminServer = await openAdminServer({
             address: adminAddress,
             registry: this.#metrics.registry,
             dumpState: () => this.#dumpState(),
             getUnreadyReason: () => (this.#isDraining ? "draining" : this.#routing.notServingReason),
+            guard: this.#adminGuard,
         });
+        this.#guardTimer = setInterval(() => this.#updateGuards(), GUARD_INTERVAL_MILLISECONDS);
         this.#logger.logChange("gateway started", { instance: this.#settings.instance, zone: this.#settings.zone });
     }
 
@@ -126,6 +164,7 @@
 
     /** Closes all servers and connections immediately. */
     close(): void {
+        clearInterval(this.#guardTimer);
         this.#agentClient.close();
         this.#server?.close();
         this.#server?.closeAllConnections();
@@ -133,6 +172,19 @@
         this.#adminServer?.closeAllConnections();
     }
 
+    /** Closes the callers whose time is over, and logs what was closed. */
+    #updateGuards(): void {
+        this.#guard.update();
+        this.#adminGuard.update();
+        const now = performance.now();
+        if (this.#drops.size > 0 && now - this.#dropsLoggedAt >= DROP_LINE_MILLISECONDS) {
+            const { connectionCount: connections, usedBytes: bytes } = this.#guard;
+            this.#logger.logChange("clients closed", { ...Object.fromEntries(this.#drops), connections, bytes });
+            this.#drops.clear();
+            this.#dropsLoggedAt = now;
+        }
+    }
+
     /** Stops listening, and waits for all started requests to end. */
     async #drainServer(): Promise<void> {
         const server = this.#server;
@@ -195,7 +247,7 @@
                 verdict: "not-run",
             });
         }
-        const body = await this.#readBody(request);
+        const body = await this.#readBody(context);
         if (service !== undefined && servicePath !== undefined) {
             await this.#serviceHandler.handleService(context, { service, path: servicePath, body });
         }
@@ -204,11 +256,27 @@
         }
     }
 
-    async #readBody(request: IncomingMessage): Promise<Buffer> {
+    async #readBody({ request, response }: RequestContext): Promise<Buffer> {
         try {
-            return await readBody(request, { maxBytes: this.#settings.maxBodyBytes });
+            const body = await readRequestBody(request, {
+                maxBytes: this.#settings.maxBodyBytes,
+                reserve: bytes => this.#guard.reserveBody(request, response, bytes),
+                onSmallPieces: pieces => this.#guard.countSmallPieces(request, pieces),
+                onRefusal: refuse => this.#guard.setBodyRefusal(request, refuse),
+            });
+            this.#guard.markAccepted(request);
+            return body;
         }
         catch (error) {
+            if (error instanceof ClientDroppedError && !this.#guard.hasDropped(request)) {
+                throw error.reason === ClientDrop.bodyTimeout
+                    ? new ServingError(error.message, { code: "body_timeout", verdict: "not-run" })
+                    : new ServingError(error.message, {
+                        code: "busy",
+                        verdict: "not-run",
+                        retryAfterSeconds: NO_MEMORY_RETRY_SECONDS,
+                    });
+            }
             throw error instanceof BodyTooLargeError
                 ? new ServingError(error.message, { code: "body_too_large", verdict: "not-run" })
                 : new ServingError("The caller has gone.", { code: "caller_gone", verdict: "not-run" });
--- a/gateway/gateway_settings.ts
+++ b/gateway/gateway_settings.ts
@@ -42,6 +42,18 @@
         min: 100,
         max: 600_000,
     }),
+    memoryMegabytes: createNumberSetting({
+        description: "Megabytes of memory that this process may use, from which the limits on callers follow",
+        fallback: 1024,
+        min: 64,
+        max: 1_048_576,
+    }),
+    maxDescriptors: createNumberSetting({
+        description: "File descriptors that this process may use, from which the limit of callers' connections follows",
+        fallback: 10_250,
+        min: 256,
+        max: 1_048_576,
+    }),
     connectMilliseconds: createNumberSetting({
         description: "Milliseconds in which a target must accept a connection",
         fallback: 1000,
