Give a paused connection's parser nothing while it is read in parts

Cause: the server pauses a connection whose responses are not read. A connection read in parts went on to parse the rest of what had been read, which Node answers with a failed assertion that ends the process: once in 18 floods (pipelined requests at the readiness port). Change: the rest goes back to the socket while it is paused, and is dropped once the connection is destroyed. Result: the new scenario fails with that assertion before the change and passes with it.

--- a/features/platform/client_limits.feature
+++ b/features/platform/client_limits.feature
@@ -39,6 +39,12 @@
         When a client pipelines 8 requests
         Then the client gets the status 200 8 times
 
+    @read-in-parts
+    Scenario: a connection that is read in parts goes on after the server has paused it
+        Given a server that answers with 64 KB and has closed a pipelining client
+        When a client pipelines 10 requests of 1 KB to it
+        Then the client gets the status 200 10 times
+
     Scenario: a body over the limit gets 413, and its connection does not stay open
         Given a serving site
         When a client sends a body without end
--- a/features/steps/platform_client_limit_steps.ts
+++ b/features/steps/platform_client_limit_steps.ts
@@ -5,12 +5,13 @@
  */
 import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { Server } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type ClientConnection, ClientLimits } from "../../core/serving/mod.ts";
-import { waitMilliseconds } from "../../network/mod.ts";
+import { type Address, ClientGuard, openHttpServer, parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { type FloodResult, FloodSite } from "../../support/platform/flood/flood_site.ts";
 import { buildSiteConfiguration, SITE_API_KEY, startServingSite } from "../../support/platform/mod.ts";
-import { waitUntil } from "../../support/processes/mod.ts";
+import { findAddresses, waitUntil } from "../../support/processes/mod.ts";
 import { createRequestId, getInstance, getSite, siteContext } from "../support/site_context.ts";
 
 let floodSite: FloodSite | undefined;
@@ -31,6 +32,9 @@
 After(async () => {
     client?.socket.destroy();
     idleSocket?.destroy();
+    guardedServer?.server.closeAllConnections();
+    guardedServer?.server.close();
+    guardedServer = undefined;
     await floodSite?.close();
     [client, idleSocket, floodSite] = [undefined, undefined, undefined];
 });
@@ -75,9 +79,9 @@
     assert.ok(open > 0 && open <= descriptors, `${open} descriptors are open`);
 });
 
-/** Connects a client to the site, which sends `text` and keeps what it receives. */
-function sendText(text: string): Socket {
-    const socket = connect(getInstance(1).settings.callerAddress);
+/** Connects a client, which sends `text` and keeps what it receives. */
+function sendText(text: string, address = getInstance(1).settings.callerAddress): Socket {
+    const socket = connect(address);
     const opened = { socket, text: "", isClosed: false };
     socket.on("data", chunk => {
         opened.text += chunk.toString();
@@ -129,6 +133,32 @@
     socket.on("close", () => clearInterval(timer));
 });
 
+let guardedServer: { server: Server; address: Address; } | undefined;
+
+Given("a server that answers with 64 KB and has closed a pipelining client", async function() {
+    const address = parseAddress((await findAddresses(1))[0] ?? "");
+    let drops = 0;
+    const guard = new ClientGuard({
+        capacity: { maxBytes: 1e8, maxConnections: 10 },
+        timeouts: TIMEOUTS,
+        onDrop: () => {
+            drops += 1;
+        },
+    });
+    const body = Buffer.alloc(65_536, "a");
+    const server = await openHttpServer({ address, guard, handler: (_, response) => void response.end(body) });
+    guardedServer = { server, address };
+    const socket = connect(address);
+    socket.on("error", () => undefined);
+    socket.write("GET / HTTP/1.1\r\nHost: site.example\r\n\r\n".repeat(200));
+    await waitUntil(() => drops > 0);
+});
+
+When("a client pipelines {int} requests of 1 KB to it", function(count: number) {
+    const head = `GET / HTTP/1.1\r\nHost: site.example\r\nPadding: ${"p".repeat(1000)}\r\n\r\n`;
+    sendText(head.repeat(count), guardedServer?.address);
+});
+
 /** Starts a site with changed limits, and waits until its instance has applied them. */
 async function startLimitedSite(changes: Record<string, number>): Promise<void> {
     siteContext.site = await startServingSite();
--- a/network/client_guard.ts
+++ b/network/client_guard.ts
@@ -98,7 +98,12 @@
             parse(chunk);
             return;
         }
-        for (let start = 0; start < chunk.length && !connection.isDropped; start += MAX_PARSED_BYTES) {
+        for (let start = 0; start < chunk.length && !socket.destroyed; start += MAX_PARSED_BYTES) {
+            // The server pauses a connection whose responses are not read; its parser must get nothing then.
+            if (socket.isPaused()) {
+                socket.unshift(chunk.subarray(start));
+                return;
+            }
             parse(chunk.subarray(start, start + MAX_PARSED_BYTES));
         }
     });
