--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./attempt_end.ts";
+export * from "./client_limits.ts";
 export * from "./configuration_broadcast.ts";
 export * from "./digest_rate_limiter.ts";
 export * from "./digest_relays.ts";
@@ -16,6 +17,7 @@
 export * from "./move_action.ts";
 export * from "./paced_selection.ts";
 export * from "./plan_moves.ts";
+export * from "./prefix_cache.ts";
 export * from "./queue_admission.ts";
 export * from "./recent_sends.ts";
 export * from "./refused_callers.ts";
--- a/core/serving/target_selection.ts
+++ b/core/serving/target_selection.ts
@@ -51,6 +51,50 @@
     crowdedUntil?: number | undefined;
     /** What is known of how fast the target works; `undefined` unless its service is paced. */
     pace?: CandidatePace | undefined;
+    /** Tokens of the prompt's leading parts that the engine is believed to have cached; 0 if absent. */
+    heldTokens?: number | undefined;
+}
+
+/** Parts of a candidate's score, in units of a full target's load: the sum of all but the saving, less the saving. */
+export interface ScoreParts {
+    /**
+     * Load of the target with the request, and prompts that wait there; if its service is paced, what the request meets
+     * there.
+     */
+    load: number;
+    /** Penalty for failures. */
+    penalty: number;
+    /** Cost of another zone. */
+    zone: number;
+    /** Random part, which keeps instances from selecting the same target. */
+    jitter: number;
+    /** Value of the cached parts of the prompt. */
+    saving: number;
+}
+
+/** Why a candidate cannot be selected for a request. */
+export type CandidateExclusion =
+    /** The request has failed at the target. */
+    | "failed before"
+    /** The target has another software version than the stream. */
+    | "other software version"
+    /** A rollout sends the request to another software version. */
+    | "rollout"
+    /** The target has asked for a pause. */
+    | "paused"
+    /** This instance has used up its share of the target's request rate, or of its refusals. */
+    | "rate limited"
+    /** This instance has used up its share of the target's connections, or of its request rate while it is cold. */
+    | "share used up"
+    /** The target has no KV cache or no queue capacity for the request. */
+    | "full";
+
+/** Receives how a selection judges each candidate, in order to explain it. */
+export interface SelectionObserver {
+    /** Called with the score of each candidate that can be selected; the lowest is. */
+    recordScore: (candidate: TargetCandidate, score: number, parts: ScoreParts) => void;
+    /** Called with each other candidate. */
+    recordExclusion: (candidate: TargetCandidate, reason: CandidateExclusion) => void;
 }
 
 /** Input of {@linkcode chooseLeastLoadedTarget}. */
@@ -75,15 +119,18 @@
     objectives?: PacedObjectives | undefined;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
+    /** Receives how each candidate is judged. Defaults to none. */
+    observer?: SelectionObserver | undefined;
 }
 
 /** Result of {@linkcode chooseLeastLoadedTarget}. */
 export type TargetSelection =
     /**
      * A target was selected; `score` is its load with all penalties, where 1 is a full target. `estimate` is what it was
-     * selected by, if its service is paced.
+     * selected by, if its service is paced. `heldTokens` are the tokens of the prompt that it is believed to have cached,
+     * if any.
      */
-    | { kind: "placed"; target: ServingTarget; score: number; estimate?: PlacementEstimate; }
+    | { kind: "placed"; target: ServingTarget; score: number; estimate?: PlacementEstimate; heldTokens?: number; }
     /** There is no target, or the request has failed at all of them. */
     | { kind: "no-target"; }
     /** All targets are full or limited at present. */
@@ -97,6 +144,11 @@
 const PREFILL_WEIGHT = 1.2;
 /** Prompt tokens that wait at one engine in a second of high load; an engine prefills them in about half a second. */
 const PREFILL_SCALE_TOKENS = 7000;
+/**
+ * Maximum number of cached tokens that count for an engine: one long prompt. An engine is then chosen only while it is
+ * fuller than another by no more than its saving, and one long prompt that waits there outweighs any saving.
+ */
+const MAX_HELD_TOKENS = 3000;
 /**
  * Cost of a target in another zone, in units of a full target's load; about one request at a target of a plain service.
  */
@@ -146,15 +198,17 @@
     }
     const accepting = untried.filter(candidate => findClosedUntil(candidate) === undefined);
     const usable = accepting.filter(candidate => !candidate.isLimited && !isFull(candidate, input));
+    if (input.observer !== undefined) {
+        recordExclusions(input.observer, { candidates, untried, accepting, usable, avoid: input.avoid });
+    }
     let best: TargetCandidate | undefined;
     let bestScore = Infinity;
     let bestPaced: PacedScore | undefined;
     for (const candidate of usable) {
         const paced = estimatePacedScore(candidate, input);
-        const score = (paced?.score ?? computeLoad(candidate, input))
-            + candidate.penalty
-            + (candidate.target.zone === input.zone ? 0 : input.isCopy === true ? COPY_ZONE_COST : ZONE_COST)
-            + computeJitter(input, paced !== undefined);
+        const parts = computeScoreParts(candidate, input, paced);
+        const score = parts.load + parts.penalty + parts.zone + parts.jitter - parts.saving;
+        input.observer?.recordScore(candidate, score, parts);
         if (score < bestScore) {
             best = candidate;
             bestScore = score;
@@ -165,10 +219,14 @@
         return { kind: "limited", until: best.crowdedUntil };
     }
     if (best !== undefined) {
-        const estimate = bestPaced === undefined || best.pace === undefined
-            ? {}
-            : { estimate: describeEstimate(bestPaced, best.pace) };
-        return { kind: "placed", target: best.target, score: bestScore, ...estimate };
+        const { target, pace, heldTokens = 0 } = best;
+        return {
+            kind: "placed",
+            target,
+            score: bestScore,
+            ...bestPaced === undefined || pace === undefined ? {} : { estimate: describeEstimate(bestPaced, pace) },
+            ...heldTokens > 0 ? { heldTokens } : {},
+        };
     }
     if (untried.length === 0) {
         return { kind: "no-target" };
@@ -182,6 +240,47 @@
     return { kind: "full" };
 }
 
+/** Tells an observer which candidates the steps of a selection have excluded, and by which step. */
+function recordExclusions(
+    observer: SelectionObserver,
+    { candidates, untried, accepting, usable, avoid }: {
+        candidates: readonly TargetCandidate[];
+        untried: readonly TargetCandidate[];
+        accepting: readonly TargetCandidate[];
+        usable: readonly TargetCandidate[];
+        avoid: ReadonlySet<string>;
+    },
+): void {
+    for (const candidate of candidates.filter(other => !usable.includes(other))) {
+        const { target, pausedUntil, isLimited } = candidate;
+        const reason: CandidateExclusion = !untried.includes(candidate)
+            ? avoid.has(target.id) ? "failed before" : "other software version"
+            : !accepting.includes(candidate)
+            ? pausedUntil === undefined ? "rate limited" : "paused"
+            : isLimited
+            ? "share used up"
+            : "full";
+        observer.recordExclusion(candidate, reason);
+    }
+}
+
+function computeScoreParts(
+    candidate: TargetCandidate,
+    input: TargetSelectionInput,
+    paced: PacedScore | undefined,
+): ScoreParts {
+    const saving = paced === undefined
+        ? computeSaving(candidate, input)
+        : computePacedSaving(candidate, { input, score: paced.score });
+    return {
+        load: paced === undefined ? computeLoad(candidate, input) : paced.score + saving,
+        penalty: candidate.penalty,
+        zone: candidate.target.zone === input.zone ? 0 : input.isCopy === true ? COPY_ZONE_COST : ZONE_COST,
+        jitter: computeJitter(input, paced !== undefined),
+        saving,
+    };
+}
+
 /** Finds the time until which a target accepts no requests from this instance; `undefined` if it accepts them. */
 function findClosedUntil({ pausedUntil, limitedUntil }: TargetCandidate): number | undefined {
     return pausedUntil === undefined || limitedUntil === undefined
@@ -214,10 +313,32 @@
 
 /** Scores a target of a paced service by what the request meets there; `undefined` for other services. */
 function estimatePacedScore(
-    { target, load, pace }: TargetCandidate,
+    candidate: TargetCandidate,
     { requestLoad, engine, objectives = NO_OBJECTIVES }: TargetSelectionInput,
 ): PacedScore | undefined {
-    return pace && computePacedScore({ slots: target.slots, load, pace }, { requestLoad, engine, objectives });
+    const { target: { slots }, load, pace } = candidate;
+    const heldTokens = computeSavedTokens(candidate, requestLoad);
+    return pace && computePacedScore({ slots, load, pace, heldTokens }, { requestLoad, engine, objectives });
+}
+
+/** Computes how many tokens of cached parts count. */
+function computeSavedTokens({ heldTokens = 0 }: TargetCandidate, { promptTokens }: RequestLoad): number {
+    return Math.min(heldTokens, promptTokens, MAX_HELD_TOKENS);
+}
+
+/** Computes the value of the prefill that cached parts of the prompt save: as much as a wait for the same tokens costs. */
+function computeSaving(candidate: TargetCandidate, { requestLoad }: TargetSelectionInput): number {
+    return PREFILL_WEIGHT * computeSavedTokens(candidate, requestLoad) / PREFILL_SCALE_TOKENS;
+}
+
+/** Computes by how much cached parts of the prompt have lowered the given score of a paced service's target. */
+function computePacedSaving(
+    candidate: TargetCandidate,
+    { input, score }: { input: TargetSelectionInput; score: number; },
+): number {
+    return (candidate.heldTokens ?? 0) > 0
+        ? (estimatePacedScore({ ...candidate, heldTokens: 0 }, input)?.score ?? score) - score
+        : 0;
 }
 
 /** Computes the load of a target including the request, where 1 is full; prompts that wait for prefill add to it. */
--- a/serving/serving_metrics.ts
+++ b/serving/serving_metrics.ts
@@ -17,6 +17,10 @@
     countLimitedTargets: () => number;
     /** Counts the requests that wait for a target. */
     countWaiting: () => number;
+    /** Counts the open connections of callers. */
+    countClientConnections: () => number;
+    /** Estimates the memory that is held for callers, in bytes. */
+    countClientBytes: () => number;
 }
 
 /** Bucket bounds of the latency histogram, in seconds: from a fast unary request to the longest generation. */
@@ -31,13 +35,17 @@
     readonly #requests: Counter<"route" | "end">;
     readonly #attempts: Counter<"service" | "result">;
     readonly #pacedSelections: Counter<"service" | "figure">;
+    readonly #prefixRequests: Counter<"service">;
+    readonly #prefixTokens: Counter<"service">;
     readonly #responseEnds: Counter<"framed" | "outcome">;
     readonly #crashes: Counter<"service">;
     readonly #moves: Counter<"result">;
+    readonly #clientDrops: Counter<"port" | "reason">;
     readonly #storeCalls: Counter<"kind" | "result">;
     readonly #rolloutDecisions: Counter<"service" | "state">;
     readonly #rolloutShare: Gauge<"service">;
     readonly #refusals: Counter<"service" | "reason">;
+    readonly #rolloutAnswers: Gauge<"service" | "result">;
     readonly #firstByteSeconds: Histogram<"route">;
     readonly #movePauseSeconds: Histogram;
 
@@ -62,6 +70,18 @@
             labelNames: ["service", "figure"],
             registers,
         });
+        this.#prefixRequests = new Counter({
+            name: "knapweed_serving_prefix_cache_requests_total",
+            help: "Attempts at engines that were believed to have leading parts of the prompt cached, by service.",
+            labelNames: ["service"],
+            registers,
+        });
+        this.#prefixTokens = new Counter({
+            name: "knapweed_serving_prefix_cache_tokens_total",
+            help: "Prompt tokens of these attempts that were believed to be cached, by service.",
+            labelNames: ["service"],
+            registers,
+        });
         this.#responseEnds = new Counter({
             name: "knapweed_serving_response_ends_total",
             help: "Ends of targets' responses, by whether they have a length or chunks and what they show.",
@@ -104,6 +124,19 @@
             labelNames: ["service", "reason"],
             registers,
         });
+        this.#clientDrops = new Counter({
+            name: "knapweed_serving_clients_closed_total",
+            help: "Clients whose connection was closed or whose request was refused by a limit on clients.",
+            labelNames: ["port", "reason"],
+            registers,
+        });
+        this.#rolloutAnswers = new Gauge({
+            name: "knapweed_serving_rollout_answers",
+            help:
+                "Answers of the new version of a service that are known from all instances, and the bad ones among them.",
+            labelNames: ["service", "result"],
+            registers,
+        });
         this.#firstByteSeconds = new Histogram({
             name: "knapweed_serving_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer's body.",
@@ -140,6 +173,14 @@
         this.#pacedSelections.inc({ service, figure });
     }
 
+    /** Counts an attempt at an engine that is believed to have tokens of the prompt cached, if there are any. */
+    countHeldTokens(service: string, tokens: number): void {
+        if (tokens > 0) {
+            this.#prefixRequests.inc({ service });
+            this.#prefixTokens.inc({ service }, tokens);
+        }
+    }
+
     /** Counts the end of a target's response. */
     countResponseEnd({ isFramed, outcome }: { isFramed: boolean; outcome: string; }): void {
         this.#responseEnds.inc({ framed: String(isFramed), outcome });
@@ -165,9 +206,11 @@
         this.#rolloutDecisions.inc({ service, state });
     }
 
-    /** Sets the share of a service's requests that may go to its new version. */
-    setRolloutShare(service: string, share: number): void {
-        this.#rolloutShare.set({ service }, share);
+    /** Sets the share of a service's requests that may go to its new version, and what is known of its answers. */
+    setRollout(service: string, rollout: { share: number; answers: number; badAnswers: number; }): void {
+        this.#rolloutShare.set({ service }, rollout.share);
+        this.#rolloutAnswers.set({ service, result: "all" }, rollout.answers);
+        this.#rolloutAnswers.set({ service, result: "bad" }, rollout.badAnswers);
     }
 
     /** Counts a request that is refused since it could not be served in time. */
@@ -175,6 +218,11 @@
         this.#refusals.inc({ service, reason });
     }
 
+    /** Counts a client that was dropped by a limit on clients. */
+    countClientDrop(port: string, reason: string): void {
+        this.#clientDrops.inc({ port, reason });
+    }
+
     /** Observes the time from a request's arrival to the first byte of its response's body, in milliseconds. */
     observeFirstByte(route: string, milliseconds: number): void {
         this.#firstByteSeconds.observe({ route }, milliseconds / 1000);
@@ -193,6 +241,8 @@
         ["knapweed_serving_configuration_version", "Version in use.", options.getConfigurationVersion],
         ["knapweed_serving_limited_targets", "Targets that state a limit.", options.countLimitedTargets],
         ["knapweed_serving_waiting", "Requests that wait for a target.", options.countWaiting],
+        ["knapweed_serving_client_connections", "Open connections of callers.", options.countClientConnections],
+        ["knapweed_serving_client_bytes", "Memory held for callers, as estimated.", options.countClientBytes],
     ];
     for (const [name, help, read] of gauges) {
         const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -5,8 +5,14 @@
  */
 import type { Server } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import { DigestReason } from "../core/serving/mod.ts";
-import { type OpenConnection, openHttpServer, openObservedConnection, waitMilliseconds } from "../network/mod.ts";
+import { type ClientCapacity, computeClientCapacity, DigestReason } from "../core/serving/mod.ts";
+import {
+    ClientGuard,
+    type OpenConnection,
+    openHttpServer,
+    openObservedConnection,
+    waitMilliseconds,
+} from "../network/mod.ts";
 import {
     decodePeer,
     encodePeer,
@@ -18,7 +24,8 @@
 } from "../platform/mod.ts";
 import { type DecisionLog, openAdminServer, systemClock } from "../telemetry/mod.ts";
 import type { ServingContext } from "./caller_exchange.ts";
-import { CallerServer } from "./caller_server.ts";
+import { CallerServer, getClientTimeouts } from "./caller_server.ts";
+import { ClientDropLog } from "./client_drop_log.ts";
 import { EngineClient } from "./engine_client.ts";
 import { LeavingEnginePoller } from "./leaving_engine_poller.ts";
 import { MalformedObjectLog } from "./malformed_object_log.ts";
@@ -26,6 +33,7 @@
 import { PartitionMonitor } from "./partition_monitor.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { QuarantineStore } from "./quarantine_store.ts";
+import { buildRequestExplanation } from "./request_explanation.ts";
 import { RequestScheduler } from "./request_scheduler.ts";
 import { RolloutController } from "./rollout_controller.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
@@ -78,6 +86,14 @@
 /** Delay between attempts to register this instance in the store, in milliseconds. */
 const REGISTRATION_RETRY_MILLISECONDS = 1000;
 
+/** Sizes for the clients of the readiness port; balancers keep a few connections and send small requests. */
+const READINESS_CAPACITY: ClientCapacity = { maxBytes: 4_000_000, maxConnections: 64 };
+/** Sizes for the clients of the administrative port. */
+const ADMIN_CAPACITY: ClientCapacity = { maxBytes: 4_000_000, maxConnections: 32 };
+
+/** Ports whose clients are limited. */
+type GuardedPort = "callers" | "readiness" | "admin";
+
 /** Serves callers until it is stopped. */
 export class ServingProcess {
     #settings: InstanceSettings;
@@ -95,6 +111,8 @@
     readonly #rolloutController: RolloutController;
     readonly #partitionMonitor: PartitionMonitor;
     readonly #metrics: ServingMetrics;
+    readonly #guards: Record<GuardedPort, ClientGuard>;
+    readonly #clientDrops: ClientDropLog;
     readonly #callerServer: CallerServer;
     readonly #leavingEnginePoller: LeavingEnginePoller;
     readonly #context: ServingContext;
@@ -127,7 +145,15 @@
             getConfigurationVersion: () => this.#state.table?.configuration.version ?? -1,
             countLimitedTargets: () => Object.keys(this.#state.rateLimits.listLimits()).length,
             countWaiting: () => this.#scheduler.waiting,
+            countClientConnections: () => this.#guards.callers.connectionCount,
+            countClientBytes: () => this.#guards.callers.usedBytes,
         });
+        this.#clientDrops = new ClientDropLog({ log, metrics: this.#metrics });
+        this.#guards = {
+            callers: this.#createGuard("callers", computeClientCapacity(settings.machine)),
+            readiness: this.#createGuard("readiness", READINESS_CAPACITY),
+            admin: this.#createGuard("admin", ADMIN_CAPACITY),
+        };
         this.#malformedObjects = new MalformedObjectLog(log);
         this.#store = new StoreClient({
             address: settings.storeAddress,
@@ -200,7 +226,7 @@
                     ? undefined
                     : this.#stopRequestedAt + this.#settings.stopGraceMilliseconds - this.#clock.getMonotonic(),
         };
-        this.#callerServer = new CallerServer(this.#context);
+        this.#callerServer = new CallerServer(this.#context, this.#guards.callers);
         this.#leavingEnginePoller = new LeavingEnginePoller({
             state: this.#state,
             engines,
@@ -235,7 +261,12 @@
                 address: settings.adminAddress,
                 registry: this.#metrics.registry,
                 dumpState: () => this.dumpState(),
+                pages: {
+                    "/explain": parameters =>
+                        buildRequestExplanation(this.#context, { parameters, readiness: this.#getUnreadyReason() }),
+                },
                 getUnreadyReason: () => this.#getUnreadyReason(),
+                guard: this.#guards.admin,
             }),
         );
         this.#storeWatcher.start();
@@ -252,6 +283,7 @@
     applySettings(settings: InstanceSettings): void {
         this.#settings = settings;
         this.#state.applySettings(settings);
+        this.#guards.callers.setLimits({ capacity: computeClientCapacity(settings.machine) });
     }
 
     /**
@@ -312,10 +344,28 @@
         };
     }
 
+    #createGuard(port: GuardedPort, capacity: ClientCapacity): ClientGuard {
+        return new ClientGuard({
+            capacity,
+            timeouts: getClientTimeouts(),
+            onDrop: reason => this.#clientDrops.recordDrop(port, reason),
+        });
+    }
+
+    /** Closes the clients whose time is over, and logs what was closed. */
+    #updateGuards(): void {
+        Object.values(this.#guards).forEach(guard => guard.update());
+        this.#clientDrops.update(this.#clock.getMonotonic(), port => {
+            const { connectionCount, usedBytes } = this.#guards[port as GuardedPort];
+            return { connections: connectionCount, bytes: usedBytes };
+        });
+    }
+
     async #openReadinessServer(): Promise<void> {
         this.#servers.push(
             await openHttpServer({
                 address: this.#settings.readinessAddress,
+                guard: this.#guards.readiness,
                 handler: (_, response) => {
                     const reason = this.#getUnreadyReason();
                     response.writeHead(reason === "" ? 200 : 503, { "content-length": Buffer.byteLength(reason) });
@@ -375,6 +425,7 @@
             this.#streamVersions.update();
             this.#rolloutController.update();
             this.#partitionMonitor.update();
+            this.#updateGuards();
             const isReady = this.#getUnreadyReason() === "";
             if (isReady !== this.#wasReady) {
                 this.#wasReady = isReady;
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -16,6 +16,8 @@
     getSoftwareVersion,
     type LineStatement,
     LoadTracker,
+    PrefixCache,
+    type PrefixPart,
     type QuarantinedPart,
     type RateShareInput,
     type RateStatement,
@@ -170,6 +172,8 @@
     /** Speed of each engine of the paced services. */
     readonly engineSpeeds = new EngineSpeeds();
     readonly #admissions = new Map<string, ServiceAdmission>();
+    /** Parts of prompts that engines are believed to have cached. */
+    readonly prefixCache = new PrefixCache();
     /** Targets that have asked this instance to send nothing for a time. */
     readonly backpressure = new TargetBackpressure();
     /** Requests that crash targets, and parts of prompts that crash engines. */
@@ -443,6 +447,7 @@
 
     /** Records that a target has refused a request for want of room; peers are informed if it survives few refusals. */
     recordRefusal(target: TargetStart): void {
+        this.prefixCache.removeTarget(target.id);
         if (this.#isCurrentStart(target) && this.refusalLimits.recordRefusal(target.id, this.#now())) {
             this.loadTracker.onEngineLoadChange(DigestReason.loadIncreased);
         }
@@ -450,7 +455,13 @@
 
     /** Records the software versions of the targets that are listed now. */
     recordListedVersions(): void {
-        this.softwareVersions.recordListed(this.directory.listSoftwareVersions(), this.#now());
+        const listed = this.directory.listSoftwareVersions();
+        const now = this.#now();
+        this.softwareVersions.recordListed(listed, now);
+        this.rollouts?.recordListed(listed, {
+            now,
+            findBaseline: service => this.softwareVersions.findBaseline(service),
+        });
     }
 
     /** Adopts the baselines on which a peer relies. */
@@ -484,6 +495,7 @@
     /** Records that a target crashed under a request; peers are informed at once. */
     recordTargetCrash(crash: TargetCrash): void {
         const { parts, target } = crash;
+        this.prefixCache.removeTarget(target);
         this.#options.log.record("belief", "target crash observed", {
             target,
             parts: parts.slice(-MAX_LOGGED_PARTS),
@@ -597,10 +609,6 @@
     updateRollouts(isConnected: boolean): void {
         const { rollouts } = this;
         const now = this.#now();
-        rollouts?.recordListed(this.directory.listSoftwareVersions(), {
-            now,
-            findBaseline: service => this.softwareVersions.findBaseline(service),
-        });
         const events = rollouts?.update({
             now,
             isConnected,
@@ -611,10 +619,12 @@
 
     /** Chooses the targets to which an attempt may go; `undefined` for all. */
     chooseVersions(input: VersionChoiceInput): VersionChoice | undefined {
-        return this.rollouts?.chooseVersions(input, {
-            others: this.directory.listAvailable(input.service),
-            baseline: this.softwareVersions.findBaseline(input.service),
-        });
+        return this.rollouts?.isConcerned(input.service, input.now) === true
+            ? this.rollouts.chooseVersions(input, {
+                others: this.directory.listAvailable(input.service),
+                baseline: this.softwareVersions.findBaseline(input.service),
+            })
+            : undefined;
     }
 
     /** Records the state of a rollout that this instance has written to the store, or has read there. */
@@ -708,8 +718,64 @@
         }
     }
 
-    /** Lists the targets of a service that accept new requests, with their load, penalties and limits. */
-    listCandidates(service: ServiceDefinition): TargetCandidate[] {
+    /**
+     * Records that an engine has read a prompt: it has begun to answer, or has ended an answer and given the KV cache of
+     * the request back.
+     */
+    recordPromptRead(
+        { id, startedAt }: TargetStart,
+        { service, prefix }: { service: ServiceDefinition; prefix: readonly PrefixPart[]; },
+    ): void {
+        const target = this.directory.findTarget(id);
+        if (target?.startedAt !== startedAt || service.engine === undefined || prefix.length === 0) {
+            return;
+        }
+        const now = this.#now();
+        const conditions = {
+            now,
+            freeTokens: service.engine.memoryTokens - this.loadTracker.computeTotalLoad(id, now).tokens,
+            otherTokensPerMillisecond: this.#estimateOtherTokens(service, now),
+        };
+        this.prefixCache.recordRead(target, { prefix, conditions });
+    }
+
+    /**
+     * Lists the targets of a service that accept new requests, with their load, penalties and limits; for a prompt also
+     * with what they are believed to have cached of it.
+     */
+    listCandidates(service: ServiceDefinition, prefix: readonly PrefixPart[] = []): TargetCandidate[] {
+        const candidates = this.#listLoadedTargets(service);
+        if (prefix.length > 0) {
+            this.setHeldTokens(candidates, { service, prefix });
+        }
+        return candidates;
+    }
+
+    /** Sets for each candidate how many tokens of a prompt it is believed to have cached. */
+    setHeldTokens(
+        candidates: readonly TargetCandidate[],
+        { service, prefix }: { service: ServiceDefinition; prefix: readonly PrefixPart[]; },
+    ): void {
+        const memoryTokens = service.engine?.memoryTokens;
+        if (memoryTokens === undefined || prefix.length === 0) {
+            candidates.forEach(candidate => (candidate.heldTokens = 0));
+            return;
+        }
+        const now = this.#now();
+        const otherTokensPerMillisecond = this.#estimateOtherTokens(service, now);
+        for (const candidate of candidates) {
+            const { target, load } = candidate;
+            const conditions = { now, freeTokens: memoryTokens - load.tokens, otherTokensPerMillisecond };
+            candidate.heldTokens = this.prefixCache.estimateHeldTokens(target, { prefix, conditions });
+        }
+    }
+
+    #estimateOtherTokens({ name }: ServiceDefinition, now: number): number {
+        const engines = this.directory.listAvailable(name).length;
+        return this.prefixCache.estimateOtherTokens(name, { now, instances: this.instances, engines });
+    }
+
+    #listLoadedTargets(service: ServiceDefinition): TargetCandidate[] {
         const now = this.#now();
         const { instances, rank } = this.#position;
         const wallTime = this.#options.clock.getWallTime();
@@ -861,6 +927,10 @@
     }
 
     #publishChanges(changes: TargetChange[], source: StateSource): void {
+        // The first request after the list must know that a version is new.
+        if (this.rollouts !== undefined && changes.some(({ kind }) => kind === "added")) {
+            this.recordListedVersions();
+        }
         for (const change of changes) {
             const { id, service, zone, address, softwareVersion } = change.target;
             const { revision } = this.directory;
@@ -877,6 +947,7 @@
                 this.health.removeTarget(id);
                 this.targetPace.removeTarget(id);
                 this.engineSpeeds.removeTarget(id);
+                this.prefixCache.removeTarget(id);
                 this.coldRateShare.removeTarget(id);
                 this.recentSends.removeTarget(id);
                 this.backpressure.removeTarget(id);
