--- a/core/serving/paced_selection.ts
+++ b/core/serving/paced_selection.ts
@@ -68,19 +68,23 @@
  * Share of the KV cache beyond which an engine may have to preempt streams, whose outputs are often longer than expected,
  * and the cost of each further part of it.
  */
-const CROWDED_SHARE = 0.8;
-const CROWDED_COST = 3;
+const CROWDED_SHARE = 0.85;
+const CROWDED_COST = 10;
 /** Weight of the time to the first event as a share of its objective, and of the square of that share. */
 const FIRST_WEIGHT = 1;
-const FIRST_SQUARE_WEIGHT = 2;
+const FIRST_SQUARE_WEIGHT = 4;
 /** Largest share of the objective that counts: beyond it, the request is late anyway. */
 const MAX_FIRST_SHARE = 2;
 /** Cost of an engine at which a long stream has to expect gaps, in units of a full target's load. */
-const GAP_COST = 1.5;
-/** Share of the gap objective from which an engine has that cost in part. */
-const SAFE_GAP_SHARE = 0.9;
+const GAP_COST = 2.5;
+/**
+ * Share of the gap objective from which an engine has that cost in part, and the further share at which it has all. It
+ * exceeds 1, since the learnt duration of a step already contains some of the prompts that are read beside streams.
+ */
+const SAFE_GAP_SHARE = 1.1;
+const GAP_SHARE_RANGE = 0.2;
 /** Cost of a prompt for each stream that it makes gaps in, in units of a full target's load. */
-const BESIDE_COST = 0.08;
+const BESIDE_COST = 0.04;
 /** Prompt with that cost, in tokens; a shorter one has a part of it. */
 const BESIDE_PROMPT_TOKENS = 2500;
 /**
@@ -121,8 +125,7 @@
         + (load.requests > 0 ? prefillTokens / CHUNK_TOKENS * stepMilliseconds : 0);
     const workMilliseconds = usualMilliseconds * stepFactor;
     const firstMilliseconds = workMilliseconds * estimateMeanPace(pace, workMilliseconds);
-    const gapMilliseconds = engine.tokensPerEvent * SLOW_PACE * stepFactor
-        * (stepMilliseconds + CHUNK_TOKENS / PREFILL_TOKENS_PER_MILLISECOND);
+    const gapMilliseconds = estimateSlowGap({ load, pace, engine });
     const memoryShare = (load.tokens + promptTokens + outputTokens) / engine.memoryTokens;
     const slotShare = (load.requests + 1) / Math.max(1, slots);
     const firstObjective = Math.min(
@@ -140,6 +143,22 @@
     return { score, firstMilliseconds, gapMilliseconds };
 }
 
+/** Checks whether streams at an engine have to expect gaps above an objective. */
+export function isGapTooLong(
+    candidate: { load: TargetLoad; pace: CandidatePace; engine: EngineLimits; },
+    objective: number | undefined,
+): boolean {
+    return computeGapExcess(estimateSlowGap(candidate), objective) > 0;
+}
+
+/** Estimates the time between events beside a prompt that is read, in a slow moment of the machine, in milliseconds. */
+function estimateSlowGap(
+    { load, pace, engine }: { load: TargetLoad; pace: CandidatePace; engine: EngineLimits; },
+): number {
+    return engine.tokensPerEvent * SLOW_PACE * pace.stepFactor
+        * (computeStepMilliseconds(load.requests + 1) + CHUNK_TOKENS / PREFILL_TOKENS_PER_MILLISECOND);
+}
+
 /** Describes the estimates behind a selection, for the log. */
 export function describeEstimate(
     { firstMilliseconds, gapMilliseconds }: PacedScore,
@@ -178,7 +197,7 @@
 function computeGapExcess(milliseconds: number, objective: number | undefined): number {
     return objective === undefined
         ? 0
-        : Math.min(1, Math.max(0, milliseconds / objective - SAFE_GAP_SHARE) / (1 - SAFE_GAP_SHARE) / 2);
+        : Math.min(1, Math.max(0, milliseconds / objective - SAFE_GAP_SHARE) / GAP_SHARE_RANGE);
 }
 
 /** Estimates the number of streams that generate; the other requests wait for their prompts to be read. */
--- a/core/serving/target_pace.ts
+++ b/core/serving/target_pace.ts
@@ -204,6 +204,6 @@
     }
     // The moment ends at a time that is equally likely anywhere within its duration.
     const end = Math.min(MOMENT_MILLISECONDS, ageMilliseconds + Math.max(1, milliseconds));
-    const share = end - ageMilliseconds - (end ** 2 - ageMilliseconds ** 2) / (2 * MOMENT_MILLISECONDS);
+    const share = (end - ageMilliseconds) * (1 - (end + ageMilliseconds) / (2 * MOMENT_MILLISECONDS));
     return meanPace + (pace - meanPace) * share / Math.max(1, milliseconds);
 }
--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -60,6 +60,10 @@
             | state 1e12 requests    |
             | state no requests      |
 
+    Scenario: streams of a leaving engine are moved to an engine that carries them without gaps
+        When an engine leaves while one slow engine and one fast engine are free
+        Then its streams are moved to the fast engine, and to the slow one only if the other has no room
+
     Scenario: what was measured at one start of an engine does not count for the next
         When a peer tells of an engine that takes twice as long, and the engine restarts
         Then its steps are expected to take twice as long before the restart, and as long as usual after it
@@ -68,5 +72,12 @@
         When a target states a pace of 2.5
         Then the mean pace of the next 30 ms is above 2.4, and that of the next 7000 ms below 1.35
 
+    # An event of the site's engines takes 15 ms, which is half of the usual time.
+    Scenario: instances tell each other how fast engines are, and log the estimates behind their selections
+        Given a serving site with 2 instances and 1 targets of each service
+        When all targets state the load "1,0,8,100"
+        And 8 narratives are sent to instance 1, and after 1500 ms 2 to instance 2
+        Then instance 2 has placed the last one by a step factor below 0.7, and by a pace of 1 that is not old
+
     Scenario: digests with and without figures on pace are understood, and unusable figures are ignored
         Then a digest without figures on pace, one with them and one with unusable ones are understood
--- a/features/steps/platform_pace_steps.ts
+++ b/features/steps/platform_pace_steps.ts
@@ -5,7 +5,14 @@
  */
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { EngineSpeeds, estimateMeanPace, TargetPace } from "../../core/serving/mod.ts";
+import {
+    EngineSpeeds,
+    estimateMeanPace,
+    type PlacementEstimate,
+    planMoves,
+    TargetPace,
+} from "../../core/serving/mod.ts";
+import { waitMilliseconds } from "../../network/mod.ts";
 import { parsePeerMessage } from "../../serving/peer_messages.ts";
 import {
     type PlainSelectionOptions,
@@ -18,6 +25,8 @@
     type UnevenLoad,
     type UnevenOutcome,
 } from "../../support/platform/target_selection_simulation.ts";
+import { waitForLine } from "../support/log_lines.ts";
+import { createRequestId, formatRequestId, getInstance, getSite, siteContext } from "../support/site_context.ts";
 
 /** Long streams and checks that arrive at each engine in a second. */
 const REQUESTS_PER_ENGINE = 1.15;
@@ -143,6 +152,30 @@
     assert.ok(largest <= share, `one target gets a share of ${largest}`);
 });
 
+let destinations: (string | undefined)[] = [];
+
+When("an engine leaves while one slow engine and one fast engine are free", function() {
+    const generations = [{ requestId: "1", tokens: 3000, events: 90 }, { requestId: "2", tokens: 3000, events: 80 }];
+    destinations = [8000, 100].flatMap(freeTokens =>
+        [
+            ...planMoves({
+                sources: [{ id: "a", zone: "z", generations }],
+                // The slow one would be preferred as the first of two equal engines.
+                destinations: [
+                    { id: "b", zone: "z", freeTokens: 8000, isSlow: true },
+                    { id: "c", zone: "z", freeTokens },
+                ],
+                millisecondsPerToken: 0.055,
+                noticeMilliseconds: 2000,
+            }).values(),
+        ].map(({ destination }) => destination)
+    );
+});
+
+Then("its streams are moved to the fast engine, and to the slow one only if the other has no room", function() {
+    assert.deepEqual(destinations, ["c", "c", "b", "b"]);
+});
+
 let speeds = new EngineSpeeds();
 const engine = { id: "a", service: "engines", startedAt: 1_700_000_000_123 };
 
@@ -181,6 +214,37 @@
     },
 );
 
+When("all targets state the load {string}", function(load: string) {
+    getSite().targets.forEach(({ standIn }) => Object.assign(standIn.faults, { statedLoad: load }));
+});
+
+When(
+    "{int} narratives are sent to instance 1, and after {int} ms {int} to instance 2",
+    async function(first: number, milliseconds: number, second: number) {
+        const sendNarratives = async (count: number, instance: number): Promise<void> => {
+            for (let sent = 0; sent < count; sent += 1) {
+                const response = await getSite().call({ kind: "narrative", id: createRequestId(), instance });
+                assert.equal(response.status, 200);
+            }
+        };
+        await sendNarratives(first, 0);
+        await waitMilliseconds(milliseconds);
+        await sendNarratives(second, 1);
+    },
+);
+
+Then(
+    "instance 2 has placed the last one by a step factor below {float}, and by a pace of {int} that is not old",
+    async function(factor: number, pace: number) {
+        const request = formatRequestId(siteContext.requestCount);
+        const line = await waitForLine([getInstance(2)], { event: "request ended", request });
+        const [attempt] = line["attempts"] as { estimate: PlacementEstimate; }[];
+        assert.ok(attempt !== undefined && attempt.estimate.stepFactor < factor, JSON.stringify(attempt));
+        assert.equal(attempt.estimate.pace, pace);
+        assert.ok((attempt.estimate.ageMilliseconds ?? Infinity) < 2000, JSON.stringify(attempt));
+    },
+);
+
 Then("a digest without figures on pace, one with them and one with unusable ones are understood", function() {
     const versions = { configuration: 1, targets: 1, targetsEra: 0, zones: 1, zonesEra: 0 };
     const digest = { kind: "digest", instance: "i", address: "127.0.0.1:1", work: {}, unreachable: [], versions };
--- a/support/platform/target_selection_simulation.ts
+++ b/support/platform/target_selection_simulation.ts
@@ -310,7 +310,8 @@
         toldSpeeds: 0,
         stepFactors: [],
     };
-    const machineRandom = createRandom(seed + 1000);
+    // Of its own, as that of each machine is, so that decisions are compared under the same arrivals and slow moments.
+    const arrivalRandom = createRandom(seed + 500);
     const engines = Array.from(
         { length: engineCount },
         (_, index) =>
@@ -319,7 +320,7 @@
                 outcome,
                 uneven && {
                     workFactor: 1 / (index % 4 === 0 ? uneven.slowSpeed ?? SLOW_SPEED : USUAL_SPEED),
-                    random: machineRandom,
+                    random: createRandom(1000 * seed + index),
                 },
             ),
     );
@@ -345,7 +346,17 @@
             digestsInTransit.shift()?.deliver();
         }
         if (uneven !== undefined) {
-            startUnevenRequests({ engines, now, random, instances, uneven, outcome: unevenOutcome, rate, retries });
+            startUnevenRequests({
+                engines,
+                now,
+                random,
+                arrivalRandom,
+                instances,
+                uneven,
+                outcome: unevenOutcome,
+                rate,
+                retries,
+            });
         }
         else if (random() < rate / 1000) {
             startGeneration(instances[Math.floor(random() * count)], {
@@ -444,6 +455,8 @@
     isLong: boolean;
     promptTokens: number;
     outputTokens: number;
+    /** Caller's estimate of the output, as a multiple of the true one. */
+    hintFactor: number;
     arrivedAt: number;
     triedAt: number;
 }
@@ -452,6 +465,7 @@
     engines: readonly SimulatedEngine[];
     now: number;
     random: Random;
+    arrivalRandom: Random;
     instances: readonly SimulatedInstance[];
     uneven: UnevenLoad;
     outcome: UnevenOutcome;
@@ -462,7 +476,7 @@
 
 /** Starts the requests of one millisecond, which arrive in waves of 4 s, and those that have waited for an engine. */
 function startUnevenRequests(context: UnevenContext): void {
-    const { now, random, instances, rate, retries } = context;
+    const { now, arrivalRandom: random, instances, rate, retries } = context;
     const waiting = retries.splice(0);
     const wave = 1 + WAVE_SHARE * Math.sin(2 * Math.PI * now / WAVE_MILLISECONDS);
     for (let left = rate * wave / 1000; left > 0; left -= 1) {
@@ -474,6 +488,7 @@
                 isLong,
                 promptTokens: Math.round(pickLogNormal(random, { median: isLong ? 3000 : 2200, spread: 0.2 })),
                 outputTokens: isLong ? 748 : 8,
+                hintFactor: pickLogNormal(random, { median: 1, spread: 0.3 }),
                 arrivedAt: now,
                 triedAt: Number.NEGATIVE_INFINITY,
             });
@@ -499,7 +514,7 @@
 function startUnevenRequest(request: UnevenRequest, context: UnevenContext): boolean {
     const { engines, now, random, uneven, outcome } = context;
     const { instance, isLong, promptTokens, outputTokens, arrivedAt } = request;
-    const estimate = { promptTokens, outputTokens: outputTokens * pickLogNormal(random, { median: 1, spread: 0.3 }) };
+    const estimate = { promptTokens, outputTokens: outputTokens * request.hintFactor };
     const objective = isLong ? LONG_OBJECTIVE_MILLISECONDS : CHECK_OBJECTIVE_MILLISECONDS;
     const selection = chooseLeastLoadedTarget(
         engines.map(({ target }) => buildUnevenCandidate(target, request, context)),
@@ -575,17 +590,15 @@
     { now, uneven }: UnevenContext,
 ): TargetCandidate {
     const { loadTracker, targetPace, speeds } = instance;
+    const { pace, ageMilliseconds, meanPace } = targetPace.getEstimate(target.id, now);
+    const stepFactor = speeds.estimateStepFactor(target, now);
     return {
         target,
         load: loadTracker.computeTotalLoad(target.id, now),
         penalty: 0,
         isLimited: false,
         pace: uneven.isPaced && targetPace.isPaced(target.service)
-            ? {
-                ...targetPace.getEstimate(target.id, now),
-                stepFactor: speeds.estimateStepFactor(target, now),
-                othersRequests: 0,
-            }
+            ? { pace, ageMilliseconds, meanPace, stepFactor, othersRequests: 0 }
             : undefined,
     };
 }
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -41,6 +41,8 @@
     statedLimit: string;
     /** Refusals per second beyond which the target crashes, as the header's text in all responses; empty for none. */
     statedRefusals: string;
+    /** Load that the target states in all responses, as the header's text; empty for none. */
+    statedLoad: string;
     /** Plain requests that the target takes at the same time; it refuses the others. 0 for any number. */
     room: number;
     /** Time in which the target answers a plain request, in milliseconds. */
@@ -357,6 +359,7 @@
         pauseSeconds: 0,
         statedLimit: "",
         statedRefusals: "",
+        statedLoad: "",
         room: 0,
         serviceMilliseconds: 0,
         crashingPart: "",
@@ -407,6 +410,9 @@
         if (this.faults.statedRefusals !== "") {
             response.setHeader("server-brittle", this.faults.statedRefusals);
         }
+        if (this.faults.statedLoad !== "") {
+            response.setHeader("server-load", this.faults.statedLoad);
+        }
         if (request.url === "/report") {
             if (this.faults.reportFault === "reset") {
                 request.socket.resetAndDestroy();
