Explain: check the decision at a paced service

An explanation of a paced service follows the waiting line, which no scenario covered: four examples with an engine that states its pace.

--- a/features/platform/explain.feature
+++ b/features/platform/explain.feature
@@ -35,6 +35,14 @@
             | the engine has a request | /verdict/1 | 40000  | night-shift | decision: waits for up to                    |
             | the engine has a request | /verdict/1 | 40000  | night-shift | full                                         |
 
+        # Guards against an explanation of a paced service by the queue of the others.
+        Examples:
+            | event                                        | path       | tokens | account     | text                               |
+            | the engine states its pace and has a request | /verdict/1 | 100    | night-shift | 100 % of the route, paced          |
+            | the engine states its pace and has a request | /verdict/1 | 100    | night-shift | decision: sent to engines-3, score |
+            | the engine states its pace and has a request | /verdict/1 | 40000  | night-shift | decision: waits for up to          |
+            | the engine states its pace and has a request | /verdict/1 | 40000  | night-shift | full                               |
+
     Scenario: the administrative address refuses all methods but reading
         Given a serving site
         Then a "POST" of "/explain?host=site.example&path=/verdict/1" gets the status 405, and a "GET" 200
--- a/features/steps/platform_explain_steps.ts
+++ b/features/steps/platform_explain_steps.ts
@@ -151,6 +151,10 @@
     "the zone is evacuated": () => getSite().store.putObject("evacuations", "zone-a", {}),
     "the engine has a request": () =>
         void getSite().call({ kind: "verdict", id: createRequestId() }).catch(() => undefined),
+    "the engine states its pace and has a request": () => {
+        listTargets("engines").forEach(({ standIn }) => standIn.faults.statedLoad = "1,0,8,150");
+        void getSite().call({ kind: "verdict", id: createRequestId() }).catch(() => undefined);
+    },
 };
 
 Given(/^this is so: (.+)$/, async function(event: string) {
