--- a/core/serving/rollout_evidence.ts
+++ b/core/serving/rollout_evidence.ts
@@ -54,7 +54,7 @@
  * have, and for slow answers, which they have at times.
  */
 const LAST_FAILURE_CHANCE = 1e-2;
-const LAST_SLOW_CHANCE = 1.5e-2;
+const LAST_SLOW_CHANCE = 4e-3;
 /** Bad answers below which a version is not bad, and the same in the last check. */
 const MIN_BAD_ANSWERS = 3;
 const LAST_MIN_BAD_ANSWERS = 2;
