--- a/bin/serve_program.ts
+++ b/bin/serve_program.ts
@@ -15,7 +15,14 @@
 const RELOAD_INTERVAL_MILLISECONDS = 5000;
 
 /** Parts of the program that tests replace. */
-type ServeProgramOptions = Pick<ServingProcessOptions, "openTargetConnection">;
+type ServeProgramOptions = Pick<ServingProcessOptions, "openTargetConnection" | "isFleetAdmissionEnabled">;
+
+/** Flags of the command line. */
+interface ServeProgramFlags {
+    settings: string;
+    check?: boolean;
+    fleetAdmission?: boolean;
+}
 
 /** Parses the command line and runs the program. */
 export async function runServeProgram(options: ServeProgramOptions = {}): Promise<void> {
@@ -23,10 +30,12 @@
         .description("Serves callers in front of the platform's targets.")
         .version(VERSION)
         .option("--settings <path>", "path of the settings file", findSettingsPath(process.env))
+        .option("--fleet-admission", "admit requests to paced services by what the whole fleet serves")
         .option("--check", "check the settings file and exit");
     program.parse();
     try {
-        await runServing({ ...options, ...program.opts<{ settings: string; check?: boolean; }>() });
+        const { fleetAdmission, ...flags } = program.opts<ServeProgramFlags>();
+        await runServing({ ...options, ...flags, isFleetAdmissionEnabled: fleetAdmission });
     }
     catch (error) {
         process.stderr.write(`knapweed-serve: ${error instanceof Error ? error.message : String(error)}\n`);
--- a/features/steps/platform_waiting_line_steps.ts
+++ b/features/steps/platform_waiting_line_steps.ts
@@ -308,6 +308,7 @@
     const log = new DecisionLog({ name: "test", clock, writeLine: () => true });
     const bounds = { coldOverage: 1, coldSlack: 1, retryRatio: 0.1, retryWindowMilliseconds: 1000, retrySlack: 1 };
     const state = new ServingState({
+        isFleetAdmissionEnabled: true,
         settings: { bounds } as unknown as ConstructorParameters<typeof ServingState>[0]["settings"],
         clock,
         log,
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -180,7 +180,7 @@
 
     /** Reserves a target at once if possible; otherwise queues the request, or refuses it if it would wait too long. */
     async reserveTarget(request: ReservationRequest): Promise<ReservationResult> {
-        return this.#options.state.targetPace.isPaced(request.service.name)
+        return this.#options.state.isFleetAdmitted(request.service.name)
             ? this.#reservePaced(request)
             : this.#reserveUnpaced(request);
     }
@@ -266,7 +266,7 @@
         const { service } = request;
         const now = clock.getMonotonic();
         const candidates = state.listCandidates(service, request.promptPrefix);
-        const admission = state.targetPace.isPaced(service.name) ? state.getAdmission(service.name) : undefined;
+        const admission = state.isFleetAdmitted(service.name) ? state.getAdmission(service.name) : undefined;
         const entry = admission && buildAdmissionEntry(request, { admission, now });
         const selection = admission === undefined || entry === undefined
             ? this.#chooseAmong(candidates, request)
@@ -289,7 +289,7 @@
     decidePlacement(request: ReservationRequest, observer: SelectionObserver): PlacementDecision {
         const { state } = this.#options;
         const { name } = request.service;
-        return state.targetPace.isPaced(name)
+        return state.isFleetAdmitted(name)
             ? this.#decidePacedPlacement(request, { observer, admission: state.getAdmission(name) })
             : this.#decideUnpacedPlacement(request, observer);
     }
@@ -578,7 +578,7 @@
         const loadReservation = state.loadTracker.addRequest(target.id, requestLoad);
         const startedAt = clock.getMonotonic();
         state.recentSends.recordSend(target.id, startedAt);
-        const room = state.targetPace.isPaced(target.service) ? state.getAdmission(target.service).room : undefined;
+        const room = state.isFleetAdmitted(target.service) ? state.getAdmission(target.service).room : undefined;
         const size = Math.max(1, requestLoad.promptTokens + requestLoad.outputTokens);
         room?.recordStart(size, startedAt);
         let isReleased = false;
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -55,6 +55,8 @@
     random?: () => number;
     /** Opens a connection to a target. Defaults to one over TCP. */
     openTargetConnection?: OpenConnection;
+    /** True if requests to paced services are admitted by what the whole fleet serves. Defaults to false. */
+    isFleetAdmissionEnabled?: boolean | undefined;
 }
 
 /** Interval at which expired missing targets are removed and changed limits are applied, in milliseconds. */
@@ -138,7 +140,8 @@
         this.#settings = settings;
         this.#log = log;
         this.#clock = clock;
-        this.#state = new ServingState({ settings, clock, log, random });
+        const { isFleetAdmissionEnabled } = options;
+        this.#state = new ServingState({ settings, clock, log, random, isFleetAdmissionEnabled });
         this.#metrics = new ServingMetrics({
             countActive: () => this.#callerServer.activeRequests,
             countDroppedLines: () => log.droppedTotal,
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -72,6 +72,8 @@
     clock: Clock;
     /** Decision log. */
     log: DecisionLog;
+    /** True if requests to paced services are admitted by what the whole fleet serves. Defaults to false. */
+    isFleetAdmissionEnabled?: boolean | undefined;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). Defaults to `Math.random`. */
     random?: () => number;
 }
@@ -700,6 +702,11 @@
         return admission;
     }
 
+    /** Checks whether requests to a service are admitted by what the whole fleet serves. */
+    isFleetAdmitted(service: string): boolean {
+        return this.#options.isFleetAdmissionEnabled === true && this.targetPace.isPaced(service);
+    }
+
     /** Builds the statement on each service for a digest, while there is no room. */
     takeLineStatements(): Record<string, LineStatement> {
         const now = this.#now();
@@ -712,7 +719,7 @@
     /** Applies what a peer states of the requests that wait or were refused there. */
     applyLineStatements(instance: string, statements: Readonly<Record<string, LineStatement>>): void {
         for (const [service, statement] of Object.entries(statements)) {
-            if (this.targetPace.isPaced(service)) {
+            if (this.isFleetAdmitted(service)) {
                 this.getAdmission(service).applyStatement(instance, statement, this.#now());
             }
         }
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -308,7 +308,7 @@
     async #waitForRoom(): Promise<boolean> {
         const { route, service, origin, arrivedAt, signal } = this.#exchange;
         const { state, clock, random } = this.#context;
-        if (this.#refusedBy.size === 0 || service.engine !== undefined || !state.targetPace.isPaced(service.name)) {
+        if (this.#refusedBy.size === 0 || service.engine !== undefined || !state.isFleetAdmitted(service.name)) {
             return false;
         }
         const responseMilliseconds = state.getAdmission(service.name).room.estimateResponseTime(origin.kind)
