--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -83,3 +83,11 @@
     Scenario: a process does not block if the output to which it logs is not read
         When a process logs and its output is not read
         Then recording 2000 lines takes less than 500 ms
+
+    @bundle
+    Scenario: the program that is deployed as one file starts, serves and stops like the built one
+        Given a running serving process from the bundle
+        When a caller sends a "stamp" to the serving process
+        Then the response of the serving process has the status 200
+        When the serving process receives SIGTERM
+        Then the serving process exits with code 0 within 4000 ms
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -5,9 +5,11 @@
  */
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { promisify } from "node:util";
 import { VirtualClock } from "../../core/clock/mod.ts";
 import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
 import { formatSettingsText, ServingSite, SITE_API_KEY } from "../../support/platform/mod.ts";
@@ -36,6 +38,7 @@
 }
 
 const PROGRAM_PATH = "dist/bin/knapweed_serve.js";
+const BUNDLE_PATH = "target/bin/knapweed_serve.js";
 let servingProcess: ServingProcessState | undefined;
 let stream: Promise<HttpResult | undefined> | undefined;
 let response: HttpResult | undefined;
@@ -78,16 +81,24 @@
     return { folder, path, caller, ready };
 }
 
-Given("a running serving process", async function() {
+Given("a running serving process", () => startServingProcess(PROGRAM_PATH));
+
+// A bundle that runs its modules in another order than their imports ends at its start.
+Given("a running serving process from the bundle", async function() {
+    await promisify(execFile)("npm", ["run", "--silent", "bundle"]);
+    await startServingProcess(BUNDLE_PATH);
+});
+
+async function startServingProcess(program: string): Promise<void> {
     const site = new ServingSite();
     await site.openStore();
     await site.addTarget("ledger");
     await site.addTarget("engines", { eventMilliseconds: 80 });
     const file = await createSettingsFile({}, site.storeAddress);
-    const child = startChild(PROGRAM_PATH, { arguments: ["--settings", file.path] });
+    const child = startChild(program, { arguments: ["--settings", file.path] });
     servingProcess = { site, child, ...file };
     await waitUntil(async () => await isReady(), { label: "the serving process is ready" });
-});
+}
 
 async function isReady(): Promise<boolean> {
     const result = await callHttp({ address: getServingProcess().ready, path: "/readyz" }).catch(() => undefined);
