--- a/network/frame_server.ts
+++ b/network/frame_server.ts
@@ -39,9 +39,9 @@
 }
 
 /** Connections whose clients have not identified themselves yet; a client does so as soon as it is connected. */
-const MAX_UNIDENTIFIED_CONNECTIONS = 128;
+const MAX_UNIDENTIFIED_CONNECTIONS = 512;
 /** Connections at the same time; the largest fleet has 340 instances. */
-const MAX_CONNECTIONS = 512;
+const MAX_CONNECTIONS = 2048;
 /** Maximum length of the first message, in bytes: until then, anyone may have connected. */
 const MAX_HELLO_BYTES = 4096;
 
