Keep the names of the platform's protocol out of explanations and measurements

Cause: the description of a request to explain and the measurement of serving processes wrote header names themselves. Change: the adapter decodes described requests, and the test site builds its callers' headers in one function.

--- a/core/serving/digest_relays.ts
+++ b/core/serving/digest_relays.ts
@@ -113,7 +113,7 @@
 
 /** Position of a digest among those of its instance. */
 export interface DigestPosition {
-    /** Random identifier of the start of the instance's process. */
+    /** Identifier of the start of the instance's process. */
     start: string;
     /** Number of the digest since that start. */
     sequence: number;
--- a/measure/capacity/run_serving_processes.ts
+++ b/measure/capacity/run_serving_processes.ts
@@ -13,7 +13,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { waitMilliseconds } from "../../network/mod.ts";
-import { formatSettingsText, ServingSite, SITE_API_KEY } from "../../support/platform/mod.ts";
+import { buildSiteHeaders, formatSettingsText, ServingSite } from "../../support/platform/mod.ts";
 import { callHttp, findAddresses } from "../../support/processes/mod.ts";
 
 const PLAIN_TARGETS = 4;
@@ -60,13 +60,11 @@
         address: process.callerAddress,
         method: isStream ? "POST" : "GET",
         path: isStream ? "/narrative/1" : "/lookup/1",
-        headers: {
-            host: "site.example",
-            "attempt-id": calls.toString(16).padStart(16, "0"),
-            "deadline-ms": String(DEADLINE_MILLISECONDS),
-            authorization: `Bearer ${SITE_API_KEY}`,
-            ...isStream ? { model: "m", "token-counts": "100,48", "prompt-prefix": "aa:50,bb:50" } : {},
-        },
+        headers: buildSiteHeaders({
+            kind: isStream ? "narrative" : "lookup",
+            id: calls.toString(16).padStart(16, "0"),
+            deadlineMilliseconds: DEADLINE_MILLISECONDS,
+        }),
         ...isStream ? { body: "the body" } : {},
     }).catch(() => undefined);
 }
--- a/serving/request_explanation.ts
+++ b/serving/request_explanation.ts
@@ -17,7 +17,7 @@
     type ServingTarget,
     type TargetCandidate,
 } from "../core/serving/mod.ts";
-import { type CallerRequest, decodeCallerRequest } from "../platform/mod.ts";
+import { type CallerRequest, decodeDescribedRequest } from "../platform/mod.ts";
 import {
     buildReservationRequest,
     chooseVersions,
@@ -113,7 +113,7 @@
     const { state, partitionMonitor } = context;
     const accountName = parameters.get("account") ?? undefined;
     const account = state.table?.configuration.accounts?.find(({ name }) => name === accountName);
-    const request = buildExplainedRequest(parameters, account?.keys[0]);
+    const request = decodeDescribedRequest(parameters, account?.keys[0]);
     const { host, path, model, size, promptParts, promptPartTokens } = request;
     const explanation: RequestExplanation = {
         readiness,
@@ -154,19 +154,6 @@
     return { ...routed, services, ...services.length > 0 ? {} : { refusal: "the route names no known service" } };
 }
 
-function buildExplainedRequest(parameters: URLSearchParams, key: string | undefined): CallerRequest {
-    const headers = {
-        "host": parameters.get("host") ?? undefined,
-        "authorization": key === undefined ? undefined : `Bearer ${key}`,
-        "token-counts": `${parameters.get("prompt") ?? ""},${parameters.get("output") ?? "0"}`,
-        "model": parameters.get("model") ?? undefined,
-        "prompt-prefix": parameters.get("parts") ?? undefined,
-        "deadline-ms": parameters.get("deadline") ?? undefined,
-    };
-    const url = parameters.get("path") ?? "/";
-    return decodeCallerRequest({ method: "POST", url, headers, rawHeaders: [] }, Buffer.alloc(0));
-}
-
 /** Finds out why a request would be refused before a target is selected. */
 function findEarlyRefusal(
     { state, getRemainingGraceMilliseconds }: ServingContext,
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -132,6 +132,19 @@
     };
 }
 
+/** Builds the headers of a caller's request to the site. */
+export function buildSiteHeaders(call: SiteCall): Record<string, string> {
+    const isStream = ["narrative", "verdict", "bulletin"].includes(call.kind);
+    return {
+        host: "site.example",
+        "attempt-id": call.id,
+        "deadline-ms": String(call.deadlineMilliseconds ?? 3000),
+        authorization: `Bearer ${SITE_API_KEY}`,
+        ...isStream ? { model: "m", "token-counts": "100,48", "prompt-prefix": "aa:50,bb:50" } : {},
+        ...call.headers,
+    };
+}
+
 /** Options of {@linkcode startServingSite}. */
 export interface ServingSiteOptions {
     /** Number of instances. Defaults to 1. */
@@ -290,19 +303,11 @@
     /** Sends a request to an instance, as a caller does. */
     async call(call: SiteCall): Promise<HttpResult> {
         const { callerAddress } = this.#getInstance(call.instance ?? 0).settings;
-        const isStream = ["narrative", "verdict", "bulletin"].includes(call.kind);
         return callHttp({
             address: `${callerAddress.host}:${callerAddress.port}`,
             method: call.method ?? (call.kind === "lookup" ? "GET" : "POST"),
             path: call.path ?? REQUEST_PATHS[call.kind] ?? "/nowhere/",
-            headers: {
-                host: "site.example",
-                "attempt-id": call.id,
-                "deadline-ms": String(call.deadlineMilliseconds ?? 3000),
-                authorization: `Bearer ${SITE_API_KEY}`,
-                ...isStream ? { model: "m", "token-counts": "100,48", "prompt-prefix": "aa:50,bb:50" } : {},
-                ...call.headers,
-            },
+            headers: buildSiteHeaders(call),
             ...call.kind === "lookup" || call.method === "HEAD" ? {} : { body: call.body ?? "the body" },
             ...call.onChunk === undefined ? {} : { onChunk: call.onChunk },
             ...call.signal === undefined ? {} : { signal: call.signal },
