Wrap long comments and name the condition of a prompt's keys

Cause: four comments were longer than the line, one of them said when keys are empty in unclear words. Change: comments only.

--- a/core/serving/client_limits.ts
+++ b/core/serving/client_limits.ts
@@ -92,7 +92,8 @@
 /** Requests of one connection whose responses are not complete; callers that pipeline at all send a few. */
 const MAX_PIPELINED_REQUESTS = 16;
 /**
- * Small pieces of bodies between two updates, from several clients. A piece takes several microseconds whatever its size; a single client may send the largest body byte by byte.
+ * Small pieces of bodies between two updates, from several clients. A piece takes several microseconds whatever its size;
+ * a single client may send the largest body byte by byte.
  */
 const MAX_SMALL_PIECES = 10_000;
 /** Small pieces of bodies between two updates while clients are being dropped. */
--- a/core/serving/rollouts.ts
+++ b/core/serving/rollouts.ts
@@ -488,7 +488,8 @@
         if (isFirst && isCounted && end === undefined) {
             evidence.recordRequest(isLong);
         }
-        // Without a target of another version there is nothing to go back to; one that had some waits for them once it is bad.
+        // Without a target of another version there is nothing to go back to; a rollout that had some waits for them once
+        // its version is bad.
         if (!others.some(isOld) && (end === undefined || !rollout.hasHadOld)) {
             return softwareVersion === undefined || softwareVersion === order.softwareVersion
                 ? undefined
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -84,7 +84,7 @@
      * Parts of the prompt that other requests may share: all but the last; empty unless engines handle the request.
      */
     sharedPromptParts: readonly string[];
-    /** Keys of the prompt's parts, by which engines that have them cached are known; empty unless it is compared with waits. */
+    /** Keys of the prompt's parts, which tell the engines that have them cached; empty if the service is not paced. */
     promptPrefix: readonly PrefixPart[];
     /** Fingerprint of the request: the same for requests of one account with the same method, host, path and body. */
     fingerprint: string;
--- a/serving/request_explanation.ts
+++ b/serving/request_explanation.ts
@@ -105,7 +105,11 @@
     };
 }
 
-/** Explains where a request would go; `parameters` are `host`, `path`, `account`, `model`, `prompt`, `output`, `parts` and `deadline`. */
+/**
+ * Explains where a request would go.
+ *
+ * The parameters are `host`, `path`, `account`, `model`, `prompt`, `output`, `parts` and `deadline`.
+ */
 export function buildRequestExplanation(
     context: ServingContext,
     { parameters, readiness }: { parameters: URLSearchParams; readiness: string; },
