--- a/core/serving/paced_selection.ts
+++ b/core/serving/paced_selection.ts
@@ -70,23 +70,20 @@
  * Share of the KV cache beyond which an engine may have to preempt streams, whose outputs are often longer than expected,
  * and the cost of each further part of it.
  */
-const CROWDED_SHARE = 0.85;
-const CROWDED_COST = 10;
+const CROWDED_SHARE = 0.8;
+const CROWDED_COST = 3;
 /** Weight of the time to the first event as a share of its objective, and of the square of that share. */
 const FIRST_WEIGHT = 1;
-const FIRST_SQUARE_WEIGHT = 4;
+const FIRST_SQUARE_WEIGHT = 2;
 /** Largest share of the objective that counts: beyond it, the request is late anyway. */
 const MAX_FIRST_SHARE = 2;
 /** Cost of an engine at which a long stream has to expect gaps, in units of a full target's load. */
-const GAP_COST = 2.5;
-/**
- * Share of the gap objective from which an engine has that cost in part, and the further share at which it has all. It
- * exceeds 1, since the learnt duration of a step already contains some of the prompts that are read beside streams.
- */
-const SAFE_GAP_SHARE = 1.1;
+const GAP_COST = 1.5;
+/** Share of the gap objective from which an engine has that cost in part, and the further share at which it has all. */
+const SAFE_GAP_SHARE = 0.9;
 const GAP_SHARE_RANGE = 0.2;
 /** Cost of a prompt for each stream that it makes gaps in, in units of a full target's load. */
-const BESIDE_COST = 0.04;
+const BESIDE_COST = 0.08;
 /** Prompt with that cost, in tokens; a shorter one has a part of it. */
 const BESIDE_PROMPT_TOKENS = 2500;
 /**
@@ -145,14 +142,6 @@
     return { score, firstMilliseconds, gapMilliseconds };
 }
 
-/** Checks whether streams at an engine have to expect gaps above an objective. */
-export function isGapTooLong(
-    candidate: { load: TargetLoad; pace: CandidatePace; engine: EngineLimits; },
-    objective: number | undefined,
-): boolean {
-    return computeGapExcess(estimateSlowGap(candidate), objective) > 0;
-}
-
 /** Estimates the time between events beside a prompt that is read, in a slow moment of the machine, in milliseconds. */
 function estimateSlowGap(
     { load, pace, engine }: { load: TargetLoad; pace: CandidatePace; engine: EngineLimits; },
--- a/core/serving/plan_moves.ts
+++ b/core/serving/plan_moves.ts
@@ -48,8 +48,6 @@
     zone: string;
     /** Capacity of the KV cache that no request is expected to need, in tokens. */
     freeTokens: number;
-    /** True if a stream has to expect gaps above its objective there. Defaults to false. */
-    isSlow?: boolean;
 }
 
 /** Input of {@linkcode planMoves}. */
@@ -97,8 +95,6 @@
 const FINAL_RESERVE_MILLISECONDS = 60;
 /** Weight of a copy's duration relative to the time at which it finishes: short copies leave capacity for others. */
 const DURATION_WEIGHT = 0.6;
-/** Time by which a copy to a slow engine may finish earlier, in milliseconds, before that engine is preferred. */
-const SLOW_COST_MILLISECONDS = 400;
 /** KV cache reserved at the destination for the further output of a generation, in tokens. */
 const GROWTH_TOKENS = 400;
 
@@ -215,8 +211,7 @@
         for (const engine of destinations) {
             const startAt = Math.max(this.getFreeAt(source.id), this.getFreeAt(engine.id));
             const duration = this.#computeDuration(generation, engine.zone === source.zone);
-            const cost = startAt + duration * (1 + DURATION_WEIGHT)
-                + (engine.isSlow === true ? SLOW_COST_MILLISECONDS : 0);
+            const cost = startAt + duration * (1 + DURATION_WEIGHT);
             const hasRoom = (this.#freeTokens.get(engine.id) ?? 0) >= generation.tokens + GROWTH_TOKENS;
             if (hasRoom && startAt + duration <= deadline && cost < bestCost) {
                 best = { destination: engine.id, startAt, finishAt: startAt + duration };
--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -60,10 +60,6 @@
             | state 1e12 requests    |
             | state no requests      |
 
-    Scenario: streams of a leaving engine are moved to an engine that carries them without gaps
-        When an engine leaves while one slow engine and one fast engine are free
-        Then its streams are moved to the fast engine, and to the slow one only if the other has no room
-
     Scenario: what was measured at one start of an engine does not count for the next
         When a peer tells of an engine that takes twice as long, and the engine restarts
         Then its steps are expected to take twice as long before the restart, and as long as usual after it
--- a/serving/move_coordinator.ts
+++ b/serving/move_coordinator.ts
@@ -6,7 +6,6 @@
 import {
     type DestinationEngine,
     getSoftwareVersion,
-    isGapTooLong,
     type LeavingEngine,
     planMoves,
     type PlannedMove,
@@ -241,8 +240,7 @@
     #listDestinations(service: ServiceDefinition, softwareVersion: string): DestinationEngine[] {
         const { engine } = service;
         const { state } = this.#options.context;
-        const gapObjective = state.table?.findStrictestGap(service.name);
-        return state.listCandidates(service).flatMap(({ target, load, penalty, pace }) =>
+        return state.listCandidates(service).flatMap(({ target, load, penalty }) =>
             penalty > 1 || !state.isMoveDestination(target.id) || engine === undefined
                 || state.directory.isMissing(target.id) || getSoftwareVersion(target) !== softwareVersion
                 ? []
@@ -250,7 +248,6 @@
                     id: target.id,
                     zone: target.zone,
                     freeTokens: engine.memoryTokens - load.tokens,
-                    isSlow: pace !== undefined && isGapTooLong({ load, pace, engine }, gapObjective),
                 }]
         );
     }
