--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -1,16 +1,23 @@
-// A loopback proxy whose open connections can go silent for good, without a reset, while new ones work.
+// A loopback proxy whose open connections can go silent for good, without a reset, while new ones work or are silent too.
 import { connect, createServer } from "node:net";
 
 /** Starts a proxy in front of an address; `silence` stops all connections that are open now. */
 export async function startProxy(address) {
     const [host, port] = address.split(":");
     const pairs = new Set();
+    let isClosedToAll = false;
+    let watches = 0;
     const server = createServer({ allowHalfOpen: true }, inner => {
         const outer = connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true });
-        const pair = { inner, outer, isSilent: false };
+        const pair = { inner, outer, isSilent: isClosedToAll };
         pairs.add(pair);
         const forward = (from, to) => {
-            from.on("data", chunk => pair.isSilent || to.write(chunk));
+            from.on("data", chunk => {
+                watches += from === inner && chunk.includes("watch=") ? 1 : 0;
+                if (!pair.isSilent) {
+                    to.write(chunk);
+                }
+            });
             from.on("end", () => pair.isSilent || to.end());
             from.on("error", () => undefined);
             from.on("close", () => {
@@ -32,6 +39,12 @@
             });
             return pairs.size;
         },
+        /** Lets new connections be silent too, or ends that. */
+        setClosedToAll: isClosed => {
+            isClosedToAll = isClosed;
+        },
+        /** Counts the watches that were begun through this proxy. */
+        countWatches: () => watches,
         close: () => {
             server.close();
             pairs.forEach(({ inner, outer }) => {
