Keep the time limits of watches, streams and queued requests across garbage collections

Streams whose target never finished its response got no final answer.

Cause: AbortSignal.any refers to its sources weakly. A timeout that only such a combination uses is removed by the next garbage collection, so the call waits for ever and nothing reports a failure.

Change: LinkedSignal follows its sources with listeners and a timer of its own, which hold everything until it is closed. It replaces all uses of AbortSignal.any, which the linter now refuses.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,6 +35,11 @@
                 },
                 { selector: "Literal[raw='null']", message: "Use undefined in place of null." },
             ],
+            "no-restricted-properties": ["error", {
+                object: "AbortSignal",
+                property: "any",
+                message: "Use LinkedSignal: a garbage collection may remove a timeout that only AbortSignal.any refers to.",
+            }],
             "jsdoc/require-jsdoc": ["error", {
                 publicOnly: true,
                 require: {
--- a/gateway/dispatcher.ts
+++ b/gateway/dispatcher.ts
@@ -10,7 +10,7 @@
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import { type Candidate, chooseTarget, computeOwnerWait } from "../core/placement/mod.ts";
 import type { LengthDistribution } from "../core/prediction/mod.ts";
-import { waitMilliseconds } from "../network/mod.ts";
+import { LinkedSignal, waitMilliseconds } from "../network/mod.ts";
 import { createRetryableError, ServingError } from "../network/serving_error.ts";
 import type { AgentClient } from "./agent_client.ts";
 import type { RoutingState } from "./routing_state.ts";
@@ -114,7 +114,8 @@
         const timeoutMilliseconds = Math.ceil(
             Math.max(0, Math.min(MAX_TIMER_MILLISECONDS, request.waitDeadline - performance.now())),
         );
-        const signal = AbortSignal.any([request.signal, AbortSignal.timeout(timeoutMilliseconds)]);
+        const linked = new LinkedSignal([request.signal], { timeoutMilliseconds });
+        const { signal } = linked;
         try {
             return await queue.add(() => this.#findPlacement({ ...request, signal }), {
                 account,
@@ -130,6 +131,9 @@
             }
             throw request.signal.aborted ? this.#createAbortError(request.signal) : this.#createBusyError(request);
         }
+        finally {
+            linked.close();
+        }
     }
 
     /** Describes the queues for a state dump. */
--- a/gateway/generation_handler.ts
+++ b/gateway/generation_handler.ts
@@ -216,7 +216,7 @@
             lengths: predictor.estimateLengths(key).map(length => Math.min(length, maxLength)),
             prefixHash: request.prefixHash,
             waitDeadline: options.waitDeadline,
-            signal: AbortSignal.any([context.callerSignal, context.deadlineSignal]),
+            signal: context.signal,
             avoidedTargets: options.avoidedTargets,
         });
         return placement.catch((error: unknown) => {
--- a/gateway/request_context.ts
+++ b/gateway/request_context.ts
@@ -6,6 +6,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Account, RoutingTable } from "../core/inventory/mod.ts";
+import { LinkedSignal } from "../network/mod.ts";
 import { ServingError } from "../network/serving_error.ts";
 
 /** A request with its client account and cancellation signals. */
@@ -22,6 +23,8 @@
     deadlineSignal: AbortSignal;
     /** Aborted when the caller closes its connection before the response is complete. */
     callerSignal: AbortSignal;
+    /** Aborted when either of the two is. */
+    signal: AbortSignal;
     /** Clears the deadline timer. */
     close: () => void;
 }
@@ -86,13 +89,18 @@
             callerController.abort();
         }
     });
+    const linked = new LinkedSignal([callerController.signal, deadlineController.signal]);
     return {
         ...exchange,
         account,
         deadline: milliseconds === undefined ? Infinity : performance.now() + milliseconds,
         deadlineSignal: deadlineController.signal,
         callerSignal: callerController.signal,
-        close: () => clearTimeout(timer),
+        signal: linked.signal,
+        close: () => {
+            clearTimeout(timer);
+            linked.close();
+        },
     };
 }
 
--- a/gateway/service_handler.ts
+++ b/gateway/service_handler.ts
@@ -292,7 +292,7 @@
                 promptTokens: 0,
                 lengths: [],
                 waitDeadline: deadline,
-                signal: AbortSignal.any([context.callerSignal, context.deadlineSignal]),
+                signal: context.signal,
                 avoidedTargets: state.avoidedTargets,
             });
         }
--- a/network/mod.ts
+++ b/network/mod.ts
@@ -8,6 +8,7 @@
 export * from "./frame_connection.ts";
 export * from "./frame_server.ts";
 export * from "./http_server.ts";
+export * from "./linked_signal.ts";
 export * from "./listener_probe.ts";
 export * from "./message_hash.ts";
 export * from "./peer_connection_pool.ts";
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -18,6 +18,7 @@
     ClientDroppedError,
     type ClientGuard,
     countHeaderBytes,
+    LinkedSignal,
     openHttpServer,
     readRequestBody,
     waitMilliseconds,
@@ -339,7 +340,10 @@
         }
         const { version } = table.configuration;
         const deadline = computeDeadline(call, route);
-        const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(deadline - this.#context.clock.getMonotonic())));
+        const remainingMilliseconds = Math.max(1, Math.ceil(deadline - this.#context.clock.getMonotonic()));
+        const linked = new LinkedSignal([call.disconnected, call.stopped], {
+            timeoutMilliseconds: remainingMilliseconds,
+        });
         const exchange: CallerExchange = {
             ...call,
             route,
@@ -357,13 +361,22 @@
             priority,
             version,
             deadline,
-            signal: AbortSignal.any([call.disconnected, call.stopped, timeout]),
+            signal: linked.signal,
             isCallerDisconnected: () => call.disconnected.aborted,
         };
+        try {
+            await this.#serveExchange(exchange);
+        }
+        finally {
+            linked.close();
+        }
+    }
+
+    async #serveExchange(exchange: CallerExchange): Promise<void> {
         if (!this.#context.partitionMonitor.decideDirect() && await sendThroughPeer(this.#context, exchange)) {
             return;
         }
-        await (route.kind === "stream"
+        await (exchange.route.kind === "stream"
             ? handleStreamCall(this.#context, { exchange, activeStreams: this.#activeStreams })
             : handleUnaryCall(this.#context, exchange));
     }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -22,6 +22,7 @@
     StreamProgress,
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
+import { LinkedSignal } from "../network/mod.ts";
 import { type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
 import {
     abortResponse,
@@ -397,13 +398,14 @@
         });
         const sentAt = this.#now;
         const quarantineWatch = this.#crashGuard.watchQuarantine();
+        const linked = new LinkedSignal([this.#exchange.signal, attemptAbort.signal, quarantineWatch.signal]);
         try {
             const targetResponse = await this.#context.connections.sendRequest(buildTargetCall(this.#exchange, {
                 target: reservation.target,
                 remainingMilliseconds: this.#remainingMilliseconds,
                 resumeAfter: this.#progress.lastEventId,
                 copy,
-                signal: AbortSignal.any([this.#exchange.signal, attemptAbort.signal, quarantineWatch.signal]),
+                signal: linked.signal,
             }));
             quarantineWatch.stop();
             this.#headAt = this.#now;
@@ -429,6 +431,7 @@
         finally {
             stallDetector.stop();
             quarantineWatch.stop();
+            linked.close();
             this.#isAttemptAborted = attemptAbort.signal.aborted || quarantineWatch.signal.aborted;
         }
     }
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -14,7 +14,7 @@
     ResponseOutcome,
 } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
-import { waitMilliseconds } from "../network/mod.ts";
+import { LinkedSignal, waitMilliseconds } from "../network/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
 import {
     applyResponseNotice,
@@ -182,14 +182,15 @@
     async #sendToTarget(reservation: Reservation): Promise<AttemptResult> {
         const { clock } = this.#context;
         const sentAt = clock.getMonotonic();
-        const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(this.#attemptTimeoutMilliseconds)));
         const quarantineWatch = this.#crashGuard.watchQuarantine();
-        const signal = AbortSignal.any([this.#exchange.signal, timeout, quarantineWatch.signal]);
+        const linked = new LinkedSignal([this.#exchange.signal, quarantineWatch.signal], {
+            timeoutMilliseconds: Math.max(1, Math.ceil(this.#attemptTimeoutMilliseconds)),
+        });
         try {
             const targetResponse = await this.#context.connections.sendRequest(buildTargetCall(this.#exchange, {
                 target: reservation.target,
                 remainingMilliseconds: this.#remainingMilliseconds,
-                signal,
+                signal: linked.signal,
             }));
             quarantineWatch.stop();
             this.#headAt = clock.getMonotonic();
@@ -216,17 +217,18 @@
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
             const cause: unknown = quarantineWatch.signal.aborted ? quarantineWatch.signal.reason : error;
-            const reason = timeout.aborted
+            const reason = linked.hasTimedOut
                 ? "no answer in time"
                 : cause instanceof Error
                 ? cause.message
                 : String(cause);
             const isUnreachable = isConnectFailure(error);
-            const isConnectionLost = !signal.aborted && isConnectionLoss(error);
+            const isConnectionLost = !linked.signal.aborted && isConnectionLoss(error);
             return { kind: "failed", verdict, reason, isUnreachable, isConnectionLost };
         }
         finally {
             quarantineWatch.stop();
+            linked.close();
         }
     }
 
