Take over within a second from watchers that the store turns away

Cause: the first watcher noticed after 2.6 s, told its peers with the next regular digest, and the first substitute waited for another 400 ms. Behind a first watcher without the store, the next one kept watches of 12 s.

Evidence: four examples of store.feature (two or three instances, silent or with 503, small and large configurations, with an evacuated zone and a leaving target) failed on the code before, 4 of 4.

Change: the first instance that watches has a watch of 0.3 s for the configuration, with a timeout of 0.5 s; if it fails, the watches of the other kinds fail too. The loss is told to the peers at once and without relays. The first two substitutes take over after 50 and 350 ms, further ones from 1.05 s on.

--- a/core/serving/watcher_election.ts
+++ b/core/serving/watcher_election.ts
@@ -50,8 +50,14 @@
  * instances have to apply a new configuration.
  */
 const MAX_SILENCE_MILLISECONDS = 1000;
-/** Time that the instance before this one has to take over, in milliseconds: a list and a digest take less. */
-const TAKEOVER_STEP_MILLISECONDS = 400;
+/**
+ * Times after which the watchers and the first two substitutes take over, in milliseconds. The second one waits until the
+ * first could have reported its success: a list and a digest. If the store answers neither, it is likely to be down.
+ */
+const EARLY_TAKEOVER_MILLISECONDS = [0, 50, 350];
+/** Time after which the next substitute takes over, and what each further one adds to it, in milliseconds. */
+const LATE_TAKEOVER_MILLISECONDS = 1050;
+const LATE_TAKEOVER_STEP_MILLISECONDS = 400;
 /** Longest time until the first instances take over together, in milliseconds, and what each rank adds to it. */
 const MAX_TAKEOVER_MILLISECONDS = 1200;
 const MAX_TAKEOVER_PER_RANK_MILLISECONDS = 10;
@@ -76,8 +82,10 @@
     if (watchersAhead.length >= watchers) {
         return { rank, takeoverMilliseconds: undefined };
     }
-    const takeoverMilliseconds = Math.min(
-        TAKEOVER_STEP_MILLISECONDS * Math.max(0, rank - watchers + 1),
+    const substitute = Math.max(0, rank - watchers + 1);
+    const late = substitute - EARLY_TAKEOVER_MILLISECONDS.length;
+    const takeoverMilliseconds = EARLY_TAKEOVER_MILLISECONDS[substitute] ?? Math.min(
+        LATE_TAKEOVER_MILLISECONDS + LATE_TAKEOVER_STEP_MILLISECONDS * late,
         MAX_TAKEOVER_MILLISECONDS + MAX_TAKEOVER_PER_RANK_MILLISECONDS * rank,
     );
     return { rank, takeoverMilliseconds };
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -97,6 +97,27 @@
         And the operator writes configuration version 9 without the route "lookup"
         Then each instance has adopted configuration version 9 within 2900 ms
 
+    # Guards against instances that act on an old state because the watchers, on which they depend, notice too late that
+    # the store no longer answers them.
+    Scenario Outline: a change reaches the instances that the store serves while it <how> to the first <count>
+        Given a serving site with 6 instances
+        And the instances have taken their places in the order of watchers
+        When the store <how> to the first <count> of them right after a watch of the configuration has begun
+        And the operator writes configuration version 9 with <routes> additional routes
+        And the operator evacuates "zone-b"
+        And a target of each service announces to the store that it leaves
+        Then the other instances log these events within 2000 ms
+            | configuration adopted |
+            | emptied zones changed |
+            | target leaving        |
+
+        Examples:
+            | how              | count | routes |
+            | is silent        | 2     | 10     |
+            | is silent        | 2     | 350    |
+            | is silent        | 3     | 350    |
+            | answers with 503 | 3     | 350    |
+
     Scenario: an instance that starts while the store is down gets its state from its peers
         Given a serving site
         When the store resets connections
--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -596,6 +596,7 @@
         decideWatching: () => true,
         waitForPeerState: () => Promise.resolve(),
         isFirstWatcher: () => true,
+        onWatchLost: () => undefined,
         hasWatchingPeer: () => false,
     });
     watcher = { storeWatcher, store, state, events };
--- a/features/steps/store_watcher_steps.ts
+++ b/features/steps/store_watcher_steps.ts
@@ -3,15 +3,16 @@
  *
  * @module
  */
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { VirtualClock } from "../../core/clock/mod.ts";
+import { createElectionRanking } from "../../core/serving/mod.ts";
 import { waitMilliseconds } from "../../network/mod.ts";
 import { StoreClient, StoreKind } from "../../platform/mod.ts";
 import { ServingState, StoreWatcher } from "../../serving/mod.ts";
-import { buildIdleMetrics, startServingSite } from "../../support/platform/mod.ts";
+import { buildIdleMetrics, type SiteInstance, startServingSite } from "../../support/platform/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
-import { getSite, siteContext } from "../support/site_context.ts";
+import { getSite, getTarget, siteContext } from "../support/site_context.ts";
 
 /** Time for which a number of watches must stay the same, in milliseconds: longer than from one watch to the next. */
 const STEADY_MILLISECONDS = 200;
@@ -40,9 +41,13 @@
 /** Step by which the virtual time of a watcher advances, each time after the same real time, in milliseconds. */
 const STEP_MILLISECONDS = 100;
 
+/** Instances that the store serves after others were turned away, and the number of lines that they had logged before. */
+let servedInstances: (SiteInstance & { firstLine: number; })[] = [];
+
 let watcher: { storeWatcher: StoreWatcher; store: StoreClient; clock: VirtualClock; isElected: boolean; } | undefined;
 
 After(() => {
+    servedInstances = [];
     watcher?.storeWatcher.stop();
     watcher?.store.close();
     watcher = undefined;
@@ -77,6 +82,7 @@
         decideWatching: () => watcher?.isElected === true,
         waitForPeerState: () => Promise.resolve(),
         isFirstWatcher: () => false,
+        onWatchLost: () => undefined,
         hasWatchingPeer: () => true,
     });
     watcher = { storeWatcher, store, clock, isElected: true };
@@ -104,3 +110,56 @@
     const expected = WATCHED_KINDS.flatMap(kind => Array<string>(CALLS_PER_KIND[result] ?? 0).fill(`GET ${kind}`));
     assert.deepEqual([...getSite().store.calls].sort(), expected.sort());
 });
+
+/** Lists the instances of the site in the order in which they watch the store. */
+function listByElection(): SiteInstance[] {
+    const { instances } = getSite();
+    const names = createElectionRanking().listMembers(instances.map(({ settings }) => settings.instance));
+    return names.flatMap(name => instances.filter(({ settings }) => settings.instance === name));
+}
+
+When(
+    /^the store (answers with 503|is silent) to the first (\d+) of them right after a watch of the configuration has begun$/,
+    async function(how: string, count: string) {
+        const { store } = getSite();
+        const ranked = listByElection();
+        const ports = ranked.slice(0, Number(count)).map(({ settings }) => settings.storeAddress.port);
+        const handleRequest = store.handleRequest.bind(store);
+        await new Promise<void>(resolve => {
+            store.handleRequest = (request, response, body) => {
+                const isWatch = request.socket.localPort === ports[0]
+                    && request.url?.includes("/config?watch=") === true;
+                const answered = handleRequest(request, response, body);
+                if (isWatch) {
+                    store.handleRequest = handleRequest;
+                    setImmediate(resolve);
+                }
+                return answered;
+            };
+        });
+        store.refusePorts(ports, { isSilent: how === "is silent" });
+        servedInstances = ranked.slice(Number(count)).map(instance => ({
+            ...instance,
+            firstLine: instance.lines.length,
+        }));
+    },
+);
+
+When("a target of each service announces to the store that it leaves", function() {
+    for (const service of ["ledger", "engines"]) {
+        getSite().writeTarget(getTarget(service, 1), { state: "draining" });
+    }
+});
+
+Then("the other instances log these events within {int} ms", async function(milliseconds: number, table: DataTable) {
+    const events = table.raw().flat();
+    const deadline = performance.now() + milliseconds;
+    for (const { settings: { instance }, lines, firstLine } of servedInstances) {
+        const listMissing = (): string[] =>
+            events.filter(event => !lines.slice(firstLine).some(line => line.event === event));
+        while (listMissing().length > 0) {
+            assert.ok(performance.now() < deadline, `${instance} has not logged "${listMissing().join("\", \"")}"`);
+            await waitMilliseconds(10);
+        }
+    }
+});
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -153,6 +153,8 @@
     #openedAt = 0;
     readonly #digestRateLimiter = new DigestRateLimiter();
     #position: SharePosition | undefined;
+    /** True if the last digest says that this instance watches the store. */
+    #isAnnouncedWatching = false;
     #digestTimer: NodeJS.Timeout | undefined;
     #digestDueAt = Infinity;
     #stateRequestedAt = 0;
@@ -272,14 +274,19 @@
         return now - this.#watchersMissingSince >= takeoverMilliseconds;
     }
 
-    /** True if this instance is the first in the order in which instances watch the store. */
+    /** True if no instance before this one in the order watches the store. */
     get isFirstWatcher(): boolean {
-        return this.#classifyWatcher().rank === 0;
+        return this.#classifyWatcher(1).takeoverMilliseconds !== undefined;
     }
 
     /** True if this instance writes to the store on behalf of all: the first one whose watches of the store work. */
     get isStoreWriter(): boolean {
-        return this.#options.isWatching() && this.#classifyWatcher(1).takeoverMilliseconds !== undefined;
+        return this.#options.isWatching() && this.isFirstWatcher;
+    }
+
+    /** Tells the peers at once whether this instance watches the store, so that others can take over. */
+    announceWatching(): void {
+        this.#scheduleDigest(DigestReason.storeChanged);
     }
 
     #classifyWatcher(watchers?: number): WatcherElection {
@@ -372,7 +379,8 @@
 
     #getRecipients(now: number): Required<DigestRecipients> {
         const peers = this.#peers.size;
-        return { now, peers, isRelayed: isDigestRelayed(peers) && !this.#options.isWatching() };
+        const isUrgent = this.#options.isWatching() || this.#isAnnouncedWatching;
+        return { now, peers, isRelayed: isDigestRelayed(peers) && !isUrgent };
     }
 
     /** Schedules a digest as soon as the rate limit allows. */
@@ -481,7 +489,12 @@
         peer.lastDigestAt = now;
         peer.isLost = false;
         peer.versions = message.versions;
+        const hasStoppedWatching = peer.isWatching && !message.isWatching;
         peer.isWatching = message.isWatching;
+        if (hasStoppedWatching) {
+            // The time until this instance takes over starts now.
+            this.decideWatching();
+        }
         peer.relayAddress = message.relayAddress;
         for (const target of message.unreachable) {
             this.#options.state.recordUnreachableByPeer(target);
@@ -686,7 +699,7 @@
 
     /**
      * Sends a digest to each peer, at a lower rate to peers that send none. In a large fleet it goes through relays, unless
-     * this instance watches the store: the silence of a watcher has to be noticed at once.
+     * this instance watches the store, or has stopped to: the loss of a watcher has to be noticed at once.
      */
     #sendDigests(): void {
         const now = this.#options.clock.getMonotonic();
@@ -699,6 +712,7 @@
         clearTimeout(this.#digestTimer);
         this.#digestDueAt = Infinity;
         const recipients = this.#getRecipients(now);
+        this.#isAnnouncedWatching = digest.isWatching;
         this.#digestRateLimiter.recordSend(recipients);
         const { isRelayed } = recipients;
         if (isRelayed) {
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -168,6 +168,7 @@
             store: this.#store,
             decideWatching: () => this.#peerExchange.decideWatching(),
             isFirstWatcher: () => this.#peerExchange.isFirstWatcher,
+            onWatchLost: () => this.#peerExchange.announceWatching(),
             hasWatchingPeer: () => this.#peerExchange.hasWatcher(),
             waitForPeerState: () => this.#waitForPeerState(),
         });
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -44,8 +44,10 @@
     decideWatching: () => boolean;
     /** Waits until the state has arrived from a peer, or none can be expected. */
     waitForPeerState: () => Promise<void>;
-    /** Checks whether this instance is the first in the order in which instances watch the store. */
+    /** Checks whether no instance before this one in the order watches the store. */
     isFirstWatcher: () => boolean;
+    /** Called when a watch of this instance has failed. */
+    onWatchLost: () => void;
     /** Checks whether a peer watches the store and forwards its changes. */
     hasWatchingPeer: () => boolean;
 }
@@ -56,14 +58,28 @@
     applyEvents: (events: StoreEvents) => void;
 }
 
+/** Longest wait of a watch, and the timeout of its call in addition to the wait, in milliseconds. */
+interface WatchDuration {
+    waitMilliseconds: number;
+    timeoutMilliseconds?: number;
+}
+
+/** Kind whose watch shows whether the store still answers this instance; if it fails, all kinds are listed again. */
+const LEADING_KIND = StoreKind.configuration;
+/**
+ * Watch of the first watcher for the leading kind. The store's silence is noticed after the sum. The instances that the
+ * store still serves have to apply a change within two seconds, even if it stops to answer both watchers right before;
+ * the rest of that time is for the instances that take over.
+ */
+const LEADING_WATCH: WatchDuration = { waitMilliseconds: 300, timeoutMilliseconds: 500 };
 /**
- * Maximum wait of a watch of the first watcher, in milliseconds. A watch whose connection has failed without an error is
- * detected after this time plus the timeout of the call. The change that it has missed must have been applied everywhere
- * when the instance counts as connected again, three seconds after the failure.
+ * Watch of the first watcher for other kinds. The failure of a single connection is detected after the wait and the timeout
+ * of the client; the change that it has missed must have been applied everywhere when the instance counts as connected
+ * again, three seconds after the failure.
  */
-const FIRST_WATCH_MILLISECONDS = 1600;
-/** Maximum wait of a watch of another watcher, in milliseconds; the first one detects connections that have failed. */
-const OTHER_WATCH_MILLISECONDS = 12_000;
+const FIRST_WATCH: WatchDuration = { waitMilliseconds: 1600 };
+/** Watch of the other watchers, and for rollouts; the first watcher detects connections that have failed. */
+const LONG_WATCH: WatchDuration = { waitMilliseconds: 12_000 };
 /** Interval at which an instance checks whether it has to watch the store, in milliseconds. */
 const ELECTION_INTERVAL_MILLISECONDS = 100;
 /**
@@ -216,18 +232,24 @@
     }
 
     /**
-     * Waits for changes of a kind; the wait ends early once this instance has lost its place for some time. Rollouts are
-     * rare: their watch is long, and ends as soon as one of another kind shows that connections have failed.
+     * Waits for changes of a kind; the wait ends early once this instance has lost its place for some time, or has become
+     * the first watcher, and fails if the watch of the leading kind does. Rollouts are rare: their watch is long, and ends
+     * as soon as one of another kind shows that connections have failed.
      */
     async #watchKind(kind: string, position: StorePosition): Promise<StoreReply<StoreEvents>> {
         const { store, clock, isFirstWatcher } = this.#options;
         const abortController = new AbortController();
         let placeLostAt: number | undefined;
-        const isLong = kind === StoreKind.rollouts;
+        const isRare = kind === StoreKind.rollouts;
+        const isFirst = isFirstWatcher();
         const hadOutage = this.#outages.size > 0;
+        const isLedAtStart = !this.#outages.has(LEADING_KIND);
+        let hasLeaderFailed = false;
         const timer = setInterval(() => {
             const now = clock.getMonotonic();
-            if (isLong && !hadOutage && this.#outages.size > 0) {
+            const hasBecomeFirst = !isRare && !isFirst && isFirstWatcher();
+            hasLeaderFailed ||= !isRare && isLedAtStart && kind !== LEADING_KIND && this.#outages.has(LEADING_KIND);
+            if (isRare && !hadOutage && this.#outages.size > 0 || hasBecomeFirst || hasLeaderFailed) {
                 abortController.abort();
             }
             placeLostAt = this.#decideWatching() ? undefined : placeLostAt ?? now;
@@ -235,13 +257,14 @@
                 abortController.abort();
             }
         }, ELECTION_INTERVAL_MILLISECONDS);
+        const duration = isRare || !isFirst ? LONG_WATCH : kind === LEADING_KIND ? LEADING_WATCH : FIRST_WATCH;
         const reply = await store.watchObjects(kind, {
             ...position,
-            waitMilliseconds: isFirstWatcher() && !isLong ? FIRST_WATCH_MILLISECONDS : OTHER_WATCH_MILLISECONDS,
+            ...duration,
             signal: abortController.signal,
         });
         clearInterval(timer);
-        return reply;
+        return hasLeaderFailed ? { kind: "unanswered", reason: `the watch of "${LEADING_KIND}" has failed` } : reply;
     }
 
     /** Decides whether to call the store: an instance that is not ready does so regardless of the order. */
@@ -268,12 +291,13 @@
     }
 
     async #recordFailureAndBackOff(kind: string, failure: StoreFailure): Promise<void> {
-        const { clock, log, random, hasWatchingPeer } = this.#options;
+        const { clock, log, random, hasWatchingPeer, onWatchLost } = this.#options;
         const outage = this.#outages.get(kind) ?? { since: clock.getMonotonic(), failures: 0 };
         outage.failures += 1;
         this.#outages.set(kind, outage);
         if (outage.failures === 1) {
             log.record("process", "store lost", { ...failure, kind, failure: failure.kind });
+            onWatchLost();
         }
         const maxBackoff = hasWatchingPeer() ? MAX_BACKOFF_BESIDE_WATCHER_MILLISECONDS : MAX_BACKOFF_MILLISECONDS;
         const delay = Math.min(maxBackoff, MIN_BACKOFF_MILLISECONDS * 2 ** (outage.failures - 1));
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -169,7 +169,7 @@
     readonly targets: SiteTarget[] = [];
     readonly instances: SiteInstance[] = [];
     readonly kvCopies: KvCopies = new Map();
-    #openedStore: OpenedStandIn | undefined;
+    readonly #openedStores: OpenedStandIn[] = [];
     #storeAddress = "";
     #isClosed = false;
     readonly #rollout: RolloutBounds | undefined;
@@ -186,11 +186,17 @@
 
     /** Starts the store with an initial configuration. */
     async openStore(accountPriority?: number): Promise<void> {
-        [this.#storeAddress = ""] = await findAddresses(1);
-        this.#openedStore = await openStandIn(this.store, { address: this.#storeAddress });
+        this.#storeAddress = await this.#openStoreAddress();
         this.store.putObject("config", "main", buildSiteConfiguration(5, { accountPriority }));
     }
 
+    /** Opens an address of the store; each instance has one of its own, by which the store can tell who calls it. */
+    async #openStoreAddress(): Promise<string> {
+        const [address = ""] = await findAddresses(1);
+        this.#openedStores.push(await openStandIn(this.store, { address }));
+        return address;
+    }
+
     /** Starts a target and writes its entry to the store. */
     async addTarget(
         service: string,
@@ -239,7 +245,7 @@
             seedAddresses: this.instances.map(({ settings: { peerAddress } }) =>
                 `${peerAddress.host}:${peerAddress.port}`
             ),
-            storeAddress: parseAddress(this.#storeAddress),
+            storeAddress: parseAddress(await this.#openStoreAddress()),
             stopGraceMilliseconds: 3000,
             bounds: {
                 retryRatio: 0.2,
@@ -320,7 +326,7 @@
         for (const target of this.targets) {
             target.opened.close();
         }
-        this.#openedStore?.close();
+        this.#openedStores.forEach(store => store.close());
         for (const instance of this.instances) {
             instance.process.close();
         }
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -76,6 +76,9 @@
     readonly #pendingWakeups = new Set<() => void>();
     /** Kind of each pending watch, by the watch's response. */
     readonly #pendingWatches = new Map<ServerResponse, string>();
+    /** Ports whose callers are turned away. */
+    readonly #closedPorts = new Set<number>();
+    #isSilentAtClosedPorts = false;
     #revision = 10;
     #era = 1;
     #copy: { revision: number; objects: [kind: string, objects: Map<string, StoredObject>][]; } | undefined;
@@ -154,6 +157,18 @@
         }
     }
 
+    /**
+     * Turns the callers at some ports away from now on: with status 503 or, if `isSilent` is set, without an answer. Their
+     * pending watches are never answered.
+     */
+    refusePorts(ports: readonly number[], { isSilent }: { isSilent: boolean; }): void {
+        this.#isSilentAtClosedPorts = isSilent;
+        ports.forEach(port => this.#closedPorts.add(port));
+        const waiting = [...this.#pendingWatches.keys()].flatMap(({ socket }) => socket ?? []);
+        waiting.filter(({ localPort = 0 }) => this.#closedPorts.has(localPort))
+            .forEach(socket => (socket.write = () => true));
+    }
+
     /** Removes an object; does nothing if there is none. */
     removeObject(kind: string, name: string): void {
         const object = this.#objects.get(kind)?.get(name);
@@ -170,7 +185,12 @@
         this.calls.push(`${request.method} ${kind}`);
         response.setHeader("store-era", String(this.#era));
         await waitMilliseconds(this.faults.delayMilliseconds);
-        if (this.faults.isReset) {
+        if (this.#closedPorts.has(request.socket.localPort ?? 0)) {
+            if (!this.#isSilentAtClosedPorts) {
+                sendJson(response, { status: 503, value: {} });
+            }
+        }
+        else if (this.faults.isReset) {
             request.socket.resetAndDestroy();
         }
         else if (this.faults.isDown || this.faults.refuseWith > 0) {
