Refuse requests late in the grace whose deadline is after its end

Cause: a stopping instance took what it expected to finish, by the latency objective and the estimated tokens, which are no bounds.

Evidence: two examples of lifecycle.feature failed before: targets take 2 s, the grace is 3 s, and a stamp or a lookup that came 1.7 s after SIGTERM was passed on.

Change: once the load balancer has taken the instance out, a request is accepted only if its deadline is before the end of the process. A request whose deadline is early enough is also accepted before that, whatever is expected.

--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -48,6 +48,30 @@
             | stamp     |
             | narrative |
 
+    # Guards against requests that are taken late in the grace and cut off at its end, although they may not be repeated.
+    Scenario Outline: a <kind> that comes late in the grace and may not be answered before its end is refused before it runs
+        Given a running serving process
+        When the targets take 2000 ms to answer a request
+        And a caller starts a "stamp" at the serving process
+        And the serving process receives SIGTERM
+        And a caller sends a "<kind>" to the serving process 1700 ms after SIGTERM
+        Then the response of the serving process has the status 503
+        And no target has received that request
+
+        Examples:
+            | kind   |
+            | stamp  |
+            | lookup |
+
+    Scenario: a stamp that comes late in the grace and whose deadline is before its end is served
+        Given a running serving process
+        When the targets take 2000 ms to answer a request
+        And a caller starts a "stamp" at the serving process
+        And the serving process receives SIGTERM
+        And the targets take 0 ms to answer a request
+        And a caller sends a "stamp" with a deadline of 600 ms to the serving process 1700 ms after SIGTERM
+        Then the response of the serving process has the status 200
+
     Scenario Outline: a request with <bytes> bytes of headers gets the status <status> if the configuration allows 16384
         Given a serving site
         When a caller sends a "stamp" with a header of <bytes> bytes
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -105,21 +105,42 @@
     return result?.status === 200;
 }
 
-function callServingProcess(kind: "stamp" | "narrative", maxTokens = 48): Promise<HttpResult> {
+/** Deadline of requests for which a scenario states none, in milliseconds. */
+const DEFAULT_DEADLINE_MILLISECONDS = 5000;
+
+/** Kinds of requests that scenarios send to the serving process. */
+type RequestKind = "stamp" | "lookup" | "narrative";
+
+/** Options of a request to the serving process. */
+interface CallerOptions {
+    /** Largest number of tokens of a narrative. Defaults to 48. */
+    maxTokens?: number;
+    /** Deadline, in milliseconds. Defaults to 5000. */
+    deadlineMilliseconds?: number;
+}
+
+function callServingProcess(
+    kind: RequestKind,
+    options: CallerOptions & { id?: string; } = {},
+): Promise<HttpResult> {
+    const { id = "00000000000000aa" } = options;
     return callHttp({
         address: getServingProcess().caller,
         method: "POST",
         path: `/${kind}/1`,
-        headers: { ...buildCallerHeaders(kind, maxTokens), "attempt-id": "00000000000000aa" },
+        headers: { ...buildCallerHeaders(kind, options), "attempt-id": id },
         body: "the body",
     });
 }
 
 /** Builds the headers of a caller's request, without its identifier. */
-function buildCallerHeaders(kind: string, maxTokens = 48): Record<string, string> {
+function buildCallerHeaders(
+    kind: string,
+    { maxTokens = 48, deadlineMilliseconds = DEFAULT_DEADLINE_MILLISECONDS }: CallerOptions = {},
+): Record<string, string> {
     return {
         host: "site.example",
-        "deadline-ms": "5000",
+        "deadline-ms": String(deadlineMilliseconds),
         authorization: `Bearer ${SITE_API_KEY}`,
         connection: "keep-alive",
         ...kind === "narrative" ? { model: "m", "token-counts": `100,${maxTokens}` } : {},
@@ -134,7 +155,7 @@
 When(
     "a caller sends a {string} of at most {int} tokens to the serving process",
     async function(kind: "stamp" | "narrative", tokens: number) {
-        response = await callServingProcess(kind, tokens);
+        response = await callServingProcess(kind, { maxTokens: tokens });
     },
 );
 
@@ -162,6 +183,28 @@
     stoppingAt = performance.now();
 });
 
+/** Identifier of a request that is sent after SIGTERM. */
+const LATE_REQUEST_ID = "00000000000000bb";
+
+When(
+    /^a caller sends a "(stamp|lookup)"(?: with a deadline of (\d+) ms)? to the serving process (\d+) ms after SIGTERM$/,
+    async function(kind: RequestKind, deadline: string | undefined, milliseconds: string) {
+        await waitMilliseconds(Math.max(0, stoppingAt + Number(milliseconds) - performance.now()));
+        const deadlineMilliseconds = Number(deadline ?? DEFAULT_DEADLINE_MILLISECONDS);
+        response = await callServingProcess(kind, { id: LATE_REQUEST_ID, deadlineMilliseconds });
+    },
+);
+
+Then("no target has received that request", function() {
+    assert.ok(!listArrivals().includes(LATE_REQUEST_ID));
+});
+
+When("the targets take {int} ms to answer a request", function(milliseconds: number) {
+    for (const { standIn: { faults } } of getServingProcess().site.targets) {
+        faults.serviceMilliseconds = milliseconds;
+    }
+});
+
 When("the targets answer nothing", function() {
     for (const { standIn: { faults } } of getServingProcess().site.targets) {
         faults.answer = "silence";
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -16,6 +16,7 @@
     RouteKind,
     type ServiceDefinition,
     type ServingTarget,
+    type ShutdownState,
     type VersionChoice,
 } from "../core/serving/mod.ts";
 import type { Verdict } from "../core/verdict/mod.ts";
@@ -66,8 +67,8 @@
     clock: Clock;
     /** Random number generator that returns numbers from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
-    /** Time until the process is killed, in milliseconds; `undefined` unless the process is stopping. */
-    getRemainingGraceMilliseconds: () => number | undefined;
+    /** State of the shutdown; `undefined` unless the process is stopping. */
+    getShutdown: () => ShutdownState | undefined;
 }
 
 /** A caller's request after routing, together with its response. */
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -189,7 +189,7 @@
         if (this.#isAborting) {
             stopAbort.abort(new Error("this instance stops"));
         }
-        if (this.#context.getRemainingGraceMilliseconds() !== undefined) {
+        if (this.#context.getShutdown() !== undefined) {
             response.shouldKeepAlive = false;
         }
         try {
@@ -311,17 +311,20 @@
         }
         this.#guard.markAccepted(incoming);
         const { route, account, priority } = result;
-        const remainingGrace = this.#context.getRemainingGraceMilliseconds();
+        const deadline = computeDeadline(call, route);
+        const shutdown = this.#context.getShutdown();
         if (
-            remainingGrace !== undefined && !isAcceptedDuringShutdown({
-                remainingMilliseconds: remainingGrace,
+            shutdown !== undefined && !isAcceptedDuringShutdown({
+                ...shutdown,
+                deadlineMilliseconds: deadline - this.#context.clock.getMonotonic(),
                 objectiveMilliseconds: route.objectiveMilliseconds,
                 outputTokens: estimateRequestLoad(request).outputTokens,
             })
         ) {
+            const stopMilliseconds = Math.round(shutdown.remainingMilliseconds);
             this.#refuse(call, {
                 code: "not_serving",
-                message: `Cannot finish the request: this instance stops in ${Math.round(remainingGrace)} ms.`,
+                message: `Cannot finish the request: this instance stops in ${stopMilliseconds} ms.`,
                 retryAfterSeconds: STOPPING_RETRY_SECONDS * (0.5 + this.#context.random()),
             });
             return;
@@ -339,7 +342,6 @@
             return;
         }
         const { version } = table.configuration;
-        const deadline = computeDeadline(call, route);
         const remainingMilliseconds = Math.max(1, Math.ceil(deadline - this.#context.clock.getMonotonic()));
         const linked = new LinkedSignal([call.disconnected, call.stopped], {
             timeoutMilliseconds: remainingMilliseconds,
--- a/serving/request_explanation.ts
+++ b/serving/request_explanation.ts
@@ -160,17 +160,19 @@
 
 /** Finds out why a request would be refused before a target is selected. */
 function findEarlyRefusal(
-    { state, getRemainingGraceMilliseconds }: ServingContext,
+    { state, clock, getShutdown }: ServingContext,
     { request, route }: { request: CallerRequest; route: Route; },
 ): string | undefined {
-    const remainingMilliseconds = getRemainingGraceMilliseconds();
+    const shutdown = getShutdown();
     const { objectiveMilliseconds } = route;
     const { outputTokens } = estimateRequestLoad(request);
+    const arrivedAt = clock.getMonotonic();
+    const deadlineMilliseconds = computeDeadline({ request, arrivedAt }, route) - arrivedAt;
     if (
-        remainingMilliseconds !== undefined
-        && !isAcceptedDuringShutdown({ remainingMilliseconds, objectiveMilliseconds, outputTokens })
+        shutdown !== undefined
+        && !isAcceptedDuringShutdown({ ...shutdown, deadlineMilliseconds, objectiveMilliseconds, outputTokens })
     ) {
-        return `this instance stops in ${Math.round(remainingMilliseconds)} ms`;
+        return `this instance stops in ${Math.round(shutdown.remainingMilliseconds)} ms`;
     }
     // The body is not known, so that a quarantine of the whole request is not found.
     const quarantined = findQuarantine(state, {
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -5,7 +5,7 @@
  */
 import type { Server } from "node:http";
 import type { Clock } from "../core/clock/mod.ts";
-import { type ClientCapacity, computeClientCapacity, DigestReason } from "../core/serving/mod.ts";
+import { type ClientCapacity, computeClientCapacity, DigestReason, type ShutdownState } from "../core/serving/mod.ts";
 import {
     ClientGuard,
     type OpenConnection,
@@ -225,10 +225,7 @@
             streamVersions: this.#streamVersions,
             partitionMonitor: this.#partitionMonitor,
             listRelayPeers: () => this.#peerExchange.listRelayPeers(),
-            getRemainingGraceMilliseconds: () =>
-                this.#stopRequestedAt === undefined
-                    ? undefined
-                    : this.#stopRequestedAt + this.#settings.stopGraceMilliseconds - this.#clock.getMonotonic(),
+            getShutdown: () => this.#getShutdown(),
         };
         this.#callerServer = new CallerServer(this.#context, this.#guards.callers);
         this.#leavingEnginePoller = new LeavingEnginePoller({
@@ -298,7 +295,7 @@
         this.#stopRequestedAt = this.#clock.getMonotonic();
         const { stopGraceMilliseconds } = this.#settings;
         this.#log.record("process", "stopping", { active: this.#callerServer.activeRequests, stopGraceMilliseconds });
-        await waitMilliseconds(Math.min(BALANCER_REMOVAL_MILLISECONDS, stopGraceMilliseconds / 2));
+        await waitMilliseconds(this.#rotationMilliseconds);
         const latest = this.#stopRequestedAt + stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
         await this.#callerServer.drain({ idleMilliseconds: IDLE_BEFORE_STOP_MILLISECONDS, until: latest });
         const aborted = this.#callerServer.activeRequests;
@@ -309,6 +306,22 @@
         this.close();
     }
 
+    /** Time after the request to stop for which the load balancer may send new callers, in milliseconds. */
+    get #rotationMilliseconds(): number {
+        return Math.min(BALANCER_REMOVAL_MILLISECONDS, this.#settings.stopGraceMilliseconds / 2);
+    }
+
+    #getShutdown(): ShutdownState | undefined {
+        if (this.#stopRequestedAt === undefined) {
+            return undefined;
+        }
+        const elapsedMilliseconds = this.#clock.getMonotonic() - this.#stopRequestedAt;
+        return {
+            remainingMilliseconds: this.#settings.stopGraceMilliseconds - elapsedMilliseconds,
+            isInRotation: elapsedMilliseconds < this.#rotationMilliseconds,
+        };
+    }
+
     /** Stops all components at once, without waiting for active requests. */
     close(): void {
         this.#stopRequestedAt ??= this.#clock.getMonotonic();
