Show that a head which breaks off is never passed on as a success

Report of another operator: a target stopped in the middle of the head of its answer and closed; callers got a 200 with an empty or short body, framed as whole.

It cannot happen here: Node's parser reports a head that ends with its connection as an error, so that no response exists that could be passed on. Eleven examples of response_ends.feature cut a head after each of its bytes (about 100 to 130 each), with a length, chunks or no frame, by a close or a reset, for stamps, lookups, narratives and verdicts: no caller got a success.

--- a/features/platform/response_ends.feature
+++ b/features/platform/response_ends.feature
@@ -39,3 +39,24 @@
         And a caller sends a "stamp"
         Then the response has the status 204 and is whole
         And no line tells of the end of a response
+
+    # Guards against a success with an empty or short body that a caller takes for whole.
+    Scenario Outline: a <kind> whose target stops inside a head with <frame> and <end> the connection gets no success
+        Given a serving site with two raw targets of each service
+        When callers send a "<kind>" each, and targets stop after each byte of a head with <frame> and <end> the connection
+        Then no caller has received a success
+        And some callers were told that the request may have run
+
+        Examples:
+            | kind      | frame    | end    |
+            | stamp     | a length | closes |
+            | stamp     | chunks   | closes |
+            | stamp     | no frame | closes |
+            | stamp     | no frame | resets |
+            | lookup    | a length | closes |
+            | lookup    | no frame | closes |
+            | narrative | chunks   | closes |
+            | narrative | no frame | closes |
+            | narrative | no frame | resets |
+            | verdict   | a length | closes |
+            | verdict   | no frame | closes |
