Continue a stream at the only known version only if none was missed

Cause: an instance that could not read the records of streams from the store continued a stream at the baseline if it knew of no other version. One that is out of step knows of none because it has missed it.

Evidence: two examples of software_versions.feature (with and without naming the attempt) failed before: verdicts held events of v2 and then of v1. They pass now: the resumptions are refused as not run.

Change: that there is no other version has to be shown after the request arrived, by digests of most peers none of which knows newer state; within 1.6 s, otherwise the resumption is refused. The records are read again after a failure. A resumption that names no attempt reads the list of targets. Two more examples hold that streams of a single version go on at other instances while the store is down.

--- a/core/serving/software_versions.ts
+++ b/core/serving/software_versions.ts
@@ -47,6 +47,8 @@
     hasReadRecords: boolean;
     /** True if this instance knows of no other version than the baseline within the window of resumptions. */
     isBaselineAlone: boolean;
+    /** True if this instance has not missed any other version: its list of targets was confirmed after the request arrived. */
+    isInStep: boolean;
 }
 
 /** Result of {@linkcode decideResumption}. */
@@ -58,11 +60,11 @@
 
 /** Decides at which software version a resumed stream goes on. */
 export function decideResumption(input: ResumptionInput): Resumption {
-    const { recordedVersion, baseline, isAttemptNamed, hasReadRecords, isBaselineAlone } = input;
+    const { recordedVersion, baseline, isAttemptNamed, hasReadRecords, isBaselineAlone, isInStep } = input;
     if (recordedVersion !== undefined) {
         return { kind: "bound", softwareVersion: recordedVersion };
     }
-    if (baseline !== undefined && (isBaselineAlone || isAttemptNamed && hasReadRecords)) {
+    if (baseline !== undefined && (isBaselineAlone && isInStep || isAttemptNamed && hasReadRecords)) {
         return { kind: "bound", softwareVersion: baseline };
     }
     const reason = baseline === undefined
--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -77,6 +77,36 @@
         Then no stream holds events of two software versions
         And all resumptions are refused as not run
 
+    # Guards against an instance that is out of step, and continues a stream at the only version that it knows of.
+    Scenario Outline: verdicts of a new version that are resumed at an instance which has missed it<named> do not change their version
+        Given a serving site with 3 instances and engines at the software versions "v1, v1"
+        When all instances know the baseline of the engines
+        And the store and all other instances lose their connections to instance 3
+        And 4 engines at the software version "v2" start
+        And callers start 12 streams of the kind "verdict" at the first 2 instances
+        And callers lose their connections after 4 events and resume their streams at instance 3<named>
+        Then no stream holds events of two software versions
+        And all resumptions are refused as not run
+
+        Examples:
+            | named                       |
+            |                             |
+            | , without naming an attempt |
+
+    Scenario Outline: verdicts of a single version go on at other instances<named> while the store is down
+        Given a serving site with 3 instances and engines at the software versions "v1, v1"
+        When all instances know the baseline of the engines
+        And the store resets connections
+        And callers start 12 streams of the kind "verdict" at the first 2 instances
+        And callers lose their connections after 4 events and resume their streams at instance 3<named>
+        Then no stream holds events of two software versions
+        And all streams are whole
+
+        Examples:
+            | named                       |
+            |                             |
+            | , without naming an attempt |
+
     Scenario Outline: <instances> instances record <rate> streams a second with at most one call for each, and without long waits
         When <instances> instances begin <rate> streams a second at a second software version for 2000 ms
         Then the store gets at most 1 write for each stream, and at most 1 list for each instance
@@ -100,6 +130,7 @@
             | without a record                                 |        | v1       | with its attempt named | with records read          | beside other versions       | bound to "v1" |
             | without a record, while the store is down        |        | v1       | with its attempt named | without records read       | beside other versions       | unknown       |
             | while the store is down and one version serves   |        | v1       | with its attempt named | without records read       | without another version     | bound to "v1" |
+            | while it is not known whether one version serves |        | v1       | with its attempt named | without records read       | without another version, but out of step | unknown |
             | that names no attempt                            |        | v1       | without a named attempt | with records read         | beside other versions       | unknown       |
             | that names no attempt while one version serves   |        | v1       | without a named attempt | without records read      | without another version     | bound to "v1" |
             | while no baseline is known                       |        |          | with its attempt named | with records read          | beside other versions       | unknown       |
--- a/features/steps/platform_version_steps.ts
+++ b/features/steps/platform_version_steps.ts
@@ -37,6 +37,8 @@
 const EVENT_MILLISECONDS = 80;
 /** Interval at which events are counted, in milliseconds. */
 const POLL_MILLISECONDS = 5;
+/** Time in which the instances learn of new targets, in milliseconds. */
+const UPDATE_MILLISECONDS = 200;
 /** Number of events in a whole stream. */
 const STREAM_EVENTS = 12;
 
@@ -87,14 +89,44 @@
     );
 }
 
-When("callers start {int} streams of the kind {string}", function(count: number, kind: string) {
+function startStreams(kind: string, { count, instances }: { count: number; instances: number; }): void {
     for (let index = 0; index < count; index += 1) {
-        const instance = index % getSite().instances.length;
+        const instance = index % instances;
         const result = Promise.resolve(undefined);
         const stream: CallerStream = { kind, requestId: "", instance, text: "", result, disconnect: () => undefined };
         streams.push(stream);
         sendAttempt(stream);
     }
+}
+
+When("callers start {int} streams of the kind {string}", function(count: number, kind: string) {
+    startStreams(kind, { count, instances: getSite().instances.length });
+});
+
+When(
+    "callers start {int} streams of the kind {string} at the first {int} instances",
+    function(count: number, kind: string, instances: number) {
+        startStreams(kind, { count, instances });
+    },
+);
+
+When("the store and all other instances lose their connections to instance {int}", function(number: number) {
+    getSite().dropInstance(number - 1);
+});
+
+When("{int} engines at the software version {string} start", async function(count: number, version: string) {
+    await startEngines(count, version);
+    // The instances have to know of them before streams begin.
+    await waitMilliseconds(UPDATE_MILLISECONDS);
+});
+
+When("all instances know the baseline of the engines", async function() {
+    const isKnown = (): boolean =>
+        getSite().instances.every(({ process }) => "engines" in (process.dumpState().baselines as object));
+    for (let tries = 0; tries < 400 && !isKnown(); tries += 1) {
+        await waitMilliseconds(POLL_MILLISECONDS);
+    }
+    assert.ok(isKnown(), "an instance knows no baseline of the engines");
 });
 
 /** Waits until each stream has a number of events. */
@@ -158,12 +190,12 @@
 );
 
 /** Resumes all streams whose latest attempt has not brought their end, each at the instance after its last one. */
-async function resumeStreams(options: { namesAttempt?: boolean; } = {}): Promise<void> {
+async function resumeStreams(options: { namesAttempt?: boolean; instance?: number; } = {}): Promise<void> {
     await Promise.all(streams.map(({ result }) => result));
     const brokenStreams = streams.filter(stream => listEvents(stream).length < STREAM_EVENTS);
     assert.ok(brokenStreams.length > 0, "all streams have ended");
     for (const stream of brokenStreams) {
-        stream.instance = (stream.instance + 1) % getSite().instances.length;
+        stream.instance = options.instance ?? (stream.instance + 1) % getSite().instances.length;
         // An event whose last bytes are lost comes again.
         stream.text = stream.text.slice(0, stream.text.lastIndexOf("\n\n") + 2);
         sendAttempt(stream, options);
@@ -179,6 +211,15 @@
     },
 );
 
+When(
+    /^callers lose their connections after (\d+) events and resume their streams at instance (\d+)(, without naming an attempt)?$/,
+    async function(events: string, number: string, unnamed: string | undefined) {
+        await waitForEvents(Number(events));
+        streams.forEach(({ disconnect }) => disconnect());
+        await resumeStreams({ namesAttempt: (unnamed ?? "") === "", instance: Number(number) - 1 });
+    },
+);
+
 When("all instances are killed after {int} events and callers resume their streams", async function(events: number) {
     await waitForEvents(events);
     closeCallerConnections(getSite().instances);
@@ -252,7 +293,8 @@
             baseline: baseline === "" ? undefined : baseline,
             isAttemptNamed: named === "with its attempt named",
             hasReadRecords: read === "with records read",
-            isBaselineAlone: alone === "without another version",
+            isBaselineAlone: alone.startsWith("without another version"),
+            isInStep: !alone.endsWith("but out of step"),
         });
     },
 );
--- a/network/peer_connection_pool.ts
+++ b/network/peer_connection_pool.ts
@@ -7,11 +7,14 @@
 import { encodeFrame } from "../protocol/mod.ts";
 import { parseAddress } from "./address.ts";
 import { FrameConnection } from "./frame_connection.ts";
+import type { OpenConnection } from "./reset_detection.ts";
 
 /** Options of {@linkcode PeerConnectionPool}. */
 export interface PeerConnectionPoolOptions {
     /** Name by which this process identifies itself to peers. */
     self: string;
+    /** Opens a connection to a peer. Defaults to one over TCP. */
+    openConnection?: OpenConnection | undefined;
     /** Time without a sent message after which a connection is closed, in milliseconds. Defaults to 30 000. */
     idleMilliseconds?: number;
 }
@@ -63,7 +66,8 @@
     }
 
     #openConnection(address: string): PeerConnection {
-        const connection = new FrameConnection(connect(parseAddress(address)), {
+        const { openConnection = connect } = this.#options;
+        const connection = new FrameConnection(openConnection(parseAddress(address)), {
             suppressesIdleHeartbeats: true,
             // Peers send their own messages over connections that they open; only heartbeats arrive on this one.
             onMessage: () => undefined,
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -21,7 +21,7 @@
     type StorePosition,
     type WatcherElection,
 } from "../core/serving/mod.ts";
-import { type Address, FrameServer, PeerConnectionPool } from "../network/mod.ts";
+import { type Address, FrameServer, type OpenConnection, PeerConnectionPool } from "../network/mod.ts";
 import { encodeFrame } from "../protocol/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
 import { decodeForwardedDigest, decodeLoad, type ForwardedDigest, parseDigestBundle } from "./digest_bundle.ts";
@@ -60,6 +60,8 @@
     readConfiguration: () => Promise<boolean>;
     /** Reads the list of targets from the store; resolves to true on success. */
     readTargets: () => Promise<boolean>;
+    /** Opens a connection to a peer. Defaults to one over TCP. */
+    openConnection?: OpenConnection | undefined;
 }
 
 /** Another instance, as known to this one. */
@@ -169,7 +171,10 @@
     constructor(options: PeerExchangeOptions) {
         this.#options = options;
         this.#ownAddress = `${options.address.host}:${options.address.port}`;
-        this.#connections = new PeerConnectionPool({ self: options.instance });
+        this.#connections = new PeerConnectionPool({
+            self: options.instance,
+            openConnection: options.openConnection,
+        });
         this.#digestRelay = new DigestRelay({
             instance: options.instance,
             zone: options.zone,
@@ -252,6 +257,17 @@
         return heard * 2 >= this.#peers.size;
     }
 
+    /**
+     * Checks whether most of the known peers have sent a digest since a time, and none of them knows newer state; true
+     * without peers.
+     */
+    isInStepSince(time: number): boolean {
+        const hasReported = ({ lastDigestAt = Number.NEGATIVE_INFINITY }: Peer): boolean => lastDigestAt >= time;
+        const reported = [...this.#peers.values()].filter(hasReported).length;
+        return reported * 2 >= this.#peers.size
+            && !this.#listPeersAhead(this.#options.clock.getMonotonic()).some(hasReported);
+    }
+
     /** Lists the addresses at which peers that reach targets take requests of callers. */
     listRelayPeers(): string[] {
         const now = this.#options.clock.getMonotonic();
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -55,6 +55,8 @@
     random?: () => number;
     /** Opens a connection to a target. Defaults to one over TCP. */
     openTargetConnection?: OpenConnection;
+    /** Opens a connection to a peer. Defaults to one over TCP. */
+    openPeerConnection?: OpenConnection | undefined;
     /** True if requests to paced services are admitted by what the whole fleet serves. Defaults to false. */
     isFleetAdmissionEnabled?: boolean | undefined;
 }
@@ -184,6 +186,7 @@
                     : `${settings.callerAddress.host}:${settings.callerAddress.port}`,
             readConfiguration: () => this.#storeWatcher.readKind(StoreKind.configuration),
             readTargets: () => this.#storeWatcher.readKind(StoreKind.targets),
+            openConnection: options.openPeerConnection,
         });
         this.#quarantineStore = new QuarantineStore({
             ...shared,
@@ -195,6 +198,8 @@
             instance: settings.instance,
             store: this.#store,
             isWriter: () => this.#peerExchange.isStoreWriter,
+            readTargets: () => this.#storeWatcher.readKind(StoreKind.targets),
+            isInStepSince: time => this.#peerExchange.isInStepSince(time),
         });
         this.#rolloutController = new RolloutController({
             ...shared,
--- a/serving/stream_version_store.ts
+++ b/serving/stream_version_store.ts
@@ -47,12 +47,22 @@
     clock: Clock;
     /** Checks whether this instance writes to the store on behalf of all. */
     isWriter: () => boolean;
+    /** Reads the list of targets from the store; resolves to true on success. */
+    readTargets: () => Promise<boolean>;
+    /** Checks whether peers have shown since a time that this instance has not missed a change of the list of targets. */
+    isInStepSince: (time: number) => boolean;
 }
 
 /** Time for which the first event of a stream waits for its record, in milliseconds; the store answers in a few. */
 const MAX_RECORD_WAIT_MILLISECONDS = 600;
 /** Time for which a resumption waits for the records of other instances, in milliseconds. */
 const MAX_READ_WAIT_MILLISECONDS = 600;
+/** Time for which a resumption waits for the peers if the store can't be read, in milliseconds: one of their digests. */
+const MAX_PEER_WAIT_MILLISECONDS = 1600;
+/** Time after a request within which messages may arrive that are older than it, since this process was paused. */
+const PAUSE_BACKLOG_MILLISECONDS = 250;
+/** Interval at which a waiting resumption checks what the peers have shown, in milliseconds. */
+const PEER_POLL_MILLISECONDS = 25;
 /** Time over which beginnings go into the same object, in milliseconds. */
 const OBJECT_PERIOD_MILLISECONDS = 30_000;
 /** Number of objects that an instance uses in turn: they cover the window of resumptions, and the current period. */
@@ -61,6 +71,8 @@
 const BATCH_INTERVAL_PER_INSTANCE_MILLISECONDS = 1;
 /** Delay after a failed call, in milliseconds. */
 const RETRY_MILLISECONDS = 300;
+/** Delay after a failed read for which a resumption waits, in milliseconds. */
+const READ_RETRY_MILLISECONDS = 50;
 /** Minimum interval between two readings of the baselines, in milliseconds. */
 const BASELINE_INTERVAL_MILLISECONDS = 1000;
 
@@ -160,13 +172,20 @@
         const { state, log, clock } = this.#options;
         const { id, resumedRequestId = "" } = request;
         const isAttemptNamed = resumedRequestId !== "";
+        const arrivedAt = clock.getMonotonic();
         state.recordListedVersions();
         let hasReadRecords = false;
+        let isInStep = false;
         if (this.#versions.findBaseline(service) === undefined) {
             await waitAtMost(this.#readBaselines(), MAX_READ_WAIT_MILLISECONDS);
         }
         if (isAttemptNamed && this.#versions.findVersion(resumedRequestId, service) === undefined) {
-            hasReadRecords = await waitAtMost(this.#readNewerRecords(), MAX_READ_WAIT_MILLISECONDS) === true;
+            hasReadRecords = await this.#readInTime(() => this.#readNewerRecords());
+        }
+        const isRecordMissing = this.#versions.findVersion(resumedRequestId, service) === undefined;
+        if (isRecordMissing && !hasReadRecords && this.#versions.isBaselineAlone(service)) {
+            isInStep = await this.#waitUntilInStep(arrivedAt, { isAttemptNamed });
+            state.recordListedVersions();
         }
         const input = {
             recordedVersion: this.#versions.findVersion(resumedRequestId, service),
@@ -174,6 +193,7 @@
             isAttemptNamed,
             hasReadRecords,
             isBaselineAlone: this.#versions.isBaselineAlone(service),
+            isInStep,
         };
         const resumption = decideResumption(input);
         log.record("trouble", "resumption decided", {
@@ -190,6 +210,41 @@
         return resumption;
     }
 
+    /**
+     * Waits until it is known that this instance has not missed a new version: if the records could not be read, most
+     * peers have to show that they know of no newer list of targets; otherwise the list is read from the store.
+     */
+    async #waitUntilInStep(arrivedAt: number, { isAttemptNamed }: { isAttemptNamed: boolean; }): Promise<boolean> {
+        const { clock, isInStepSince, readTargets } = this.#options;
+        if (!isAttemptNamed && await this.#readInTime(readTargets)) {
+            return true;
+        }
+        while (!this.#isClosed && clock.getMonotonic() - arrivedAt < MAX_PEER_WAIT_MILLISECONDS) {
+            if (isInStepSince(arrivedAt + PAUSE_BACKLOG_MILLISECONDS)) {
+                return true;
+            }
+            await waitMilliseconds(PEER_POLL_MILLISECONDS);
+        }
+        return false;
+    }
+
+    /** Reads from the store, again after a failure: the connections of a process that was paused may be lost. */
+    async #readInTime(read: () => Promise<boolean>): Promise<boolean> {
+        const { clock } = this.#options;
+        const deadline = clock.getMonotonic() + MAX_READ_WAIT_MILLISECONDS;
+        while (!this.#isClosed) {
+            const remaining = deadline - clock.getMonotonic();
+            if (remaining <= 0) {
+                break;
+            }
+            if (await waitAtMost(read(), remaining) === true) {
+                return true;
+            }
+            await waitMilliseconds(Math.min(READ_RETRY_MILLISECONDS, Math.max(0, deadline - clock.getMonotonic())));
+        }
+        return false;
+    }
+
     /** Has everything written again that a restored store may lack. */
     handleRestore(): void {
         const written = [...this.#ownObjects?.values() ?? []].flatMap(({ beginnings }) => beginnings);
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -11,6 +11,7 @@
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { callHttp, findAddresses, type HttpResult } from "../processes/mod.ts";
 import { type OpenedStandIn, openStandIn } from "../stand_ins/mod.ts";
+import { PeerNetwork } from "./peer_network.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 import { TargetLink } from "./target_link.ts";
 import { type KvCopies, TargetStandIn } from "./target_stand_in.ts";
@@ -169,6 +170,7 @@
     readonly targets: SiteTarget[] = [];
     readonly instances: SiteInstance[] = [];
     readonly kvCopies: KvCopies = new Map();
+    readonly #peerNetwork = new PeerNetwork();
     readonly #openedStores: OpenedStandIn[] = [];
     #storeAddress = "";
     #isClosed = false;
@@ -272,6 +274,13 @@
         }));
     }
 
+    /** Cuts an instance off from the store and from all other instances. */
+    dropInstance(index: number): void {
+        const { storeAddress, peerAddress } = this.#getInstance(index).settings;
+        this.store.refusePorts([storeAddress.port], { isSilent: true });
+        this.#peerNetwork.dropInstance(peerAddress.port);
+    }
+
     async #startProcess(
         settings: InstanceSettings,
         targetLink: TargetLink,
@@ -283,7 +292,9 @@
             writeLine: line => lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
         });
         const openTargetConnection: OpenConnection = address => targetLink.openConnection(address);
-        const process = new ServingProcess({ settings, log, openTargetConnection });
+        const openPeerConnection: OpenConnection = address =>
+            this.#peerNetwork.openConnection(settings.peerAddress.port, address);
+        const process = new ServingProcess({ settings, log, openTargetConnection, openPeerConnection });
         await process.start();
         return { process, lines };
     }
--- a/support/platform/target_link.ts
+++ b/support/platform/target_link.ts
@@ -22,6 +22,20 @@
 /** Address at which nothing listens. */
 const REFUSING_ADDRESS: Address = { host: "127.0.0.1", port: 1 };
 
+/** Creates a connection that is never established. */
+export function createHangingSocket(): Socket {
+    const socket = new Socket();
+    // Node.js takes the connection for one that is being established.
+    Object.assign(socket, { connecting: true });
+    return socket;
+}
+
+/** Stops reading from a connection for good. */
+export function pauseSocket(socket: Socket): void {
+    // The parser of HTTP reads from the handle itself.
+    (socket as unknown as { _handle: { readStop: () => void; } | null; })._handle?.readStop();
+}
+
 /** Opens the connections of one instance to targets. */
 export class TargetLink {
     #cut: LinkCut | undefined;
@@ -30,10 +44,7 @@
     /** Opens a connection to a target. */
     openConnection(address: Address): Socket {
         if (this.#cut === LinkCut.silent) {
-            const socket = new Socket();
-            // Node.js takes the connection for one that is being established.
-            Object.assign(socket, { connecting: true });
-            return socket;
+            return createHangingSocket();
         }
         const socket = openObservedConnection(this.#cut === undefined ? address : REFUSING_ADDRESS);
         this.#sockets.add(socket);
@@ -49,8 +60,7 @@
                 socket.destroy(Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET" }));
             }
             else if (kind === LinkCut.silent) {
-                // The parser of HTTP reads from the handle itself.
-                (socket as unknown as { _handle: { readStop: () => void; } | null; })._handle?.readStop();
+                pauseSocket(socket);
             }
         }
     }
--- a/support/platform/version_record_load.ts
+++ b/support/platform/version_record_load.ts
@@ -107,5 +107,7 @@
         metrics,
         clock,
         isWriter: () => false,
+        readTargets: () => Promise.resolve(true),
+        isInStepSince: () => true,
     });
 }
