Keep the body of a complete response that is followed by other bytes

Cause: Node.js reports bytes after a complete response as an error of the request. The handler destroyed the request, which discards a body that has not been read yet: one that came in the same read. The response then counted as complete and empty. Streams were cut after their head.

Evidence: a target that sends an answer and other bytes in one write gave a 200 with the length 0 each time. Nine examples failed before (targets.feature, store.feature, service.feature) and pass now.

Change: an error counts only until the response begins; then the body tells whether it is complete. The same in the handing over between instances, for services of the own interface, calls to the store, reports of engines and loads of targets.

Not shown: that this is what the users met; their figures are left out.

--- a/agent/load_poller.ts
+++ b/agent/load_poller.ts
@@ -7,7 +7,7 @@
 import { Agent, request as startRequest } from "node:http";
 import * as v from "valibot";
 import type { LoadReport } from "../core/admission/mod.ts";
-import { parseAddress, readBody } from "../network/mod.ts";
+import { observeRequestFailure, parseAddress, readBody } from "../network/mod.ts";
 
 /** Options of a {@linkcode LoadPoller}. */
 export interface LoadPollerOptions {
@@ -84,7 +84,7 @@
                     .then(body => resolve(v.parse(LoadReportSchema, JSON.parse(body.toString()))))
                     .catch(reject);
             });
-            request.on("error", reject);
+            observeRequestFailure(request, reject);
             request.end();
         });
     }
--- a/features/contracts/service.feature
+++ b/features/contracts/service.feature
@@ -44,6 +44,7 @@
             | is unframed and ends with an orderly close   | whole |
             | has a length and is reset with its last byte | whole |
             | has chunks and is reset with its last chunk  | whole |
+            | has a length and comes with other bytes      | whole |
             | has no content and is reset with its head    |       |
 
     @at-most-once
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -17,6 +17,7 @@
             | it resets connections                 | unanswered   |
             | it never responds                     | unanswered   |
             | it responds with invalid JSON         | unanswered   |
+            | it sends other bytes after its reply  | ok           |
             | the history for a watch is discarded  | history-gone |
             | the response to a put is lost         | unanswered   |
 
--- a/features/platform/targets.feature
+++ b/features/platform/targets.feature
@@ -53,6 +53,25 @@
             | narrative | a reset                          | 1     | 502    | whole     | 0    | 1        |
             | narrative | no signature                     | 1     | 502    | whole     | 0    | 1        |
 
+    # Guards against a success with an empty body: bytes after a whole answer belong to no request and do not affect it.
+    Scenario Outline: a <kind> whose target sends <fault> gets the whole answer
+        Given a serving site
+        When the targets respond with "<fault>" 1 times
+        And a caller sends a "<kind>"
+        Then the response has the status 200 and is whole
+        And the body of the response is the target's whole answer
+        And the request ran 1 times and arrived at targets 1 times
+
+        Examples:
+            | kind      | fault                                                |
+            | stamp     | its answer and other bytes at once                   |
+            | stamp     | its answer in chunks and other bytes at once         |
+            | lookup    | its answer and other bytes at once                   |
+            | summary   | its answer and other bytes at once                   |
+            | narrative | a whole stream and other bytes at once               |
+            | narrative | a whole stream with a length and other bytes at once |
+            | verdict   | a whole stream and other bytes at once               |
+
     Scenario: a late copy of an answer does not reach the next caller on its connection
         Given a serving site with 1 targets of each service
         When the targets respond with "its answer twice" 4 times
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -170,6 +170,15 @@
     }
 });
 
+Then("the body of the response is the target's whole answer", function() {
+    const body = getLastResponse().body.toString();
+    const events = [...body.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number));
+    assert.ok(
+        body === "the whole answer" || events.join(",") === "1,2,3,4,5,6,7,8,9,10,11,12",
+        `the body is "${body}"`,
+    );
+});
+
 Then("all responses have the status {int}", function(status: number) {
     assert.deepEqual(siteContext.responses.map(response => response.status), siteContext.responses.map(() => status));
 });
@@ -511,6 +520,7 @@
     "it responds with 429": store => void (store.faults.refuseWith = 429),
     "it resets connections": store => void (store.faults.isReset = true),
     "it never responds": store => void (store.faults.isUnresponsive = true),
+    "it sends other bytes after its reply": store => void (store.faults.hasTrailingBytes = true),
     "it responds with invalid JSON": store => void (store.faults.isNonsense = true),
     "the history for a watch is discarded": store => void (store.faults.historyFrom = 1000),
     "the response to a put is lost": store => void (store.faults.lostResponses = 1),
--- a/features/steps/service_steps.ts
+++ b/features/steps/service_steps.ts
@@ -58,6 +58,8 @@
         const response = `${STATUS_LINE}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`;
         sendAfterBody(socket, received, { response, resetMilliseconds: 0 });
     },
+    "has a length and comes with other bytes": (socket, received) =>
+        sendAfterBody(socket, received, { response: `${STATUS_LINE}content-length: 5\r\n\r\nwhole and more\r\n\r\n` }),
     "has no content and is reset with its head": (socket, received) =>
         sendAfterBody(socket, received, { response: "HTTP/1.1 204 No Content\r\n\r\n", resetMilliseconds: 0 }),
     "never responds": () => undefined,
--- a/gateway/service_client.ts
+++ b/gateway/service_client.ts
@@ -6,7 +6,14 @@
 import { type IncomingHttpHeaders, type IncomingMessage, request as startRequest } from "node:http";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import { AttemptProgress } from "../core/verdict/mod.ts";
-import { hasFailed, hasOwnEnd, openObservedConnection, parseAddress, readBody } from "../network/mod.ts";
+import {
+    hasFailed,
+    hasOwnEnd,
+    observeRequestFailure,
+    openObservedConnection,
+    parseAddress,
+    readBody,
+} from "../network/mod.ts";
 
 /** A request to a service. */
 export interface ServiceRequest {
@@ -119,7 +126,7 @@
                 httpRequest.end(request.body);
             });
         });
-        httpRequest.on("error", error => finish({ kind: "failed", progress, message: error.message }));
+        observeRequestFailure(httpRequest, ({ message }) => finish({ kind: "failed", progress, message }));
         httpRequest.on("response", response => {
             progress = AttemptProgress.answering;
             readResponse(response, request).then(finish, (error: Error) => {
--- a/network/mod.ts
+++ b/network/mod.ts
@@ -13,6 +13,7 @@
 export * from "./message_hash.ts";
 export * from "./peer_connection_pool.ts";
 export * from "./request_body.ts";
+export * from "./request_failure.ts";
 export * from "./reset_detection.ts";
 export * from "./response_framing.ts";
 export * from "./response_limits.ts";
--- a/serving/peer_relay.ts
+++ b/serving/peer_relay.ts
@@ -12,6 +12,7 @@
     applyInterimResponseLimit,
     hasFailed,
     hasOwnEnd,
+    observeRequestFailure,
     openObservedConnection,
     parseAddress,
 } from "../network/mod.ts";
@@ -103,7 +104,7 @@
                 verdict = "may-have-run";
             }));
         peerRequest.on("response", response => void relayResponse(exchange, response).then(resolve));
-        peerRequest.on("error", error => {
+        observeRequestFailure(peerRequest, error => {
             clearTimeout(timer);
             resolve({ kind: "failed", verdict, reason: error.message });
         });
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -12,6 +12,7 @@
     BodyTooLargeError,
     ByteBudget,
     hasFailed,
+    observeRequestFailure,
     type OpenConnection,
     openObservedConnection,
     parseAddress,
@@ -332,7 +333,10 @@
                     markSent();
                 }
             });
-            request.on("error", error => fail(error.message, { isConnectionLost: !call.signal.aborted }));
+            observeRequestFailure(
+                request,
+                error => fail(error.message, { isConnectionLost: !call.signal.aborted }),
+            );
             applyInterimResponseLimit(request);
             request.on("timeout", () => undefined);
             request.on("response", response => {
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -20,6 +20,8 @@
     lostResponses: number;
     /** Number of next writes that are refused with status 503. */
     refusedWrites: number;
+    /** Sends other bytes right after every response to a list. */
+    hasTrailingBytes: boolean;
     /** Sends truncated JSON as every response. */
     isNonsense: boolean;
     /** Largest number of objects in a page of a list. */
@@ -63,6 +65,7 @@
         refuseWith: 0,
         lostResponses: 0,
         refusedWrites: 0,
+        hasTrailingBytes: false,
         isNonsense: false,
         pageSize: 500,
         historyFrom: 0,
@@ -246,7 +249,13 @@
         const remaining = sorted.filter(object => object.metadata.name > list.after);
         const items = remaining.slice(0, this.faults.pageSize);
         const more = remaining.length > items.length;
-        sendText(response, `{"items":[${items.map(formatObject).join()}],"more":${more},"as_of":${this.#revision}}`);
+        const text = `{"items":[${items.map(formatObject).join()}],"more":${more},"as_of":${this.#revision}}`;
+        if (this.faults.hasTrailingBytes) {
+            const head = `HTTP/1.1 200 OK\r\nstore-era: ${this.#era}\r\ncontent-length: ${Buffer.byteLength(text)}`;
+            response.socket?.write(`${head}\r\n\r\n${text} and more\r\n\r\n`);
+            return;
+        }
+        sendText(response, text);
     }
 
     async #answerWatch(response: ServerResponse, watch: { kind: string; url: URL; }): Promise<void> {
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -120,6 +120,17 @@
 const formatChunkedHead = (requestId: string): string => formatSignedHead(requestId, "transfer-encoding: chunked");
 const formatUnframedHead = (requestId: string): string => formatSignedHead(requestId, "connection: close");
 
+/** Builds a function that runs the request, and sends a response and other bytes after it in one write. */
+function buildTrailingBytes(
+    response: { frame: string; body: string; trailing?: string; },
+): SendResponse {
+    const { frame, body, trailing = "no response\r\n\r\n" } = response;
+    return (target, request) => {
+        target.started.push(readRequestId(request));
+        request.socket.write(formatSignedHead(readRequestId(request), frame) + body + trailing);
+    };
+}
+
 const formatRefusal = ({ status, headers }: { status: number; headers: string; }): string =>
     `HTTP/1.1 ${status} Refused\r\n${headers}content-length: 0\r\n\r\n`;
 
@@ -221,6 +232,22 @@
                 + formatRefusal({ status: 503, headers: "not-executed: 1\r\n" }),
         );
     },
+    "its answer and other bytes at once": buildTrailingBytes({
+        frame: `content-length: ${RESPONSE_BODY.length}`,
+        body: RESPONSE_BODY,
+    }),
+    "its answer in chunks and other bytes at once": buildTrailingBytes({
+        frame: "transfer-encoding: chunked",
+        body: `${formatChunk(RESPONSE_BODY)}0\r\n\r\n`,
+    }),
+    "a whole stream and other bytes at once": buildTrailingBytes({
+        frame: "transfer-encoding: chunked",
+        body: `${formatChunk(formatEvents(12))}0\r\n\r\n`,
+    }),
+    "a whole stream with a length and other bytes at once": buildTrailingBytes({
+        frame: `content-length: ${formatEvents(12).length}`,
+        body: formatEvents(12),
+    }),
     ok: (target, request, response) => target.sendResponse(request, response, { status: 200 }),
     "a failure": (target, request, response) => target.sendResponse(request, response, { status: 500 }),
     "a failure that looks like a promise": (target, request, response) =>
