Find the head of another response inside a body

Cause: a target breaks off an answer, keeps the connection, and the late second answer comes where the rest is expected. Only the head of a response was checked for whose it is.

Change: a body or an event that holds a status line with header fields, one of which names a request, counts as broken off; so does a body that ends inside such a head. A request that may be repeated goes on elsewhere, others get "may have run".

--- a/features/platform/targets.feature
+++ b/features/platform/targets.feature
@@ -72,6 +72,39 @@
             | narrative | a whole stream with a length and other bytes at once |
             | verdict   | a whole stream and other bytes at once               |
 
+    # Guards against a body that goes on with another response, if a target breaks off its answer and then repeats it.
+    Scenario Outline: a <kind> whose target sends <fault> gets the status <status> after <arrivals> arrivals
+        Given a serving site
+        When the targets respond with "<fault>" 1 times
+        And a caller sends a "<kind>"
+        Then the response has the status <status> and is whole
+        And the request ran <runs> times and arrived at targets <arrivals> times
+
+        Examples:
+            | kind    | fault                                             | status | runs | arrivals |
+            | lookup  | the start of its answer and all of it             | 200    | 1    | 2        |
+            | lookup  | the start of a longer answer and all of it        | 200    | 1    | 2        |
+            | lookup  | the start of a longer answer and an earlier one   | 200    | 1    | 2        |
+            | lookup  | the start of an answer in chunks and all of it    | 200    | 1    | 2        |
+            | lookup  | the start of an unframed answer and all of it     | 200    | 1    | 2        |
+            | stamp   | the start of its answer and all of it             | 502    | 0    | 1        |
+            | stamp   | the start of a longer answer and all of it        | 502    | 0    | 1        |
+            | stamp   | the start of a longer answer and an earlier one   | 502    | 0    | 1        |
+            | stamp   | the start of an unframed answer and all of it     | 502    | 0    | 1        |
+            | verdict | the start of an unframed stream and all of it     | 200    | 1    | 2        |
+            | verdict | the start of a stream with a length and all of it | 200    | 1    | 2        |
+
+    Scenario Outline: a narrative whose target sends <fault> is broken off
+        Given a serving site
+        When the targets respond with "<fault>" 1 times
+        And a caller starts a "narrative"
+        Then the stream is broken off and its events are in order
+
+        Examples:
+            | fault                                             |
+            | the start of an unframed stream and all of it     |
+            | the start of a stream with a length and all of it |
+
     Scenario: a late copy of an answer does not reach the next caller on its connection
         Given a serving site with 1 targets of each service
         When the targets respond with "its answer twice" 4 times
--- a/network/request_failure.ts
+++ b/network/request_failure.ts
@@ -21,3 +21,8 @@
         }
     });
 }
+
+/** Gets the bytes after a complete response that have caused an error of its request; empty for other errors. */
+export function getTrailingBytes(error: Error & { rawPacket?: Buffer; bytesParsed?: number; }): Buffer {
+    return error.rawPacket?.subarray(error.bytesParsed) ?? Buffer.alloc(0);
+}
--- a/serving/response_end_check.ts
+++ b/serving/response_end_check.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+    buildBodyEnd,
     decideResponseOutcome,
     isRepeatable,
     type ResponseEnd,
@@ -11,7 +12,9 @@
     type ServingTarget,
     TargetPresence,
 } from "../core/serving/mod.ts";
+import { hasEmbeddedHead } from "../platform/mod.ts";
 import type { CallerExchange, ServingContext } from "./caller_exchange.ts";
+import type { TargetResponse } from "./target_connections.ts";
 
 /** A response that has ended. */
 export interface EndedResponse {
@@ -60,6 +63,23 @@
     return outcome;
 }
 
+/** Finds out whether a body that has been read is the whole body of a response that is no stream of events. */
+export async function checkBodyEnd(
+    context: ServingContext,
+    exchange: Pick<CallerExchange, "request" | "route" | "service" | "signal">,
+    { target, targetResponse, body }: { target: ServingTarget; targetResponse: TargetResponse; body: Buffer; },
+): Promise<ResponseOutcome> {
+    const isMixed = hasEmbeddedHead(body, { trailing: targetResponse.getTrailingBytes() });
+    return checkResponseEnd(context, exchange, {
+        target,
+        end: buildBodyEnd({
+            isFramed: targetResponse.head.hasOwnEnd,
+            isClosedInOrder: targetResponse.isComplete() && !isMixed,
+        }),
+        reason: isMixed ? "the body holds the head of another response" : undefined,
+    });
+}
+
 /** Finds out whether a target still runs; not known if the caller leaves or the deadline passes meanwhile. */
 async function findPresence(
     { targetProbe }: ServingContext,
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -6,13 +6,13 @@
  */
 import {
     type AttemptEnd,
-    buildBodyEnd,
     estimateOutputTokens,
     EventSplitter,
     EventWindow,
     getSoftwareVersion,
     isLongAnswer,
     isRepeatable,
+    MalformedEventError,
     type QuarantinedPart,
     type RelayedEvent,
     type RequestLoad,
@@ -23,7 +23,7 @@
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { LinkedSignal } from "../network/mod.ts";
-import { type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
+import { hasEmbeddedHead, type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
 import {
     abortResponse,
     applyResponseNotice,
@@ -49,7 +49,7 @@
 import { sendUnreachableThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import type { Reservation, ReservationResult } from "./request_scheduler.ts";
-import { checkResponseEnd, INCOMPLETE_REASONS } from "./response_end_check.ts";
+import { checkBodyEnd, checkResponseEnd, INCOMPLETE_REASONS } from "./response_end_check.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { isConnectFailure, isConnectionLoss, TargetCallError, type TargetResponse } from "./target_connections.ts";
 
@@ -455,10 +455,7 @@
         if (!isOwn) {
             return { kind: "failed", verdict: "may-have-run", reason: `unsigned answer ${head.status}` };
         }
-        const outcome = await checkResponseEnd(this.#context, this.#exchange, {
-            target,
-            end: buildBodyEnd({ isFramed: head.hasOwnEnd, isClosedInOrder: targetResponse.isComplete() }),
-        });
+        const outcome = await checkBodyEnd(this.#context, this.#exchange, { target, targetResponse, body });
         if (outcome !== ResponseOutcome.complete) {
             return { kind: "failed", verdict: "may-have-run", reason: INCOMPLETE_REASONS[outcome] };
         }
@@ -481,6 +478,9 @@
             for await (const chunk of incoming as AsyncIterable<Buffer>) {
                 targetResponse.recordBody(chunk.length);
                 const events = splitter.handleChunk(chunk);
+                if (events.some(({ bytes }) => hasEmbeddedHead(bytes))) {
+                    throw new MalformedEventError("Cannot read an event: it holds the head of another response.");
+                }
                 if (events.some(event => !event.isComment)) {
                     attempt.reservation.markResponseStarted();
                     attempt.stallDetector.restart();
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -11,6 +11,7 @@
     applyInterimResponseLimit,
     BodyTooLargeError,
     ByteBudget,
+    getTrailingBytes,
     hasFailed,
     observeRequestFailure,
     type OpenConnection,
@@ -83,6 +84,8 @@
      * Checks whether the body is complete; a body without a length ends when its connection is closed without a reset.
      */
     isComplete: () => boolean;
+    /** Gets the bytes that have arrived together with the end of the body and do not belong to it. */
+    getTrailingBytes: () => Buffer;
     /** Records that `bytes` of the body have been read, which shows that the response makes progress. */
     recordBody: (bytes: number) => void;
     /** Closes the connection, so that the target stops processing the request. */
@@ -337,6 +340,10 @@
                 request,
                 error => fail(error.message, { isConnectionLost: !call.signal.aborted }),
             );
+            let trailing: Buffer | undefined;
+            request.on("error", error => {
+                trailing = getTrailingBytes(error);
+            });
             applyInterimResponseLimit(request);
             request.on("timeout", () => undefined);
             request.on("response", response => {
@@ -366,6 +373,7 @@
                     response,
                     // Node.js reports a response without a length as complete even if its connection was reset.
                     isComplete: () => response.complete && !hasFailed(socket),
+                    getTrailingBytes: () => trailing ?? Buffer.alloc(0),
                     recordBody: bytes => {
                         this.onData();
                         pending.bodyBytes += bytes;
--- a/serving/unary_call.ts
+++ b/serving/unary_call.ts
@@ -6,13 +6,7 @@
  *
  * @module
  */
-import {
-    type AttemptEnd,
-    buildBodyEnd,
-    isRepeatable,
-    type QuarantinedPart,
-    ResponseOutcome,
-} from "../core/serving/mod.ts";
+import { type AttemptEnd, isRepeatable, type QuarantinedPart, ResponseOutcome } from "../core/serving/mod.ts";
 import { decideRetry, decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
 import { LinkedSignal, waitMilliseconds } from "../network/mod.ts";
 import type { TargetResponseHead } from "../platform/mod.ts";
@@ -36,7 +30,7 @@
 import { sendUnreachableThroughPeer } from "./peer_relay.ts";
 import { describeQuarantine, findQuarantine, getQuarantineCode } from "./quarantine_refusal.ts";
 import type { Reservation } from "./request_scheduler.ts";
-import { checkResponseEnd, INCOMPLETE_REASONS } from "./response_end_check.ts";
+import { checkBodyEnd, INCOMPLETE_REASONS } from "./response_end_check.ts";
 import { isConnectFailure, isConnectionLoss, TargetCallError } from "./target_connections.ts";
 
 /** Result of one attempt at a target. */
@@ -208,9 +202,10 @@
             // The head of a refusal says all.
             const outcome = head.isRefusal
                 ? ResponseOutcome.complete
-                : await checkResponseEnd(this.#context, this.#exchange, {
+                : await checkBodyEnd(this.#context, this.#exchange, {
                     target: reservation.target,
-                    end: buildBodyEnd({ isFramed: head.hasOwnEnd, isClosedInOrder: targetResponse.isComplete() }),
+                    targetResponse,
+                    body,
                 });
             return this.#classifyResponse({ head, body, outcome });
         }
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -89,6 +89,8 @@
 
 /** Body of each complete response. */
 const RESPONSE_BODY = "the whole answer";
+/** Body that is longer than the head of its response. */
+const REPEATED_BODY = "the whole answer ".repeat(50);
 /** Body of a response that the connections take in several parts. */
 const LONG_RESPONSE_BODY = "x".repeat(7_500_000);
 /** First event of each stream. */
@@ -118,7 +120,30 @@
 }
 
 const formatChunkedHead = (requestId: string): string => formatSignedHead(requestId, "transfer-encoding: chunked");
-const formatUnframedHead = (requestId: string): string => formatSignedHead(requestId, "connection: close");
+/** Header of a response that ends with its connection. */
+const CLOSE_FRAME = "connection: close";
+const formatUnframedHead = (requestId: string): string => formatSignedHead(requestId, CLOSE_FRAME);
+
+/** Time between the part of a response that is broken off and its repetition, in milliseconds. */
+const REPETITION_MILLISECONDS = 30;
+
+/**
+ * Builds a function that stops after some bytes of the body, and later sends the whole response on the same connection:
+ * with a head that names the request or, if given, another one.
+ */
+function buildRepetition(
+    { body, bytes, frame, namedRequest }: { body: string; bytes: number; frame: string; namedRequest?: string; },
+): SendResponse {
+    return (_, { socket, headers }) => {
+        const requestId = String(headers["attempt-id"]);
+        socket.write(formatSignedHead(requestId, frame) + body.slice(0, bytes));
+        const repetition = formatSignedHead(namedRequest ?? requestId, frame) + body;
+        setTimeout(
+            () => void socket.write(repetition, () => frame === CLOSE_FRAME && socket.end()),
+            REPETITION_MILLISECONDS,
+        );
+    };
+}
 
 /** Builds a function that runs the request, and sends a response and other bytes after it in one write. */
 function buildTrailingBytes(
@@ -248,6 +273,42 @@
         frame: `content-length: ${formatEvents(12).length}`,
         body: formatEvents(12),
     }),
+    "the start of its answer and all of it": buildRepetition({
+        body: RESPONSE_BODY,
+        bytes: 4,
+        frame: `content-length: ${RESPONSE_BODY.length}`,
+    }),
+    "the start of a longer answer and all of it": buildRepetition({
+        body: REPEATED_BODY,
+        bytes: 300,
+        frame: `content-length: ${REPEATED_BODY.length}`,
+    }),
+    "the start of a longer answer and an earlier one": buildRepetition({
+        body: REPEATED_BODY,
+        bytes: 300,
+        frame: `content-length: ${REPEATED_BODY.length}`,
+        namedRequest: "0000000000000000",
+    }),
+    "the start of an answer in chunks and all of it": buildRepetition({
+        body: formatChunk(RESPONSE_BODY) + "0\r\n\r\n",
+        bytes: 8,
+        frame: "transfer-encoding: chunked",
+    }),
+    "the start of an unframed answer and all of it": buildRepetition({
+        body: RESPONSE_BODY,
+        bytes: 4,
+        frame: CLOSE_FRAME,
+    }),
+    "the start of an unframed stream and all of it": buildRepetition({
+        body: formatEvents(12),
+        bytes: FIRST_EVENT.length + "id: 2\ndata: pie".length,
+        frame: CLOSE_FRAME,
+    }),
+    "the start of a stream with a length and all of it": buildRepetition({
+        body: formatEvents(12),
+        bytes: FIRST_EVENT.length + "id: 2\ndata: pie".length,
+        frame: `content-length: ${formatEvents(12).length}`,
+    }),
     ok: (target, request, response) => target.sendResponse(request, response, { status: 200 }),
     "a failure": (target, request, response) => target.sendResponse(request, response, { status: 500 }),
     "a failure that looks like a promise": (target, request, response) =>
