Ignore repeated stop signals

Cause: the handlers were registered for one signal each; the next signal had its default action.

Evidence: three examples failed before and pass now: a further SIGTERM and a further SIGINT at the serving process, and three SIGTERM at the agent and the gateway.

Change: one function registers the handlers for all programs. The first signal drains the program, further ones are logged.

--- a/bin/run_program.ts
+++ b/bin/run_program.ts
@@ -11,6 +11,7 @@
     type SettingValues,
 } from "../settings/mod.ts";
 import { createLogger } from "../telemetry/mod.ts";
+import { handleStopSignals } from "./stop_signals.ts";
 
 /** Version of all programs. */
 export const VERSION = "0.1.0";
@@ -54,12 +55,13 @@
         const logger = createLogger({ name: program, format });
         const daemon = options.build(settings, logger);
         await daemon.start();
-        const stop = (): void => {
-            logger.logChange("stopping");
-            void daemon.drain().then(() => process.exit(0));
-        };
-        process.once("SIGTERM", stop);
-        process.once("SIGINT", stop);
+        handleStopSignals({
+            drain: () => {
+                logger.logChange("stopping");
+                return daemon.drain();
+            },
+            onRepeated: signal => logger.logChange("already stopping", { signal }),
+        });
     }
     catch (error) {
         const isSettingError = error instanceof SettingError;
--- a/bin/serve_program.ts
+++ b/bin/serve_program.ts
@@ -10,6 +10,7 @@
 import { SETTING_EXIT_CODE } from "../settings/mod.ts";
 import { DecisionLog, systemClock } from "../telemetry/mod.ts";
 import { VERSION } from "./run_program.ts";
+import { handleStopSignals } from "./stop_signals.ts";
 
 /** Interval at which the settings file is polled, since it may change without a signal. */
 const RELOAD_INTERVAL_MILLISECONDS = 5000;
@@ -53,11 +54,10 @@
     }
     const log = new DecisionLog({ name: "knapweed-serve", clock: systemClock });
     const serving = new ServingProcess({ settings, log, ...options });
-    const stop = (): void => {
-        void serving.drain().then(() => process.exit(0));
-    };
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    handleStopSignals({
+        drain: () => serving.drain(),
+        onRepeated: signal => log.record("process", "already stopping", { signal }),
+    });
     process.on("uncaughtExceptionMonitor", error => {
         log.record("process", "uncaught exception", { error: String(error.stack) });
     });
--- a/features/guarantees/processes.feature
+++ b/features/guarantees/processes.feature
@@ -186,18 +186,24 @@
         And every instance has configuration generation 2 in force
 
     @graceful-stop
-    Scenario: an instance that gets SIGTERM finishes its long streams and its stamps
+    # Guards against a repeated signal that ends the process in the middle of its requests.
+    Scenario Outline: an instance that gets SIGTERM <times> times finishes its long streams and its stamps
         Given a fleet of 3 instances, 2 engines and 2 services
         When the services take 1000 ms to respond
         And a caller starts to stream a generation of 800 tokens through instance 1
         And a caller starts to post a stamp with the key "g-1" through instance 1
         And 300 ms of real time pass
-        And instance 1 gets SIGTERM
+        And instance 1 gets SIGTERM <times> times at intervals of 100 ms
         And the streams have ended
         Then the caller has received 800 tokens of one generation in order
         And the stamp got the status 201
         And the processes of instance 1 have exited with code 0
 
+        Examples:
+            | times |
+            | 1     |
+            | 3     |
+
     @graceful-stop
     Scenario: a rolling restart of all instances under load interrupts no request
         Given a fleet of 3 instances, 3 engines and 2 services
--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -9,6 +9,20 @@
         And the caller has received the whole stream
         And the serving process exits with code 0 within 4000 ms
 
+    # Guards against a repeated signal that ends the process in the middle of its requests.
+    Scenario Outline: a further <signal> during shutdown does not interrupt running requests
+        Given a running serving process
+        When a caller starts a "narrative" at the serving process
+        And the serving process receives SIGTERM
+        And the serving process receives <signal> 2 more times
+        Then the caller has received the whole stream
+        And the serving process exits with code 0 within 4000 ms
+
+        Examples:
+            | signal  |
+            | SIGTERM |
+            | SIGINT  |
+
     Scenario: a request on a keep-alive connection during shutdown is served, and the connection is closed
         Given a running serving process
         When the serving process receives SIGTERM
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -183,6 +183,17 @@
     stoppingAt = performance.now();
 });
 
+When(
+    /^the serving process receives (SIGTERM|SIGINT) (\d+) more times$/,
+    async function(signal: NodeJS.Signals, times: string) {
+        for (let count = 0; count < Number(times); count += 1) {
+            getServingProcess().child.sendSignal(signal);
+            await waitMilliseconds(100);
+        }
+        await waitForEvent("already stopping");
+    },
+);
+
 /** Identifier of a request that is sent after SIGTERM. */
 const LATE_REQUEST_ID = "00000000000000bb";
 
--- a/features/steps/process_steps.ts
+++ b/features/steps/process_steps.ts
@@ -481,12 +481,26 @@
     },
 );
 
-When("instance {int} gets SIGTERM", function(this: ScenarioWorld, number: number) {
-    const instance = this.getInstance(number);
+function sendStopSignal(world: ScenarioWorld, number: number): void {
+    const instance = world.getInstance(number);
     instance.gateway.sendSignal("SIGTERM");
     instance.agent.sendSignal("SIGTERM");
+}
+
+When("instance {int} gets SIGTERM", function(this: ScenarioWorld, number: number) {
+    sendStopSignal(this, number);
 });
 
+When(
+    "instance {int} gets SIGTERM {int} times at intervals of {int} ms",
+    async function(this: ScenarioWorld, number: number, times: number, milliseconds: number) {
+        for (let count = 0; count < times; count += 1) {
+            await waitMilliseconds(count === 0 ? 0 : milliseconds);
+            sendStopSignal(this, number);
+        }
+    },
+);
+
 Then("the stamp got the status {int}", async function(this: ScenarioWorld, status: number) {
     assert.equal((await this.pendingStamp)?.status, status);
 });
