Fail a request that ends without a response

Evidence: seven examples failed before, since the call never ended: lookups, stamps, verdicts, narratives, a call to the store, and a plain service and an engine of the own interface. They pass now.

Change: observeRequestFailure also fails a request that ends before its response begins, and all places that wait for a response use it.

--- a/agent/order_client.ts
+++ b/agent/order_client.ts
@@ -5,7 +5,7 @@
  */
 import { request as startRequest } from "node:http";
 import type { ModelOrder, OrderResult } from "../core/orders/mod.ts";
-import { parseAddress } from "../network/mod.ts";
+import { observeRequestFailure, parseAddress } from "../network/mod.ts";
 
 const ORDER_TIMEOUT_MILLISECONDS = 2000;
 const STATUS_ACCEPTED = 202;
@@ -34,7 +34,7 @@
             const { statusCode } = response;
             resolve(statusCode === STATUS_ACCEPTED ? "accepted" : statusCode === STATUS_STALE ? "stale" : "failed");
         });
-        httpRequest.on("error", () => resolve("failed"));
+        observeRequestFailure(httpRequest, () => resolve("failed"));
         httpRequest.end(body);
     });
 }
--- a/control/fetch_admin_page.ts
+++ b/control/fetch_admin_page.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { request as startRequest } from "node:http";
-import { type Address, readBody } from "../network/mod.ts";
+import { type Address, observeRequestFailure, readBody } from "../network/mod.ts";
 
 const TIMEOUT_MILLISECONDS = 3000;
 const MAX_PAGE_BYTES = 256 * 1024 * 1024;
@@ -27,8 +27,8 @@
                     .catch(reject);
             },
         );
-        request.on(
-            "error",
+        observeRequestFailure(
+            request,
             error => reject(new Error(`Cannot reach ${address.host}:${address.port}: ${error.message}.`)),
         );
         request.end();
--- a/features/contracts/engine.feature
+++ b/features/contracts/engine.feature
@@ -18,4 +18,5 @@
             | ends the stream without the last event | 1      | broken | answering     |
             | stops sending after one token          | 1      | broken | answering     |
             | accepts the request and never responds | 0      | broken | sent          |
+            | sends an upgrade that nobody requested | 0      | broken | sent          |
             | sends invalid lines and then a token   | 1      | done   | none          |
--- a/features/contracts/service.feature
+++ b/features/contracts/service.feature
@@ -15,6 +15,7 @@
             | closes the connection after the body            | may-have-run |
             | closes the connection during its response       | may-have-run |
             | never responds                                  | may-have-run |
+            | sends an upgrade that nobody requested          | may-have-run |
             | refuses the request as not run                  | not-run      |
             | refuses it as not run, and resets with the head | not-run      |
             | responds with another request's identifier      | may-have-run |
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -18,6 +18,7 @@
             | it never responds                     | unanswered   |
             | it responds with invalid JSON         | unanswered   |
             | it sends other bytes after its reply  | ok           |
+            | it sends an upgrade                   | unanswered   |
             | the history for a watch is discarded  | history-gone |
             | the response to a put is lost         | unanswered   |
 
--- a/features/platform/targets.feature
+++ b/features/platform/targets.feature
@@ -32,6 +32,7 @@
             | lookup | half an unframed answer and a reset at once | 1 | 200 | whole | 1 | 2 |
             | lookup | an unframed answer                  | 1     | 200    | whole     | 0    | 1        |
             | lookup | no HTTP                             | 1     | 200    | whole     | 1    | 2        |
+            | lookup | an upgrade that nobody requested    | 1     | 200    | whole     | 1    | 2        |
             | lookup | a reset                             | 1     | 200    | whole     | 1    | 2        |
             | lookup | silence                             | 1     | 200    | whole     | 1    | 2        |
             | stamp  | a failure                           | 1     | 500    | whole     | 0    | 1        |
@@ -44,13 +45,16 @@
             | stamp  | half an unframed answer             | 1     | 502    | whole     | 0    | 1        |
             | stamp  | half an unframed answer and a reset at once | 1 | 502 | whole | 0 | 1 |
             | stamp  | no HTTP                             | 1     | 502    | whole     | 0    | 1        |
+            | stamp  | an upgrade that nobody requested    | 1     | 502    | whole     | 0    | 1        |
             | stamp  | a reset                             | 1     | 502    | whole     | 0    | 1        |
             | stamp  | silence                             | 1     | 504    | whole     | 0    | 1        |
             | verdict | a failure                          | 1     | 200    | whole     | 1    | 2        |
             | verdict | a reset                            | 1     | 200    | whole     | 1    | 2        |
+            | verdict | an upgrade that nobody requested   | 1     | 200    | whole     | 1    | 2        |
             | verdict | silence                            | 1     | 200    | whole     | 1    | 2        |
             | narrative | a refusal                        | 1     | 200    | whole     | 1    | 2        |
             | narrative | a reset                          | 1     | 502    | whole     | 0    | 1        |
+            | narrative | an upgrade that nobody requested | 1     | 502    | whole     | 0    | 1        |
             | narrative | no signature                     | 1     | 502    | whole     | 0    | 1        |
 
     # Guards against a success with an empty body: bytes after a whole answer belong to no request and do not affect it.
--- a/features/steps/gateway_client_steps.ts
+++ b/features/steps/gateway_client_steps.ts
@@ -48,6 +48,8 @@
         writeToken(response, 0);
     },
     "accepts the request and never responds": () => undefined,
+    "sends an upgrade that nobody requested": response =>
+        void response.writeHead(101, { connection: "upgrade", upgrade: "other" }).end(),
     "sends invalid lines and then a token": response => {
         response.writeHead(200, STREAM_HEADERS);
         response.write(": note\nnonsense\n\n");
@@ -95,7 +97,7 @@
 }
 
 When(
-    /^an engine (sends two tokens and the end|refuses the connection|refuses the request|refuses another generation|does not know the generation|fails|closes the connection after one token|ends the stream without the last event|stops sending after one token|accepts the request and never responds|sends invalid lines and then a token)$/,
+    /^an engine (sends two tokens and the end|refuses the connection|refuses the request|refuses another generation|does not know the generation|fails|closes the connection after one token|ends the stream without the last event|stops sending after one token|accepts the request and never responds|sends an upgrade that nobody requested|sends invalid lines and then a token)$/,
     async function(fault: string) {
         const [address = ""] = await findAddresses(1);
         const respond = ENGINE_RESPONSES[fault];
--- a/features/steps/platform_serving_steps.ts
+++ b/features/steps/platform_serving_steps.ts
@@ -521,6 +521,7 @@
     "it resets connections": store => void (store.faults.isReset = true),
     "it never responds": store => void (store.faults.isUnresponsive = true),
     "it sends other bytes after its reply": store => void (store.faults.hasTrailingBytes = true),
+    "it sends an upgrade": store => void (store.faults.sendsUpgrade = true),
     "it responds with invalid JSON": store => void (store.faults.isNonsense = true),
     "the history for a watch is discarded": store => void (store.faults.historyFrom = 1000),
     "the response to a put is lost": store => void (store.faults.lostResponses = 1),
--- a/features/steps/service_steps.ts
+++ b/features/steps/service_steps.ts
@@ -63,6 +63,11 @@
     "has no content and is reset with its head": (socket, received) =>
         sendAfterBody(socket, received, { response: "HTTP/1.1 204 No Content\r\n\r\n", resetMilliseconds: 0 }),
     "never responds": () => undefined,
+    "sends an upgrade that nobody requested": (socket, received) => {
+        if (countBodyBytes(received) >= BODY_BYTES) {
+            socket.write("HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n");
+        }
+    },
     "refuses the request as not run": (socket, received) => {
         if (countBodyBytes(received) >= BODY_BYTES) {
             socket.end("HTTP/1.1 503 Busy\r\nx-verdict: not-run\r\ncontent-length: 0\r\n\r\n");
--- a/gateway/engine_client.ts
+++ b/gateway/engine_client.ts
@@ -7,7 +7,7 @@
 import { type IncomingMessage, request as startRequest } from "node:http";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
 import { AttemptProgress, findResponseDoubt } from "../core/verdict/mod.ts";
-import { parseAddress } from "../network/mod.ts";
+import { observeRequestFailure, parseAddress } from "../network/mod.ts";
 
 /** An event of an engine's stream: a token, or the end of the generation. */
 export type EngineEvent =
@@ -141,7 +141,7 @@
             socket.setNoDelay(true);
         });
         httpRequest.setTimeout(request.silenceMilliseconds, () => fail("silence"));
-        httpRequest.on("error", error => {
+        observeRequestFailure(httpRequest, error => {
             clearTimeout(connectTimer);
             reject(new EngineStreamError(`The engine can't be asked: ${error.message}.`, { progress }));
         });
@@ -171,7 +171,7 @@
             response.resume();
             resolve(response.statusCode === 204 || response.statusCode === 404);
         });
-        httpRequest.on("error", () => resolve(false));
+        observeRequestFailure(httpRequest, () => resolve(false));
         httpRequest.end();
     });
 }
--- a/network/request_failure.ts
+++ b/network/request_failure.ts
@@ -5,21 +5,30 @@
  * belong to no request. If the request were destroyed then, a body that has arrived in the same read would be
  * discarded, and the response would look complete and empty.
  *
+ * After the head of an upgrade that was not requested, Node.js closes the connection and reports neither a response nor an
+ * error.
+ *
  * @module
  */
 import type { ClientRequest } from "node:http";
 
-/** Calls `onFailure` if a request fails before its response begins; later errors end the body unless it is complete. */
+/**
+ * Calls `onFailure` once if a request fails or ends before its response begins; later errors end the body unless it is
+ * complete.
+ */
 export function observeRequestFailure(request: ClientRequest, onFailure: (error: Error) => void): void {
-    let hasResponse = false;
-    request.once("response", () => {
-        hasResponse = true;
-    });
-    request.on("error", error => {
-        if (!hasResponse) {
+    let isSettled = false;
+    const fail = (error: Error): void => {
+        if (!isSettled) {
+            isSettled = true;
             onFailure(error);
         }
+    };
+    request.once("response", () => {
+        isSettled = true;
     });
+    request.on("error", fail);
+    request.once("close", () => fail(new Error("The connection was closed without a response.")));
 }
 
 /** Gets the bytes after a complete response that have caused an error of its request; empty for other errors. */
--- a/support/platform/store_stand_in.ts
+++ b/support/platform/store_stand_in.ts
@@ -22,6 +22,8 @@
     refusedWrites: number;
     /** Sends other bytes right after every response to a list. */
     hasTrailingBytes: boolean;
+    /** Sends the head of an upgrade as every response. */
+    sendsUpgrade: boolean;
     /** Sends truncated JSON as every response. */
     isNonsense: boolean;
     /** Largest number of objects in a page of a list. */
@@ -66,6 +68,7 @@
         lostResponses: 0,
         refusedWrites: 0,
         hasTrailingBytes: false,
+        sendsUpgrade: false,
         isNonsense: false,
         pageSize: 500,
         historyFrom: 0,
@@ -199,6 +202,9 @@
         else if (this.faults.isDown || this.faults.refuseWith > 0) {
             sendJson(response, { status: this.faults.isDown ? 503 : this.faults.refuseWith, value: {} });
         }
+        else if (this.faults.sendsUpgrade) {
+            response.writeHead(101, { connection: "upgrade", upgrade: "other" }).end();
+        }
         else if (this.faults.isNonsense) {
             response.end("{\"items\":");
         }
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -425,6 +425,10 @@
         target.writeHead(request, response, { "content-type": "text/event-stream" });
         response.end(formatEvent(Number(request.headers["last-event-id"] ?? 0) + 1) + ERROR_TEXT);
     },
+    "an upgrade that nobody requested": (_, request) =>
+        void request.socket.write(
+            "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n",
+        ),
     "no HTTP": (_, request) => void request.socket.end("nonsense\r\n\r\n"),
     "a reset": (_, request) => request.socket.resetAndDestroy(),
     silence: () => undefined,
