Soak: silent targets beside a configuration, mixed answers, repeated stops

The soak had none of the faults that the review and the users met. New are: all targets fall silent and go on together while the configuration changes, answers with other bytes or a second answer, heads of upgrades, and a second SIGTERM within 1.5 s.

--- a/support/platform/soak/fault_proxy.ts
+++ b/support/platform/soak/fault_proxy.ts
@@ -12,6 +12,8 @@
     forward: "pass",
     /** Forwards all data after a delay. */
     delay: "delay",
+    /** Holds all data until another mode is set, and then forwards it at once. */
+    hold: "hold",
     /** Resets open connections and all new ones. */
     reset: "reset",
     /** Forwards data from the client and drops data from the server. */
@@ -39,6 +41,9 @@
     readonly #server: Server;
     readonly #connections = new Set<ProxiedConnection>();
     #mode: ProxyMode = ProxyMode.forward;
+    /** Pending while data is held. */
+    #held: Promise<void> = Promise.resolve();
+    #releaseHeld: () => void = () => undefined;
 
     /** @param target Address that connections are forwarded to. */
     constructor(target: Address) {
@@ -56,6 +61,12 @@
 
     /** Sets how connections are treated from now on. */
     setMode(mode: ProxyMode): void {
+        this.#releaseHeld();
+        if (mode === ProxyMode.hold) {
+            this.#held = new Promise(resolve => {
+                this.#releaseHeld = resolve;
+            });
+        }
         this.#mode = mode;
         for (const connection of this.#connections) {
             connection.isDropping ||= mode === ProxyMode.dropOpen;
@@ -68,6 +79,7 @@
 
     /** Stops listening and closes all connections. */
     close(): void {
+        this.#releaseHeld();
         this.#server.close();
         for (const { client, server } of this.#connections) {
             client.destroy();
@@ -100,7 +112,7 @@
         };
         const runInOrder = (action: () => void): void => {
             const isDelayed = this.#mode === ProxyMode.delay;
-            pending = pending.then(() => isDelayed ? waitMilliseconds(DELAY_MILLISECONDS) : undefined).then(action);
+            pending = pending.then(() => isDelayed ? waitMilliseconds(DELAY_MILLISECONDS) : this.#held).then(action);
         };
         from.on("data", (chunk: Buffer) => {
             runInOrder(() => {
--- a/support/platform/soak/soak_run.ts
+++ b/support/platform/soak/soak_run.ts
@@ -83,6 +83,8 @@
 const MIN_CUT_MILLISECONDS = 4000;
 /** Limit that one target states until the last fault, in requests per second. */
 const STATED_LIMIT = 1;
+/** Longest time after which SIGTERM is sent again, in milliseconds. */
+const MAX_REPEATED_STOP_MILLISECONDS = 1500;
 /** Number of concurrent callers. */
 const CALLER_COUNT = 6;
 /** Number of times that a caller resumes a stream. */
@@ -359,6 +361,9 @@
                 "half an answer",
                 "a reset",
                 "another request's answer",
+                "its answer and other bytes at once",
+                "the start of its answer and all of it",
+                "an upgrade that nobody requested",
             ]);
             standIn.faults.faultyAnswers = 3;
         },
@@ -390,6 +395,13 @@
             child.sendSignal("SIGHUP");
         },
         configuration: async () => this.#writeConfiguration(),
+        "silent targets beside a configuration": async duration => {
+            const proxies = this.#proxies.slice(0, this.#site.targets.length);
+            proxies.forEach(proxy => proxy.setMode(ProxyMode.hold));
+            this.#writeConfiguration();
+            await waitMilliseconds(duration);
+            proxies.forEach(proxy => proxy.setMode(ProxyMode.forward));
+        },
         leaving: async duration => {
             const target = this.#pick(this.#site.targets);
             this.#site.writeTarget(target, { state: "draining" });
@@ -438,7 +450,13 @@
         }
         instance.isStopping = true;
         instance.child.sendSignal(signal);
-        await instance.child.waitForExit();
+        const hasExited = instance.child.waitForExit();
+        if (signal === "SIGTERM") {
+            // A stop may be requested again while requests run.
+            await Promise.race([hasExited, waitMilliseconds(MAX_REPEATED_STOP_MILLISECONDS * this.#random())]);
+            instance.child.sendSignal(signal);
+        }
+        await hasExited;
         await waitMilliseconds(downTime);
         instance.child = startChild(PROGRAM_PATH, { arguments: ["--settings", instance.settingsPath] });
         instance.started = waitForStart(instance.child);
