--- a/features/steps/platform_cut_head_steps.ts
+++ b/features/steps/platform_cut_head_steps.ts
@@ -6,7 +6,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
-import { ServingSite } from "../../support/platform/mod.ts";
+import { buildTargetEntry, ServingSite } from "../../support/platform/mod.ts";
 import type { HttpResult } from "../../support/processes/mod.ts";
 import { type RawConnection, RawTarget } from "../support/raw_target.ts";
 import { createRequestId, getSite, siteContext } from "../support/site_context.ts";
@@ -51,17 +51,8 @@
         const target = new RawTarget();
         targets.push(target);
         target.onData = handleData;
-        site.store.putObject("servers", `${service}-${targets.length}`, {
-            service,
-            address: await target.open(),
-            zone: "zone-a",
-            version: "v1",
-            slots: 8,
-            state: "ready",
-            cold_remaining_ms: 0,
-            sequence: 1,
-            born: 1000,
-        });
+        const entry = buildTargetEntry({ service, address: await target.open() });
+        site.store.putObject("servers", `${service}-${targets.length}`, entry);
     }
     await site.addInstance();
     await site.waitUntilReady();
--- a/support/platform/ending_site.ts
+++ b/support/platform/ending_site.ts
@@ -14,7 +14,7 @@
     startEndingTargets,
     TargetEnd,
 } from "./ending_target.ts";
-import { buildSiteConfiguration, ServingSite, type SiteTarget } from "./serving_site.ts";
+import { buildSiteConfiguration, buildTargetEntry, ServingSite, type SiteTarget } from "./serving_site.ts";
 import { LinkCut } from "./target_link.ts";
 
 /** Description of a target: how its stream ends, or which response of a `TargetStandIn` it sends once. */
@@ -294,17 +294,11 @@
         return {
             service,
             list: (born = FIRST_BORN) =>
-                this.#site.store.putObject("servers", id, {
-                    service,
-                    address: running.address,
-                    zone: "zone-a",
-                    version: "v1",
-                    slots: 8,
-                    state: "ready",
-                    cold_remaining_ms: 0,
-                    sequence: 1,
-                    born,
-                }),
+                this.#site.store.putObject(
+                    "servers",
+                    id,
+                    buildTargetEntry({ service, address: running.address }, { born }),
+                ),
             remove: () => this.#site.store.removeObject("servers", id),
             waitForReport: running.waitForReport,
             hasArrived: () => running.hasReported("arrived"),
--- a/support/platform/serving_site.ts
+++ b/support/platform/serving_site.ts
@@ -146,6 +146,24 @@
     };
 }
 
+/** Builds a target's entry in the store; `changes` replace fields of the default entry. */
+export function buildTargetEntry(
+    target: { service: string; address: string; },
+    changes: Record<string, unknown> = {},
+): Record<string, unknown> {
+    return {
+        ...target,
+        zone: "zone-a",
+        version: "v1",
+        slots: 8,
+        state: "ready",
+        cold_remaining_ms: 0,
+        sequence: 1,
+        born: 1000,
+        ...changes,
+    };
+}
+
 /** Options of {@linkcode startServingSite}. */
 export interface ServingSiteOptions {
     /** Number of instances. Defaults to 1. */
@@ -216,19 +234,9 @@
     }
 
     /** Writes the store's entry for a target; `changes` replace fields of the default entry. */
-    writeTarget(target: SiteTarget, changes: Record<string, unknown> = {}): void {
-        this.store.putObject("servers", target.id, {
-            service: target.service,
-            address: target.address,
-            zone: "zone-a",
-            version: target.standIn.softwareVersion ?? "v1",
-            slots: 8,
-            state: "ready",
-            cold_remaining_ms: 0,
-            sequence: 1,
-            born: 1000,
-            ...changes,
-        });
+    writeTarget({ id, service, address, standIn }: SiteTarget, changes: Record<string, unknown> = {}): void {
+        const version = standIn.softwareVersion ?? "v1";
+        this.store.putObject("servers", id, buildTargetEntry({ service, address }, { version, ...changes }));
     }
 
     /** Starts an instance, with all earlier instances as seeds. */
