Wait for the caller with all that is relayed, and bound the events of a stream

Cause: events were written to the caller and awaited, comments were written and not. The engine was read at its own speed while the comments waited for the caller, each as a write of its own with several objects. Finished events had no bound at all: repeated ones were dropped without a wait, new ones were relayed as fast as they came.

Evidence: with a line of output every 100 ms, 5.7 MB in 761,752 writes were queued for the caller at 142 MB of heap, while nothing was read ahead and the splitter held 2 bytes.

Change: one function writes a part of a body and waits until the caller takes it; the events of a part are one write. StreamLimits breaks off a response with too many comments or repeated events in a row, or more events than its caller's tokens allow, and paces the reading of others. Responses are handled in parts of 8 KB. Only events that the caller did not have count as body when the overhead of a response is checked.

Why it works: what waits for a caller is at most the buffer of its connection and one part; what an engine sends beyond a stream's needs either ends the response or is not read.

--- a/core/serving/event_splitter.ts
+++ b/core/serving/event_splitter.ts
@@ -35,6 +35,7 @@
 const MAX_SMALL_PIECES = 4096;
 const SMALL_PIECE_BYTES = 64;
 const MIN_BUFFER_BYTES = 1024;
+const COLON = 0x3a;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Maximum length of the blank line that ends an event, with the line ending before it: LF CR LF. */
@@ -127,7 +128,15 @@
 
 const decoder = new TextDecoder();
 
+/** Checks whether an event is a single line with a comment, by far the most frequent one of a target that sends them without end. */
+function isSingleComment(bytes: Uint8Array): boolean {
+    return bytes[0] === COLON && bytes.indexOf(LINE_FEED) >= bytes.length - EVENT_END_BYTES;
+}
+
 function parseEvent(bytes: Uint8Array): RelayedEvent {
+    if (isSingleComment(bytes)) {
+        return { id: undefined, isComment: true, bytes };
+    }
     const lines = decoder.decode(bytes).split(/\r?\n/);
     const malformed = lines.find(line => !LINE_PATTERN.test(line));
     if (malformed !== undefined) {
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -39,6 +39,7 @@
 export * from "./software_versions.ts";
 export * from "./stall_action.ts";
 export * from "./store_position.ts";
+export * from "./stream_limits.ts";
 export * from "./stream_progress.ts";
 export * from "./target_backpressure.ts";
 export * from "./target_directory.ts";
--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -34,6 +34,9 @@
             | verdict   | an event id without end       | 200    | whole      | 8         | lookup |
             | verdict   | bytes that are no events      | 200    | whole      | 8         | lookup |
             | verdict   | interim answers without end   | 200    | whole      | 8         | lookup |
+            | verdict   | comments without end          | 200    | whole      | 8         | lookup |
+            | verdict   | empty events without end      | 200    | whole      | 8         | lookup |
+            | verdict   | repeated events without end   | 200    | whole      | 8         | lookup |
             | verdict   | comments now and then         | 200    | whole      | 1         | lookup |
             | verdict   | a byte now and then           | 200    | whole      | 1         | lookup |
 
@@ -46,12 +49,16 @@
         And the probes were answered within 300 ms
 
         Examples:
-            | fault                    | megabytes |
-            | a head without end       | 8         |
-            | an event without end     | 8         |
-            | bytes that are no events | 8         |
-            | comments now and then    | 1         |
-            | a byte now and then      | 1         |
+            | fault                       | megabytes |
+            | a head without end          | 8         |
+            | an event without end        | 8         |
+            | bytes that are no events    | 8         |
+            | comments without end        | 8         |
+            | empty events without end    | 8         |
+            | repeated events without end | 8         |
+            | events without end          | 8         |
+            | comments now and then       | 1         |
+            | a byte now and then         | 1         |
 
     Scenario: endless bodies from several targets share one budget of memory
         Given a serving site with 6 targets of each service
@@ -75,6 +82,28 @@
             | 800   | stamp     | a head without end       | verdict |
             | 60    | lookup    | chunks without end       | verdict |
             | 60    | narrative | chunks without end       | lookup  |
+            | 800   | narrative | comments without end     | lookup  |
+            | 800   | narrative | events without end       | lookup  |
+
+    # Guards against comments that are written to a caller without waiting until it takes them, and against an engine whose
+    # events occupy the instance.
+    Scenario Outline: <count> callers that read <part> of streams whose engines send <fault> leave others in peace
+        When <count> callers that read <part> send a "narrative" at once to targets that send "<fault>", and others a "lookup"
+        Then the instance runs on and has used at most the memory of the smallest machine
+        And all others were answered
+        And the probes were answered within 300 ms
+
+        Examples:
+            | count | part    | fault                       |
+            | 6     | all     | comments without end        |
+            | 6     | all     | empty events without end    |
+            | 6     | all     | repeated events without end |
+            | 6     | all     | events without end          |
+            | 6     | all     | large events without end    |
+            | 20    | nothing | comments without end        |
+            | 20    | nothing | repeated events without end |
+            | 20    | nothing | events without end          |
+            | 20    | nothing | large events without end    |
 
     Scenario: the time to split a stream grows no faster than its bytes
         When events of 100 KB and of 200 KB arrive in chunks of 100 bytes
--- a/features/steps/platform_endless_steps.ts
+++ b/features/steps/platform_endless_steps.ts
@@ -104,7 +104,7 @@
     assert.ok(large <= small * factor, `${large.toFixed(1)} ms beside ${small.toFixed(1)} ms`);
 });
 
-let load: EndlessLoadResult = { peakMegabytes: 0, requestMilliseconds: [], probeStatuses: [] };
+let load: EndlessLoadResult = { peakMegabytes: 0, requestMilliseconds: [], probeStatuses: [], probeMilliseconds: [] };
 
 When(
     "{int} callers send a {string} at once to targets that send {string}, and others a {string}",
@@ -113,6 +113,14 @@
     },
 );
 
+When(
+    /^(\d+) callers that read (all|nothing) send a "([^"]*)" at once to targets that send "([^"]*)", and others a "([^"]*)"$/,
+    async function(count: string, part: string, kind: string, fault: string, probeKind: string) {
+        load = await runEndlessLoad({ count: Number(count), kind, fault, probeKind, isRead: part === "all" });
+        ({ probeMilliseconds } = load);
+    },
+);
+
 Then("the instance runs on and has used at most the memory of the smallest machine", function() {
     const { peakMegabytes } = load;
     assert.ok(peakMegabytes > 0 && peakMegabytes <= SMALLEST_MACHINE_MEGABYTES, `${peakMegabytes} MB were used`);
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -382,9 +382,17 @@
     response.writeHead(head.status, headers);
 }
 
-/** Waits until the response can buffer more data, or the caller has disconnected. */
-export function waitUntilWritable(response: ServerResponse): Promise<void> {
-    return new Promise(resolve => {
+/**
+ * Writes a part of a body to the caller, and waits while the connection takes no more; does nothing if the caller has
+ * disconnected.
+ *
+ * @returns True if it had to wait.
+ */
+export async function writeBodyPart(response: ServerResponse, bytes: Uint8Array): Promise<boolean> {
+    if (response.destroyed || response.write(bytes)) {
+        return false;
+    }
+    await new Promise<void>(resolve => {
         const end = (): void => {
             response.off("drain", end);
             response.off("close", end);
@@ -393,6 +401,7 @@
         response.once("drain", end);
         response.once("close", end);
     });
+    return true;
 }
 
 /** Resets the caller's connection, so that a partial response cannot look complete, however it is framed. */
--- a/serving/peer_relay.ts
+++ b/serving/peer_relay.ts
@@ -22,7 +22,7 @@
     type CallerExchange,
     sendError,
     type ServingContext,
-    waitUntilWritable,
+    writeBodyPart,
 } from "./caller_exchange.ts";
 
 /** Number of other instances that are tried while none of them can have read the request. */
@@ -123,9 +123,7 @@
         response.writeHead(status, filterRelayedHeaders(peerResponse).flat());
         response.flushHeaders();
         for await (const chunk of peerResponse as AsyncIterable<Buffer>) {
-            if (!response.destroyed && !response.write(chunk)) {
-                await waitUntilWritable(response);
-            }
+            await writeBodyPart(response, chunk);
         }
         // An instance frames each response that it sends; without a frame nothing shows where the response ends.
         isComplete = peerResponse.complete && !hasFailed(socket) && hasOwnEnd(peerResponse, exchange.request.method);
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -19,10 +19,11 @@
     ResponseOutcome,
     type ServingTarget,
     SEVERAL_VERSIONS,
+    StreamLimits,
     StreamProgress,
 } from "../core/serving/mod.ts";
 import { decideVerdict, mergeVerdicts, type Verdict } from "../core/verdict/mod.ts";
-import { LinkedSignal } from "../network/mod.ts";
+import { LinkedSignal, waitMilliseconds } from "../network/mod.ts";
 import { hasEmbeddedHead, type KvCacheCopy, type TargetResponseHead } from "../platform/mod.ts";
 import {
     abortResponse,
@@ -41,7 +42,7 @@
     reserveForAttempt,
     sendError,
     type ServingContext,
-    waitUntilWritable,
+    writeBodyPart,
     writeResponseHead,
 } from "./caller_exchange.ts";
 import { CrashGuard } from "./crash_guard.ts";
@@ -60,6 +61,16 @@
     stallDetector: StallDetector;
     /** Time at which the request was sent, on the monotonic clock in milliseconds. */
     sentAt: number;
+    /** Aborted when the attempt is given up. */
+    signal: AbortSignal;
+}
+
+/** What is known of a response whose events are being relayed. */
+interface RelayedResponse {
+    splitter: EventSplitter;
+    limits: StreamLimits;
+    /** Number of events that the target has sent. */
+    events: number;
 }
 
 /** Result of one attempt at a target. */
@@ -93,6 +104,8 @@
 const PACE_EVENTS = 16;
 /** Maximum size of an event: many unfinished ones must fit into the memory of a small machine at once. */
 const MAX_EVENT_BYTES = 64 * 1024;
+/** Bytes of a response that are handled at a time, so that others are served in between. */
+const MAX_HANDLED_BYTES = 8 * 1024;
 /** Maximum number of targets that a request is sent to while each refuses it without running it. */
 const MAX_SEND_ATTEMPTS = 8;
 
@@ -415,7 +428,13 @@
             }));
             quarantineWatch.stop();
             this.#headAt = this.#now;
-            return await this.#handleResponse(targetResponse, { reservation, attemptAbort, stallDetector, sentAt });
+            return await this.#handleResponse(targetResponse, {
+                reservation,
+                attemptAbort,
+                stallDetector,
+                sentAt,
+                signal: linked.signal,
+            });
         }
         catch (error) {
             const verdict = error instanceof TargetCallError ? decideVerdict(error.progress) : "may-have-run";
@@ -475,38 +494,21 @@
         targetResponse: TargetResponse,
         attempt: RelayAttempt,
     ): Promise<AttemptResult> {
-        const { response: incoming } = targetResponse;
-        const splitter = new EventSplitter({ maxEventBytes: MAX_EVENT_BYTES });
+        const relayed: RelayedResponse = {
+            splitter: new EventSplitter({ maxEventBytes: MAX_EVENT_BYTES }),
+            limits: new StreamLimits({ maxOutputTokens: this.#exchange.request.size?.maxOutputTokens }),
+            events: 0,
+        };
         this.#eventWindow.restart();
-        let eventCount = 0;
         let failure: string | undefined;
         try {
-            for await (const chunk of incoming as AsyncIterable<Buffer>) {
-                targetResponse.recordBody(chunk.length);
-                const events = splitter.handleChunk(chunk);
-                if (events.some(({ bytes }) => hasEmbeddedHead(bytes))) {
-                    throw new MalformedEventError("Cannot read an event: it holds the head of another response.");
-                }
-                if (events.some(event => !event.isComment)) {
-                    attempt.reservation.markResponseStarted();
-                    attempt.stallDetector.restart();
-                    if (eventCount === 0) {
-                        this.#recordPromptRead(attempt.reservation);
-                    }
-                }
-                if (events.length > 0) {
-                    const newCount = events.filter(event => !event.isComment).length;
-                    eventCount += newCount;
-                    this.#recordPace(attempt.reservation.target, newCount);
-                    this.#recordRolloutEvents(attempt.reservation.target, {
-                        sentAt: attempt.sentAt,
-                        events: eventCount,
-                    });
-                    if (eventCount > 0 && this.#softwareVersion === undefined) {
-                        await this.#recordBeginning(attempt.reservation.target);
-                    }
-                    await this.#sendEvents(events);
-                    attempt.reservation.recordOutput(this.#outputTokens);
+            for await (const chunk of targetResponse.response as AsyncIterable<Buffer>) {
+                // Bytes count as a part of the body once they have completed an event that the caller gets.
+                targetResponse.recordBody(0);
+                for (let start = 0; start < chunk.length; start += MAX_HANDLED_BYTES) {
+                    attempt.signal.throwIfAborted();
+                    const part = chunk.subarray(start, start + MAX_HANDLED_BYTES);
+                    targetResponse.recordBody(await this.#relayPart(part, { relayed, attempt }));
                 }
             }
         }
@@ -528,8 +530,8 @@
             end: {
                 isFramed: targetResponse.head.hasOwnEnd,
                 isClosedInOrder,
-                events: eventCount,
-                unfinishedBytes: splitter.getPendingBytes().length,
+                events: relayed.events,
+                unfinishedBytes: relayed.splitter.getPendingBytes().length,
                 mayBeEmpty: this.#mayBeEmpty(),
                 hasAllTokens: this.#hasAllTokens(),
                 mayBeStopped: this.#mayBeStopped,
@@ -548,6 +550,42 @@
         return { kind: "failed", verdict: "may-have-run", reason, isConnectionLost: true };
     }
 
+    /** Relays the events that a part of a response completes; returns the bytes of those that the caller did not have. */
+    async #relayPart(
+        part: Uint8Array,
+        { relayed, attempt }: { relayed: RelayedResponse; attempt: RelayAttempt; },
+    ): Promise<number> {
+        const events = relayed.splitter.handleChunk(part);
+        if (events.some(({ bytes }) => hasEmbeddedHead(bytes))) {
+            throw new MalformedEventError("Cannot read an event: it holds the head of another response.");
+        }
+        const count = events.filter(event => !event.isComment).length;
+        if (count > 0) {
+            attempt.reservation.markResponseStarted();
+            attempt.stallDetector.restart();
+            if (relayed.events === 0) {
+                this.#recordPromptRead(attempt.reservation);
+            }
+        }
+        if (events.length === 0) {
+            return 0;
+        }
+        relayed.events += count;
+        const { target } = attempt.reservation;
+        this.#recordPace(target, count);
+        this.#recordRolloutEvents(target, { sentAt: attempt.sentAt, events: relayed.events });
+        if (relayed.events > 0 && this.#softwareVersion === undefined) {
+            await this.#recordBeginning(target);
+        }
+        const newBytes = await this.#sendEvents(events, relayed.limits);
+        attempt.reservation.recordOutput(this.#outputTokens);
+        const delay = relayed.limits.recordPart(part.length, this.#now);
+        if (delay > 0) {
+            await waitMilliseconds(delay);
+        }
+        return newBytes;
+    }
+
     /** True if the events of the stream show how fast the engine is: its service is paced. */
     get #isPaceMeasured(): boolean {
         const { engine, name } = this.#exchange.service;
@@ -647,32 +685,47 @@
         response.flushHeaders();
     }
 
-    async #sendEvents(events: readonly RelayedEvent[]): Promise<void> {
-        const { response, route, arrivedAt } = this.#exchange;
-        for (const event of events) {
-            if (!this.#progress.isNew(event.id)) {
-                continue;
-            }
-            if (event.isComment) {
-                response.write(event.bytes);
-                continue;
-            }
-            if (this.#lastEventAt === undefined && this.#progress.hasGap(event.id)) {
-                throw new Error(`events after ${this.#progress.lastEventId} are missing before ${event.id}`);
-            }
-            const pause = this.#progress.recordEvent(event.id, this.#now);
-            this.#lastEventAt = this.#now;
-            if (pause === undefined) {
-                this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
-            }
-            else if (this.#isAwaitingEventAfterMove) {
-                this.#recordMovePause(pause);
+    /** Sends comments and the events that the caller does not have yet; returns the bytes of these events. */
+    async #sendEvents(events: readonly RelayedEvent[], limits: StreamLimits): Promise<number> {
+        const sent: Uint8Array[] = [];
+        let newBytes = 0;
+        try {
+            for (const event of events) {
+                const isNew = this.#progress.isNew(event.id);
+                limits.recordEvent(isNew && !event.isComment, this.#progress.eventCount);
+                if (!isNew) {
+                    continue;
+                }
+                if (!event.isComment) {
+                    this.#recordEvent(event);
+                    newBytes += event.bytes.length;
+                }
+                sent.push(event.bytes);
             }
-            if (!response.destroyed && !response.write(event.bytes)) {
-                await waitUntilWritable(response);
+        }
+        finally {
+            // One write for all: each holds several times the bytes of a small event until the caller has read it.
+            if (sent.length > 0 && await writeBodyPart(this.#exchange.response, Buffer.concat(sent))) {
                 this.#eventWindow.restart();
             }
         }
+        return newBytes;
+    }
+
+    /** Records that the caller gets an event; throws if events before it are missing. */
+    #recordEvent({ id }: RelayedEvent): void {
+        const { route, arrivedAt } = this.#exchange;
+        if (this.#lastEventAt === undefined && this.#progress.hasGap(id)) {
+            throw new Error(`events after ${this.#progress.lastEventId} are missing before ${id}`);
+        }
+        const pause = this.#progress.recordEvent(id, this.#now);
+        this.#lastEventAt = this.#now;
+        if (pause === undefined) {
+            this.#context.metrics.observeFirstByte(route.name, this.#now - arrivedAt);
+        }
+        else if (this.#isAwaitingEventAfterMove) {
+            this.#recordMovePause(pause);
+        }
     }
 
     #recordMovePause(pause: number): void {
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -208,6 +208,11 @@
     "an event without end": buildEndlessResponse(id => `${formatUnframedHead(id)}id: 1\ndata: `, "x"),
     "lines without end": buildEndlessResponse(id => `${formatUnframedHead(id)}id: 1\n`, "data: x\n"),
     "an event id without end": buildEndlessResponse(id => `${formatUnframedHead(id)}id: `, "1"),
+    "comments without end": buildEndlessResponse(id => formatUnframedHead(id) + FIRST_EVENT, ": keep-alive\n\n"),
+    "empty events without end": buildEndlessResponse(id => formatUnframedHead(id) + FIRST_EVENT, "\n\n"),
+    "repeated events without end": buildEndlessResponse(formatUnframedHead, FIRST_EVENT),
+    "events without end": buildEndlessResponse(formatUnframedHead, "data: more\n\n"),
+    "large events without end": buildEndlessResponse(formatUnframedHead, `data: ${"x".repeat(50_000)}\n\n`),
     "bytes that are no events": buildEndlessResponse(formatUnframedHead, "\u0001\u0002 nothing\n\n"),
     "comments now and then": (target, request) =>
         void target.sendWithoutEnd(request.socket, {
@@ -613,8 +618,13 @@
             this.endlessBytes += bytes.repeated.length;
             if (!socket.write(bytes.repeated)) {
                 await new Promise<void>(resolve => {
-                    socket.once("drain", resolve);
-                    socket.once("close", resolve);
+                    const end = (): void => {
+                        socket.off("drain", end);
+                        socket.off("close", end);
+                        resolve();
+                    };
+                    socket.once("drain", end);
+                    socket.once("close", end);
                 });
             }
             await waitMilliseconds(bytes.milliseconds ?? 0);
