Name the missing targets in the lists that instances hand to each other

Cause: an instance keeps targets that the store does not list right after an outage in use for two seconds, and takes its own pause for an outage. Its list had them like all others, with a newer revision than its peers had, so that these added a target which they had removed. The end of the grace period changes no revision, so that they never heard of it.

Change: a list names its missing targets with the rest of their time, as an optional field. An instance that has a list marks the ones that it knows as missing and adds no others; one that starts takes them. An entry that is not newer than the removal of its target does not bring it back, whatever the list says.

Why it works: what was removed stays removed until the store lists it anew, and what is missing ends everywhere when it ends at the first instance.

--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -9,6 +9,9 @@
  * Load pattern: the store is restored from a copy that is some seconds old, so that targets which have announced their
  * shutdown, or are gone, are listed as ready again until they or the operators have written their objects again.
  *
+ * Load pattern: an instance that was paused takes this for an outage of the store and keeps a target that the others have
+ * removed. They ask it for its list, since it has listed the store later than they have.
+ *
  * @module
  */
 import { getSoftwareVersion, type ServingTarget, type TargetStart } from "./serving_types.ts";
@@ -24,6 +27,14 @@
     kind: "added" | "leaving" | "removed" | "missing";
 }
 
+/** A target that the store does not list but that remains in use for a grace period. */
+export interface MissingTarget {
+    /** Identifier of the target. */
+    id: string;
+    /** Rest of the grace period, in milliseconds. */
+    remainingMilliseconds: number;
+}
+
 /** All targets at one position of the store; instances send it to each other with these field names. */
 export interface TargetSnapshot {
     /** Era of the store; absent in messages of instances that do not know of eras, which counts as 0. */
@@ -34,8 +45,13 @@
      * Revision of the latest change to the list; `undefined` if the source does not report it, as the store does not.
      */
     changeRevision?: number | undefined;
-    /** Targets. */
+    /** Targets, with those that are missing. */
     targets: ServingTarget[];
+    /**
+     * The missing ones among the targets; absent in lists of the store and in messages of builds that do not report them,
+     * which counts as none.
+     */
+    missing?: MissingTarget[] | undefined;
 }
 
 /** Options of a {@linkcode TargetDirectory}. */
@@ -84,6 +100,8 @@
     isAnnouncedByTarget: boolean;
     /** Time at which this became known, on the monotonic clock in milliseconds. */
     recordedAt: number;
+    /** Revision of the store up to which the list was current when the target was removed; `undefined` before. */
+    removedRevision: number | undefined;
 }
 
 /** Keeps the list of targets and of evacuated zones. */
@@ -157,14 +175,25 @@
         }
         this.#era = position.era;
         const previousChangeRevision = this.#isLoaded && !isRestored ? this.#changeRevision : undefined;
+        const isFirst = !this.#isLoaded;
         this.#isLoaded = true;
-        const listed = new Set(snapshot.targets.map(target => target.id));
+        const { revision, changeRevision, missing = [] } = snapshot;
+        const missingUntilById = new Map(
+            missing.map(({ id, remainingMilliseconds }) =>
+                [id, now + Math.min(remainingMilliseconds, this.#gracePeriodMilliseconds)] as const
+            ),
+        );
+        // An instance that has a list has removed the missing targets that it does not know; they must not come back.
+        const targets = isFirst ? snapshot.targets : snapshot.targets.filter(({ id }) => !missingUntilById.has(id));
+        const listed = new Set(targets.map(target => target.id));
         const removed = [...this.#targets.keys()].filter(id => !listed.has(id));
-        const { revision, changeRevision, targets } = snapshot;
         const hasChangedEntry = targets.some(target => !isSameEntry(target, this.#targets.get(target.id)));
         // Objects that expired during an outage reappear soon after the store's recovery if their targets are alive.
         const missingUntil = this.#storeRecoveredAt + this.#gracePeriodMilliseconds;
-        const changes = this.#apply({ revision, changed: targets, removed }, { now, missingUntil });
+        const changes = this.#apply({ revision, changed: targets, removed }, { now, missingUntil, missingUntilById });
+        if (isFirst) {
+            changes.push(...[...missingUntilById].flatMap(([id, until]) => this.#markMissing(id, until)));
+        }
         if (changeRevision !== undefined) {
             this.#changeRevision = changeRevision;
         }
@@ -180,11 +209,14 @@
     }
 
     /**
-     * Applies changes; removed targets that were not leaving are missing until `missingUntil`, if that is in the
-     * future.
+     * Applies changes; removed targets that were not leaving are missing until their time in `missingUntilById`, or else
+     * until `missingUntil`, if that is in the future.
      */
-    #apply(events: TargetListEvents, times: { now: number; missingUntil: number; }): TargetChange[] {
-        const { now } = times;
+    #apply(
+        events: TargetListEvents,
+        times: { now: number; missingUntil: number; missingUntilById?: ReadonlyMap<string, number>; },
+    ): TargetChange[] {
+        const { now, missingUntilById } = times;
         this.#revision = Math.max(this.#revision, events.revision);
         if (events.changed.length > 0 || events.removed.length > 0) {
             this.#changeRevision = Math.max(this.#changeRevision, events.changeRevision ?? events.revision);
@@ -196,14 +228,9 @@
             : now;
         const missingUntil = Math.max(massRemovalUntil, times.missingUntil);
         for (const id of events.removed) {
-            const isMissing = missingUntil > now && unannounced.includes(id);
-            if (isMissing && !this.#missingUntil.has(id)) {
-                this.#missingUntil.set(id, missingUntil);
-                changes.push(...this.#listTarget(id).map(target => ({ kind: "missing" as const, target })));
-            }
-            else if (!isMissing) {
-                changes.push(...this.#removeTarget(id, now));
-            }
+            const until = missingUntilById?.get(id) ?? missingUntil;
+            const isMissing = until > now && unannounced.includes(id);
+            changes.push(...isMissing ? this.#markMissing(id, until) : this.#removeTarget(id, now));
         }
         return [...changes, ...this.expireMissing(now)];
     }
@@ -279,13 +306,22 @@
         return versions;
     }
 
+    /** Lists all targets, with those that are missing. */
+    listTargets(): ServingTarget[] {
+        return [...this.#targets.values()];
+    }
+
     /** Returns the complete list, for peers whose list is outdated. */
-    getSnapshot(): TargetSnapshot {
+    getSnapshot(now: number): TargetSnapshot {
         return {
             era: this.#era,
             revision: this.#revision,
             changeRevision: this.#changeRevision,
-            targets: [...this.#targets.values()],
+            targets: this.listTargets(),
+            missing: [...this.#missingUntil].map(([id, until]) => ({
+                id,
+                remainingMilliseconds: Math.max(0, Math.round(until - now)),
+            })),
         };
     }
 
@@ -314,6 +350,15 @@
         return target.isLeaving && !known.isLeaving ? [{ kind: "leaving", target }] : [];
     }
 
+    /** Keeps a target that is no longer listed until a time, unless it is missing already. */
+    #markMissing(id: string, until: number): TargetChange[] {
+        if (this.#missingUntil.has(id)) {
+            return [];
+        }
+        this.#missingUntil.set(id, until);
+        return this.#listTarget(id).map(target => ({ kind: "missing", target }));
+    }
+
     /** Returns a list with the target, or an empty list if it is not known. */
     #listTarget(id: string): ServingTarget[] {
         const target = this.#targets.get(id);
@@ -321,15 +366,18 @@
     }
 
     /**
-     * Checks whether a listed target is known to have departed: it announced this itself, or the entry comes from the
-     * copy of a restored store and this became known before.
+     * Checks whether a listed target is known to have departed: it announced this itself, the entry is older than its
+     * removal, or the entry comes from the copy of a restored store and this became known before.
      */
     #hasDeparted(target: ServingTarget): boolean {
         const departure = this.#departures.get(target.id);
         if (departure === undefined || departure.startedAt !== target.startedAt) {
             return false;
         }
-        return departure.isAnnouncedByTarget || departure.era < this.#era && this.#isFromCopy(target);
+        const { era, isAnnouncedByTarget, removedRevision } = departure;
+        return isAnnouncedByTarget || era < this.#era && this.#isFromCopy(target)
+            || era === this.#era && removedRevision !== undefined && target.revision !== undefined
+                && target.revision <= removedRevision;
     }
 
     /** Checks whether a target's object has not been written since the store was restored from a copy. */
@@ -339,7 +387,11 @@
 
     #recordDeparture(
         { id, startedAt }: ServingTarget,
-        { now, isAnnouncedByTarget }: { now: number; isAnnouncedByTarget: boolean; },
+        { now, isAnnouncedByTarget, removedRevision }: {
+            now: number;
+            isAnnouncedByTarget: boolean;
+            removedRevision?: number;
+        },
     ): void {
         for (const [other, { recordedAt }] of this.#departures) {
             if (now - recordedAt > DEPARTURE_RETENTION_MILLISECONDS && !this.#targets.has(other)) {
@@ -353,12 +405,14 @@
             era: isSameStart ? known.era : this.#era,
             isAnnouncedByTarget: isAnnouncedByTarget || isSameStart && known.isAnnouncedByTarget,
             recordedAt: now,
+            removedRevision,
         });
     }
 
     #removeTarget(id: string, now: number): TargetChange[] {
         const known = this.#listTarget(id);
-        known.forEach(target => this.#recordDeparture(target, { now, isAnnouncedByTarget: false }));
+        const removal = { now, isAnnouncedByTarget: false, removedRevision: this.#revision };
+        known.forEach(target => this.#recordDeparture(target, removal));
         this.#targets.delete(id);
         this.#missingUntil.delete(id);
         return known.map(target => ({ kind: "removed", target }));
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -85,6 +85,33 @@
         When an event removes one target 870 ms after the store's recovery
         Then only the other target is available
 
+    # Guards against an instance that was paused and hands a target that the others have removed back to them.
+    Scenario Outline: a removed target does not come back with the list of an instance that was paused for <pause> ms
+        Given an instance is paused for <pause> ms, and a target is removed <removal> ms after the start of the pause
+        When it takes the pause for an outage, lists the store, and hands its list to the others
+        Then no instance that has removed the target uses it again
+        And one that was paused too drops it when the first one does, also if they exchange their lists again
+
+        Examples:
+            | pause  | removal |
+            | 600    | -1500   |
+            | 600    | 10      |
+            | 600    | 599     |
+            | 4000   | 1000    |
+            | 4000   | 3999    |
+            | 120000 | 1000    |
+
+    # Guards against instances that do not watch the store and keep a target that has gone during an outage.
+    Scenario: targets that are missing after an outage stay in use everywhere for two seconds, and come back if they are listed
+        When one instance lists the store after an outage without half of the targets, and hands its list to others
+        Then all instances use all targets until 2000 ms after the recovery, also one that has just started
+        And targets that are listed again by then are used everywhere afterwards, and the others nowhere
+
+    # Guards against a list of a build that does not tell which of its targets are missing.
+    Scenario: an entry that is older than the removal of its target does not bring it back
+        When an instance has removed a target and gets a list that has its old entry, without its missing targets
+        Then it does not use the target until a newer entry is listed
+
     Scenario: targets that are removed together without notice stay in use for less than two seconds
         When one event removes half of 8 targets without notice
         Then all targets are available for 1000 ms, and the removed ones for less than 2000 ms
--- a/features/steps/platform_odd_entry_steps.ts
+++ b/features/steps/platform_odd_entry_steps.ts
@@ -617,9 +617,9 @@
         assert.ok(watcher !== undefined);
         const { state, events } = watcher;
         const count = getSite().targets.length;
-        await waitUntil(() => state.directory.getSnapshot().targets.length === count, {
+        await waitUntil(() => state.directory.listTargets().length === count, {
             milliseconds,
-            message: () => `${state.directory.getSnapshot().targets.length} of ${count} targets are known`,
+            message: () => `${state.directory.listTargets().length} of ${count} targets are known`,
         });
         assert.ok(events.includes("store update failed"), events.join());
     },
--- a/serving/partition_monitor.ts
+++ b/serving/partition_monitor.ts
@@ -76,7 +76,7 @@
 
     async #runCheck(failedTargetId: string | undefined): Promise<boolean> {
         const { state, clock, log, onChange, random } = this.#options;
-        const targets = state.directory.getSnapshot().targets.filter(({ id }) => id !== failedTargetId);
+        const targets = state.directory.listTargets().filter(({ id }) => id !== failedTargetId);
         const picked = targets.map(target => ({ target, order: random() }))
             .sort((first, second) => first.order - second.order)
             .slice(0, CHECKED_TARGETS);
--- a/serving/peer_exchange.ts
+++ b/serving/peer_exchange.ts
@@ -557,7 +557,7 @@
                 : {},
             ...state.directory.isLoaded
                     && comparePositions(getTargetsPosition(ownVersions), getTargetsPosition(versions)) > 0
-                ? { targets: state.directory.getSnapshot() }
+                ? { targets: state.directory.getSnapshot(this.#options.clock.getMonotonic()) }
                 : {},
             ...state.zones !== undefined
                     && comparePositions(getZonesPosition(ownVersions), getZonesPosition(versions)) > 0
--- a/serving/peer_messages.ts
+++ b/serving/peer_messages.ts
@@ -237,6 +237,7 @@
     revision: VersionSchema,
     changeRevision: v.optional(VersionSchema),
     targets: v.pipe(TargetsSchema, v.filterItems(isUsableTarget)),
+    missing: v.optional(v.array(v.object({ id: v.string(), remainingMilliseconds: CountSchema }))),
 });
 const TargetEventsSchema = v.pipe(
     v.object({
--- a/serving/request_explanation.ts
+++ b/serving/request_explanation.ts
@@ -277,7 +277,7 @@
 }
 
 function listUnavailableTargets({ state }: ServingContext, service: ServiceDefinition): TargetExplanation[] {
-    return state.directory.getSnapshot().targets.flatMap(target => {
+    return state.directory.listTargets().flatMap(target => {
         const exclusion = target.service === service.name ? state.directory.findUnavailability(target) : undefined;
         return exclusion === undefined ? [] : [{ ...describeTarget(target), exclusion }];
     });
--- a/serving/serving_process.ts
+++ b/serving/serving_process.ts
@@ -355,7 +355,7 @@
             readiness: this.#getUnreadyReason(),
             configuration: this.#state.table?.configuration.version,
             zones: this.#state.zones,
-            targets: this.#state.directory.getSnapshot(),
+            targets: this.#state.directory.getSnapshot(this.#clock.getMonotonic()),
             rateLimits: this.#state.rateLimits.listLimits(),
             refusalLimits: this.#state.refusalLimits.listLimits(),
             baselines: this.#state.softwareVersions.listBaselines(),
--- a/serving/serving_state.ts
+++ b/serving/serving_state.ts
@@ -700,7 +700,7 @@
             available,
             cold: new Set(available.filter(({ id }) => this.coldRateShare.isCold(id, now)).map(({ id }) => id)),
             countOldRunning: softwareVersion =>
-                this.directory.getSnapshot().targets
+                this.directory.listTargets()
                     .filter(target => target.service === service && getSoftwareVersion(target) !== softwareVersion)
                     .reduce((sum, { id }) => sum + this.loadTracker.computeTotalLoad(id, now).requests, 0),
         };
