Forget the requests before the window of the retry budget as they pass

Cause: the share of the retry budget kept the time of each request and removed the expired ones only at a retry, each by moving the rest of the array. The array also grew by 8 bytes a request until then.

Change: TimeWindow forgets times when others are added and copies its list only when half of it is forgotten. Releases are counted with it too.

Why it works: a count looks at the times that have expired since the last one, and at each of them once.

--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -50,6 +50,7 @@
 export * from "./target_reachability.ts";
 export * from "./target_refusal_limits.ts";
 export * from "./target_selection.ts";
+export * from "./time_window.ts";
 export * from "./unsettled_ends.ts";
 export * from "./waiting_line.ts";
 export * from "./watcher_election.ts";
--- a/core/serving/shared_limits.ts
+++ b/core/serving/shared_limits.ts
@@ -9,6 +9,7 @@
  */
 import { computeTimeSinceTurn, type SharePosition } from "./instance_turns.ts";
 import type { RecentSends } from "./recent_sends.ts";
+import { TimeWindow } from "./time_window.ts";
 
 /** Options of a {@linkcode RetryBudgetShare}. */
 export interface RetryBudgetShareOptions {
@@ -30,39 +31,31 @@
 /** One instance's share of the retry budget of a service, over a sliding window. */
 export class RetryBudgetShare {
     readonly #options: RetryBudgetShareOptions;
-    readonly #requestTimes: number[] = [];
-    readonly #retryTimes: number[] = [];
+    readonly #requests: TimeWindow;
+    readonly #retries: TimeWindow;
 
     constructor(options: RetryBudgetShareOptions) {
         this.#options = options;
+        this.#requests = new TimeWindow(options.windowMilliseconds);
+        this.#retries = new TimeWindow(options.windowMilliseconds);
     }
 
     /** Counts a request. */
     recordRequest(now: number): void {
-        this.#requestTimes.push(now);
+        this.#requests.addEvent(now);
     }
 
     /** Takes one retry from the budget; returns false if this instance's share is used up. */
     takeRetry(now: number, instances: number): boolean {
-        this.#removeExpired(now);
-        const slackShare = this.#options.slack * SLACK_MARGIN / Math.max(1, instances);
-        if (
-            this.#retryTimes.length + 1
-                > this.#options.ratio * RATIO_MARGIN * this.#requestTimes.length + slackShare
-        ) {
+        const { ratio, slack } = this.#options;
+        const slackShare = slack * SLACK_MARGIN / Math.max(1, instances);
+        const allowed = ratio * RATIO_MARGIN * this.#requests.countEvents(now) + slackShare;
+        if (this.#retries.countEvents(now) + 1 > allowed) {
             return false;
         }
-        this.#retryTimes.push(now);
+        this.#retries.addEvent(now);
         return true;
     }
-
-    #removeExpired(now: number): void {
-        for (const times of [this.#requestTimes, this.#retryTimes]) {
-            while (times[0] !== undefined && now - times[0] > this.#options.windowMilliseconds) {
-                times.shift();
-            }
-        }
-    }
 }
 
 /** Options of a {@linkcode ColdRateShare}. */
--- a/features/platform/decisions.feature
+++ b/features/platform/decisions.feature
@@ -66,6 +66,12 @@
         When all requests of 8 instances fail for 30 seconds
         Then no window of 10 seconds has more retries than the budget
 
+    # Guards against a first retry that stops the instance for seconds after hours in which no request has failed.
+    Scenario: the time and the memory of a retry do not grow with the requests before it
+        When a service has served 400000 requests in 15 hours without a retry
+        Then its next retry is decided within 20 ms
+        And a million further requests take at most 16 MB
+
     Scenario Outline: requests of <instances> instances to a cold target stay within the shared rate limit
         When <instances> instances send a burst of requests to 1 cold target
         Then the target gets no more requests in any second than the shared limit
--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -530,6 +530,36 @@
     assert.ok(retryTimes.length > 0);
 });
 
+let retryShare = new RetryBudgetShare(RETRY_BUDGET);
+let lastRequestAt = 0;
+
+function recordRequests(count: number, intervalMilliseconds: number): void {
+    for (let index = 0; index < count; index += 1) {
+        lastRequestAt += intervalMilliseconds;
+        retryShare.recordRequest(lastRequestAt);
+    }
+}
+
+When("a service has served {int} requests in {int} hours without a retry", function(count: number, hours: number) {
+    retryShare = new RetryBudgetShare(RETRY_BUDGET);
+    lastRequestAt = 0;
+    recordRequests(count, hours * 3_600_000 / count);
+});
+
+Then("its next retry is decided within {int} ms", function(milliseconds: number) {
+    const startedAt = performance.now();
+    assert.ok(retryShare.takeRetry(lastRequestAt, 1));
+    const elapsed = performance.now() - startedAt;
+    assert.ok(elapsed <= milliseconds, `it took ${Math.round(elapsed)} ms`);
+});
+
+Then("a million further requests take at most {int} MB", function(megabytes: number) {
+    const usedBefore = process.memoryUsage().heapUsed;
+    recordRequests(1_000_000, 100);
+    const used = (process.memoryUsage().heapUsed - usedBefore) / 2 ** 20;
+    assert.ok(used <= megabytes, `they take ${Math.round(used)} MB`);
+});
+
 let coldSendTimes: number[] = [];
 
 When("{int} instances send a burst of requests to 1 cold target", function(instances: number) {
--- a/serving/request_scheduler.ts
+++ b/serving/request_scheduler.ts
@@ -27,6 +27,7 @@
     type ServingTarget,
     type TargetCandidate,
     type TargetSelection,
+    TimeWindow,
     WaitingLine,
 } from "../core/serving/mod.ts";
 import type { DecisionLog } from "../telemetry/mod.ts";
@@ -167,7 +168,7 @@
 export class RequestScheduler {
     readonly #options: RequestSchedulerOptions;
     readonly #queues = new Map<string, Queue>();
-    readonly #releaseTimes = new Map<string, number[]>();
+    readonly #releases = new Map<string, TimeWindow>();
     #timer: NodeJS.Timeout | undefined;
     #timerDueAt = Infinity;
     #wokenByDigestAt = Number.NEGATIVE_INFINITY;
@@ -745,19 +746,13 @@
     }
 
     #recordRelease(service: string): void {
-        const times = this.#releaseTimes.get(service) ?? [];
-        times.push(this.#options.clock.getMonotonic());
-        this.#releaseTimes.set(service, times);
-        this.#countReleases(service);
+        const releases = this.#releases.get(service) ?? new TimeWindow(RELEASE_WINDOW_MILLISECONDS);
+        this.#releases.set(service, releases);
+        releases.addEvent(this.#options.clock.getMonotonic());
     }
 
     #countReleases(service: string): number {
-        const times = this.#releaseTimes.get(service) ?? [];
-        const now = this.#options.clock.getMonotonic();
-        while (times[0] !== undefined && now - times[0] > RELEASE_WINDOW_MILLISECONDS) {
-            times.shift();
-        }
-        return times.length;
+        return this.#releases.get(service)?.countEvents(this.#options.clock.getMonotonic()) ?? 0;
     }
 }
 
