Wait at a stop until callers have taken their answers

Cause: a request counted as active until its handler had written the answer, and the process ended when none was active. What waited in the process for the caller was lost.

Change: a request is active until the system has taken its answer as a whole, or its caller has left.

Why it works: after that the system sends the rest, also without the process.

The long body of the stand-in has 8.2 MB instead of 7.5, more than all buffers hold.

--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -23,6 +23,14 @@
             | SIGTERM |
             | SIGINT  |
 
+    # Guards against a process that ends while its callers are still reading their answers.
+    Scenario: an answer that its caller reads slowly arrives whole although the process stops
+        Given a running serving process that has 8 s to stop
+        When a caller reads a long answer at 800 KB a second
+        And the serving process receives SIGTERM
+        Then the caller has received the whole answer
+        And the serving process exits with code 0 within 8000 ms
+
     Scenario: a request on a keep-alive connection during shutdown is served, and the connection is closed
         Given a running serving process
         When the serving process receives SIGTERM
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -6,13 +6,15 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { execFile } from "node:child_process";
+import { once } from "node:events";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { type IncomingMessage, request as startRequest } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { promisify } from "node:util";
 import { VirtualClock } from "../../core/clock/mod.ts";
 import { parseAddress, waitMilliseconds } from "../../network/mod.ts";
-import { formatSettingsText, ServingSite, SITE_API_KEY } from "../../support/platform/mod.ts";
+import { formatSettingsText, LONG_RESPONSE_BODY, ServingSite, SITE_API_KEY } from "../../support/platform/mod.ts";
 import {
     callHttp,
     findAddresses,
@@ -83,18 +85,22 @@
 
 Given("a running serving process", () => startServingProcess(PROGRAM_PATH));
 
+Given("a running serving process that has {int} s to stop", async function(seconds: number) {
+    await startServingProcess(PROGRAM_PATH, { "bounds.grace_s": String(seconds) });
+});
+
 // A bundle that runs its modules in another order than their imports ends at its start.
 Given("a running serving process from the bundle", async function() {
     await promisify(execFile)("npm", ["run", "--silent", "bundle"]);
     await startServingProcess(BUNDLE_PATH);
 });
 
-async function startServingProcess(program: string): Promise<void> {
+async function startServingProcess(program: string, settings: Record<string, string> = {}): Promise<void> {
     const site = new ServingSite();
     await site.openStore();
     await site.addTarget("ledger");
     await site.addTarget("engines", { eventMilliseconds: 80 });
-    const file = await createSettingsFile({}, site.storeAddress);
+    const file = await createSettingsFile(settings, site.storeAddress);
     const child = startChild(program, { arguments: ["--settings", file.path] });
     servingProcess = { site, child, ...file };
     await waitUntil(async () => await isReady(), { label: "the serving process is ready" });
@@ -152,6 +158,45 @@
     await waitMilliseconds(200);
 });
 
+/** Time between two reads of a caller that limits its rate, in milliseconds. */
+const READ_INTERVAL_MILLISECONDS = 20;
+let slowAnswer: Promise<{ bytes: number; isComplete: boolean; }> | undefined;
+
+async function readSlowly(incoming: IncomingMessage, bytesPerSecond: number): Promise<number> {
+    const startedAt = performance.now();
+    let bytes = 0;
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        bytes += chunk.length;
+        while (bytes > (performance.now() - startedAt) / 1000 * bytesPerSecond) {
+            await waitMilliseconds(READ_INTERVAL_MILLISECONDS);
+        }
+    }
+    return bytes;
+}
+
+When("a caller reads a long answer at {int} KB a second", async function(kilobytes: number) {
+    const { site, caller } = getServingProcess();
+    for (const { standIn } of site.targets) {
+        Object.assign(standIn.faults, { answer: "a long unframed answer", faultyAnswers: Infinity });
+    }
+    const request = startRequest({
+        ...parseAddress(caller),
+        method: "POST",
+        path: "/stamp/1",
+        headers: { ...buildCallerHeaders("stamp"), "attempt-id": "00000000000000aa" },
+    });
+    request.end();
+    const [incoming] = await once(request, "response") as [IncomingMessage];
+    slowAnswer = readSlowly(incoming, kilobytes * 1024).then(
+        bytes => ({ bytes, isComplete: incoming.complete }),
+        () => ({ bytes: 0, isComplete: false }),
+    );
+});
+
+Then("the caller has received the whole answer", async function() {
+    assert.deepEqual(await slowAnswer, { bytes: LONG_RESPONSE_BODY.length, isComplete: true });
+});
+
 When(
     "a caller sends a {string} of at most {int} tokens to the serving process",
     async function(kind: "stamp" | "narrative", tokens: number) {
--- a/serving/caller_exchange.ts
+++ b/serving/caller_exchange.ts
@@ -404,6 +404,15 @@
     return true;
 }
 
+/** Waits until the system has taken a whole response for its caller, or the caller has disconnected. */
+export async function waitUntilTaken(response: ServerResponse): Promise<void> {
+    if (!response.writableFinished && !response.destroyed) {
+        await new Promise<void>(resolve => {
+            response.once("close", resolve);
+        });
+    }
+}
+
 /** Resets the caller's connection, so that a partial response cannot look complete, however it is framed. */
 export function abortResponse(response: ServerResponse): void {
     if (response.socket?.destroyed === false) {
--- a/serving/caller_server.ts
+++ b/serving/caller_server.ts
@@ -32,6 +32,7 @@
     estimateRequestLoad,
     sendError,
     type ServingContext,
+    waitUntilTaken,
 } from "./caller_exchange.ts";
 import { sendThroughPeer } from "./peer_relay.ts";
 import { buildRequestPrefix } from "./prompt_prefix.ts";
@@ -106,7 +107,7 @@
         return this.#activeStreams;
     }
 
-    /** Number of requests being served. */
+    /** Number of requests whose answers the callers have not taken as a whole. */
     get activeRequests(): number {
         return this.#stopAborts.size;
     }
@@ -212,6 +213,8 @@
             abortResponse(response);
         }
         finally {
+            // The caller may take its answer long after it was written, and loses the rest if the process ends before.
+            await waitUntilTaken(response);
             this.#stopAborts.delete(stopAbort);
         }
     }
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -91,8 +91,8 @@
 const RESPONSE_BODY = "the whole answer";
 /** Body that is longer than the head of its response. */
 const REPEATED_BODY = "the whole answer ".repeat(50);
-/** Body of a response that the connections take in several parts. */
-const LONG_RESPONSE_BODY = "x".repeat(7_500_000);
+/** Body of a response that the connections take in several parts, and of which their buffers hold a part only. */
+export const LONG_RESPONSE_BODY = "x".repeat(8_200_000);
 /** First event of each stream. */
 const FIRST_EVENT = formatEvent(1);
 
