Accept the listener of a target as proof only right after its answer ended

Cause: a connection that is accepted at the address of a plain service's target proved that the target runs, whenever its answer had ended. Addresses are used again two seconds after the end of a target.

Change: each response knows the time since which its connection may have ended: the last check at which all that had arrived was read. It grows during pauses, by either clock, and while a slow caller holds up the reading. Over a second, a listener shows nothing about the target.

Why it works: within a second of the end nothing else can be listening there; later the end itself is in doubt, and the answer isn't passed on as whole.

--- a/features/platform/lifecycle.feature
+++ b/features/platform/lifecycle.feature
@@ -28,9 +28,22 @@
         Given a running serving process that has 8 s to stop
         When a caller reads a long answer at 800 KB a second
         And the serving process receives SIGTERM
-        Then the caller has received the whole answer
+        Then the caller has received the whole long answer
         And the serving process exits with code 0 within 8000 ms
 
+    # Guards against an answer that is taken for whole since something listens at the address of a target that has ended
+    # while this process was paused.
+    Scenario Outline: an answer without a length that ends while the process is paused for <pause> ms is <end>
+        Given a running serving process
+        When a "stamp" is answered without a length, and its connection ends after 500 ms
+        And the serving process is paused for <pause> ms meanwhile
+        Then the caller has received <result>
+
+        Examples:
+            | pause | end           | result           |
+            | 0     | whole         | the whole answer |
+            | 2600  | not confirmed | no success       |
+
     Scenario: a request on a keep-alive connection during shutdown is served, and the connection is closed
         Given a running serving process
         When the serving process receives SIGTERM
--- a/features/steps/platform_lifecycle_steps.ts
+++ b/features/steps/platform_lifecycle_steps.ts
@@ -174,11 +174,38 @@
     return bytes;
 }
 
-When("a caller reads a long answer at {int} KB a second", async function(kilobytes: number) {
-    const { site, caller } = getServingProcess();
-    for (const { standIn } of site.targets) {
-        Object.assign(standIn.faults, { answer: "a long unframed answer", faultyAnswers: Infinity });
+/** Has all targets answer in a way, by the name that `TargetStandIn` uses. */
+function setAnswer(answer: string): void {
+    for (const { standIn } of getServingProcess().site.targets) {
+        Object.assign(standIn.faults, { answer, faultyAnswers: Infinity });
+    }
+}
+
+let answer: Promise<HttpResult | undefined> | undefined;
+
+When("a {string} is answered without a length, and its connection ends after 500 ms", async function(kind: "stamp") {
+    setAnswer("an unframed answer that ends later");
+    answer = callServingProcess(kind).catch(() => undefined);
+    await waitMilliseconds(200);
+});
+
+When("the serving process is paused for {int} ms meanwhile", async function(milliseconds: number) {
+    if (milliseconds > 0) {
+        getServingProcess().child.sendSignal("SIGSTOP");
+        await waitMilliseconds(milliseconds);
+        getServingProcess().child.sendSignal("SIGCONT");
     }
+});
+
+Then(/^the caller has received (the whole answer|no success)$/, async function(result: string) {
+    const received = await answer;
+    const isWhole = received?.status === 200 && received.isComplete;
+    assert.equal(isWhole, result === "the whole answer", `status ${received?.status}`);
+});
+
+When("a caller reads a long answer at {int} KB a second", async function(kilobytes: number) {
+    const { caller } = getServingProcess();
+    setAnswer("a long unframed answer");
     const request = startRequest({
         ...parseAddress(caller),
         method: "POST",
@@ -193,7 +220,7 @@
     );
 });
 
-Then("the caller has received the whole answer", async function() {
+Then("the caller has received the whole long answer", async function() {
     assert.deepEqual(await slowAnswer, { bytes: LONG_RESPONSE_BODY.length, isComplete: true });
 });
 
--- a/features/steps/platform_response_end_steps.ts
+++ b/features/steps/platform_response_end_steps.ts
@@ -60,9 +60,10 @@
     });
     const target = { id: "engine-1", startedAt: 1 } as ServingTarget;
     const service = { engine: {} } as Parameters<TargetProbe["findPresence"]>[1]["service"];
-    const first = probe.findPresence(target, { service, isPatient: true });
+    const options = { service, isPatient: true, endAge: 0 };
+    const first = probe.findPresence(target, options);
     presence = TargetPresence.gone;
-    presences = await Promise.all([first, probe.findPresence(target, { service, isPatient: true })]);
+    presences = await Promise.all([first, probe.findPresence(target, options)]);
 });
 
 Then(
--- a/serving/response_end_check.ts
+++ b/serving/response_end_check.ts
@@ -22,6 +22,8 @@
     target: ServingTarget;
     /** How the response ended. */
     end: ResponseEnd;
+    /** Time since which its connection may have ended, in milliseconds. */
+    endAge: number;
     /** Error that ended the response; `undefined` if there was none. */
     reason?: string | undefined;
 }
@@ -40,12 +42,12 @@
 export async function checkResponseEnd(
     context: ServingContext,
     exchange: Pick<CallerExchange, "request" | "route" | "service" | "signal">,
-    { target, end, reason }: EndedResponse,
+    { target, end, endAge, reason }: EndedResponse,
 ): Promise<ResponseOutcome> {
     let presence: TargetPresence | undefined;
     let outcome = decideResponseOutcome(end);
     if (outcome === ResponseOutcome.unknown) {
-        presence = await findPresence(context, exchange, target);
+        presence = await findPresence(context, exchange, { target, endAge });
         outcome = decideResponseOutcome(end, presence);
     }
     const isShown = end.isFramed && end.events > 0 && outcome === ResponseOutcome.complete;
@@ -56,6 +58,7 @@
             target: target.id,
             outcome,
             presence,
+            endAge: Math.round(endAge),
             ...end,
             reason,
         });
@@ -76,6 +79,7 @@
             isFramed: targetResponse.head.hasOwnEnd,
             isClosedInOrder: targetResponse.isComplete() && !isMixed,
         }),
+        endAge: targetResponse.computeEndAge(),
         reason: isMixed ? "the body holds the head of another response" : undefined,
     });
 }
@@ -84,7 +88,7 @@
 async function findPresence(
     { targetProbe }: ServingContext,
     { route, service, signal }: Pick<CallerExchange, "route" | "service" | "signal">,
-    target: ServingTarget,
+    { target, endAge }: Pick<EndedResponse, "target" | "endAge">,
 ): Promise<TargetPresence> {
     if (signal.aborted) {
         return TargetPresence.unknown;
@@ -93,6 +97,6 @@
     const aborted = new Promise<TargetPresence>(resolve => {
         signal.addEventListener("abort", () => resolve(TargetPresence.unknown), { signal: finished.signal });
     });
-    const presence = targetProbe.findPresence(target, { service, isPatient: !isRepeatable(route) });
+    const presence = targetProbe.findPresence(target, { service, isPatient: !isRepeatable(route), endAge });
     return Promise.race([presence, aborted]).finally(() => finished.abort());
 }
--- a/serving/stream_call.ts
+++ b/serving/stream_call.ts
@@ -501,6 +501,7 @@
         };
         this.#eventWindow.restart();
         let failure: string | undefined;
+        let endAge = 0;
         try {
             for await (const chunk of targetResponse.response as AsyncIterable<Buffer>) {
                 // Bytes count as a part of the body once they have completed an event that the caller gets.
@@ -516,6 +517,7 @@
             failure = error instanceof Error ? error.message : String(error);
         }
         finally {
+            endAge = targetResponse.computeEndAge();
             this.#hasResponseEnded = true;
             targetResponse.close();
         }
@@ -536,6 +538,7 @@
                 hasAllTokens: this.#hasAllTokens(),
                 mayBeStopped: this.#mayBeStopped,
             },
+            endAge,
             reason: failure,
         });
         const isTooLate = shown === ResponseOutcome.complete && this.#exchange.signal.aborted;
--- a/serving/target_connections.ts
+++ b/serving/target_connections.ts
@@ -86,6 +86,11 @@
     isComplete: () => boolean;
     /** Gets the bytes that have arrived together with the end of the body and do not belong to it. */
     getTrailingBytes: () => Buffer;
+    /**
+     * Computes how long ago the connection may have ended, in milliseconds: the time since it was last known to be open.
+     * It is long if this process was paused, or has not read on since the caller was slow.
+     */
+    computeEndAge: () => number;
     /** Records that `bytes` of the body have been read, which shows that the response makes progress. */
     recordBody: (bytes: number) => void;
     /** Closes the connection, so that the target stops processing the request. */
@@ -113,8 +118,48 @@
     targetId: string;
     /** Time at which the request was sent, on the monotonic clock in milliseconds. */
     sentAt: number;
-    /** True once the head of the response has arrived. */
-    isAnswered: boolean;
+    /** Response whose head has arrived; `undefined` before. */
+    response: IncomingMessage | undefined;
+    /** Time at which the connection was last known to be open. */
+    openAt: ClockTime;
+    /** True while bytes, or the end of the connection, may have arrived that have not been read. */
+    isReadLate: boolean;
+    /** Bytes that had been read at the last check. */
+    checkedBytes: number;
+}
+
+/** A time on both clocks, in milliseconds: the monotonic one may stand still while the machine is suspended. */
+interface ClockTime {
+    monotonic: number;
+    wall: number;
+}
+
+function readClocks(): ClockTime {
+    return { monotonic: performance.now(), wall: Date.now() };
+}
+
+/** Computes the time since then, in milliseconds, by the clock by which it is longer. */
+function computeAge({ monotonic, wall }: ClockTime): number {
+    return Math.max(performance.now() - monotonic, Date.now() - wall);
+}
+
+/** Records until when the connection of a response is known to be open; `checkedAt` is the time of the last check. */
+function updateOpenTime(pending: PendingResponse, checkedAt: ClockTime): void {
+    const { response, checkedBytes } = pending;
+    if (response === undefined || response.complete) {
+        return;
+    }
+    pending.checkedBytes = response.socket.bytesRead;
+    if (computeAge(checkedAt) > MAX_CHECK_GAP_MILLISECONDS || response.readableLength > 0) {
+        pending.isReadLate = true;
+    }
+    else if (pending.checkedBytes === checkedBytes) {
+        pending.isReadLate = false;
+    }
+    // Whatever had arrived by the last check has been read since.
+    if (!pending.isReadLate) {
+        pending.openAt = checkedAt;
+    }
 }
 
 /**
@@ -213,8 +258,10 @@
 
 /** Maximum size of a response that is buffered, in bytes; most have a few kilobytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
-/** Interval at which the overhead of pending responses is checked, in milliseconds. */
-const OVERHEAD_CHECK_INTERVAL_MILLISECONDS = 25;
+/** Interval at which pending responses are checked, in milliseconds. */
+const CHECK_INTERVAL_MILLISECONDS = 25;
+/** Time between two checks after which this process counts as having been paused, in milliseconds. */
+const MAX_CHECK_GAP_MILLISECONDS = 250;
 /** Maximum size of the head of a response and of unread data, in bytes. */
 const MAX_OVERHEAD_BYTES = 1024 * 1024;
 /** Maximum size of a chunked response, as a multiple of its body: a chunk of one byte takes six bytes. */
@@ -247,7 +294,9 @@
     readonly #agents = new Map<string, TargetAgent>();
     readonly #responseBudget: ByteBudget;
     readonly #pending = new Set<PendingResponse>();
-    #overheadTimer: NodeJS.Timeout | undefined;
+    #checkTimer: NodeJS.Timeout | undefined;
+    /** Time of the last check of the pending responses. */
+    #checkedAt = readClocks();
     readonly #openConnection: OpenConnection;
     /** Called when data of a response have arrived. */
     onData: () => void = () => undefined;
@@ -264,7 +313,7 @@
 
     /** Lists the requests that targets have not begun to answer. */
     listWaiting(): WaitingRequest[] {
-        return [...this.#pending].filter(({ isAnswered }) => !isAnswered);
+        return [...this.#pending].filter(({ response }) => response === undefined);
     }
 
     /** Closes the idle connections to a target that was removed or is leaving. */
@@ -278,7 +327,7 @@
 
     /** Closes all connections. */
     close(): void {
-        clearTimeout(this.#overheadTimer);
+        clearTimeout(this.#checkTimer);
         for (const agent of this.#agents.values()) {
             agent.destroy();
         }
@@ -340,13 +389,16 @@
                 bodyBytes: 0,
                 targetId: call.targetId,
                 sentAt: performance.now(),
-                isAnswered: false,
+                response: undefined,
+                openAt: readClocks(),
+                isReadLate: false,
+                checkedBytes: 0,
             };
             request.on("close", () => this.#pending.delete(pending));
             request.on("socket", socket => {
                 pending.initialBytes = socket.bytesRead;
                 this.#pending.add(pending);
-                this.#startOverheadTimer();
+                this.#startCheckTimer();
                 const markSent = (): void => {
                     progress = "sent";
                 };
@@ -370,7 +422,9 @@
             request.on("response", response => {
                 const head = decodeResponseHead(response, call.method);
                 progress = "answering";
-                pending.isAnswered = true;
+                pending.response = response;
+                // The end may have arrived together with the head, since the last check at the earliest.
+                pending.openAt = this.#checkedAt;
                 this.onData();
                 const doubt = findResponseDoubt({
                     status: head.status,
@@ -395,6 +449,7 @@
                     response,
                     // Node.js reports a response without a length as complete even if its connection was reset.
                     isComplete: () => response.complete && !hasFailed(socket),
+                    computeEndAge: () => computeAge(pending.openAt),
                     getTrailingBytes: () => trailing ?? Buffer.alloc(0),
                     recordBody: bytes => {
                         this.onData();
@@ -407,20 +462,26 @@
         });
     }
 
-    /** Starts the timer that aborts responses with too much overhead, unless it is running. */
-    #startOverheadTimer(): void {
-        this.#overheadTimer ??= setTimeout(() => {
-            this.#overheadTimer = undefined;
-            for (const { request, initialBytes, bodyBytes } of this.#pending) {
+    /** Starts the timer that checks the pending responses, and aborts those with too much overhead, unless it is running. */
+    #startCheckTimer(): void {
+        if (this.#checkTimer !== undefined) {
+            return;
+        }
+        this.#checkedAt = readClocks();
+        this.#checkTimer = setTimeout(() => {
+            this.#checkTimer = undefined;
+            for (const pending of this.#pending) {
+                const { request, initialBytes, bodyBytes } = pending;
+                updateOpenTime(pending, this.#checkedAt);
                 const receivedBytes = (request.socket?.bytesRead ?? 0) - initialBytes;
                 if (receivedBytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_FACTOR * bodyBytes) {
                     request.destroy(new Error(`${receivedBytes} bytes arrived with a body of ${bodyBytes}`));
                 }
             }
             if (this.#pending.size > 0) {
-                this.#startOverheadTimer();
+                this.#startCheckTimer();
             }
-        }, OVERHEAD_CHECK_INTERVAL_MILLISECONDS);
+        }, CHECK_INTERVAL_MILLISECONDS);
     }
 
     /** Records a refusal; an agent that remembers enough of them is replaced together with its connections. */
--- a/serving/target_probe.ts
+++ b/serving/target_probe.ts
@@ -23,6 +23,11 @@
 
 /** Time within which a target of a plain service accepts a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 100;
+/**
+ * Time after the end of a target within which nothing else is started at its address, in milliseconds, less the time of a
+ * check. Afterwards a connection that is accepted there shows nothing about the target.
+ */
+const MAX_END_AGE_MILLISECONDS = 1000;
 /** Check of a target whose requests may be retried at another one meanwhile. */
 const BRIEF_CHECK: PresenceCheck = { callMilliseconds: 200, withinMilliseconds: 0 };
 /** Check of a target whose response is lost to its caller unless the target responds. */
@@ -62,14 +67,28 @@
 
     /**
      * Finds out whether a target still runs. One that does not respond is asked repeatedly if `isPatient` is true. The call is
-     * sent after this one: an earlier one may have been answered before the response ended.
+     * sent after this one: an earlier one may have been answered before the response ended. `endAge` is the time since which
+     * its connection may have ended, in milliseconds.
      */
     async findPresence(
         target: ServingTarget,
-        { service, isPatient }: { service: Pick<ServiceDefinition, "engine">; isPatient: boolean; },
+        { service, isPatient, endAge }: {
+            service: Pick<ServiceDefinition, "engine">;
+            isPatient: boolean;
+            endAge: number;
+        },
     ): Promise<TargetPresence> {
         const check = isPatient ? PATIENT_CHECK : BRIEF_CHECK;
-        return this.#classifyPresence(target, await this.#queueCheck(target, { service, check }));
+        const isNamed = this.#hasReport(target, service);
+        const presence = this.#classifyPresence(target, await this.#queueCheck(target, { service, check }));
+        // Another target may listen at the address by now.
+        const isOther = presence === TargetPresence.running && !isNamed && endAge > MAX_END_AGE_MILLISECONDS;
+        return isOther ? TargetPresence.unknown : presence;
+    }
+
+    /** Checks whether a target is asked for its report, which shows its start, rather than for a connection alone. */
+    #hasReport(target: ServingTarget, service: Pick<ServiceDefinition, "engine">): boolean {
+        return service.engine !== undefined && !this.#options.engines.isPaused(target);
     }
 
     /** Finds out whether the target that has responded is a later start, as far as the list shows it. */
@@ -105,7 +124,7 @@
 
     async #checkPresence(target: ServingTarget, { service, check }: CheckOptions): Promise<TargetPresence> {
         const { engines, clock } = this.#options;
-        if (service.engine !== undefined && !engines.isPaused(target)) {
+        if (this.#hasReport(target, service)) {
             return engines.findPresence(target, check);
         }
         const connect = (): Promise<ListenerState> =>
--- a/support/platform/target_stand_in.ts
+++ b/support/platform/target_stand_in.ts
@@ -104,6 +104,8 @@
 
 /** Size of one write of an endless response, in bytes. */
 const ENDLESS_WRITE_BYTES = 16 * 1024;
+/** Time after which an answer without a length ends that has been sent as a whole, in milliseconds. */
+const LATE_END_MILLISECONDS = 500;
 /** Interval between the bytes of a response that trickles, in milliseconds. */
 const TRICKLE_MILLISECONDS = 50;
 
@@ -376,6 +378,10 @@
             formatSignedHead(readRequestId(request), "transfer-encoding: identity\r\nconnection: close")
                 + RESPONSE_BODY,
         ),
+    "an unframed answer that ends later": (_, request) => {
+        request.socket.write(formatUnframedHead(readRequestId(request)) + RESPONSE_BODY);
+        setTimeout(() => request.socket.end(), LATE_END_MILLISECONDS);
+    },
     "half an unframed answer": (target, request, response) =>
         target.sendUnframedResponse(request, response, { body: RESPONSE_BODY.slice(0, 4), resetAfter: 5 }),
     "half an unframed answer and a reset at once": (target, request, response) =>
