Ignore a removal that a newer list of targets includes

Cause: a watch that is behind a peer's list, as after a pause, applied every removal, since removals have no revision of their own; an addition after it in the same reply was left out first. The removal was also forwarded to peers.

Evidence: three of four new examples in store.feature fail on (the target is gone after "removed, up to revision 22" beside a list of revision 30).

Change: a reply that the list has reached is ignored as a whole; otherwise the last event of a target decides.

Why it works: a list of a revision includes all changes up to it, and what came back after a removal is the last event of the reply that has both.

Result: the four examples pass; the new removal is still applied.

--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -120,6 +120,19 @@
             | is silent        | 3     | 350    |
             | answers with 503 | 3     | 350    |
 
+    # Guards against a watcher that was paused and removes a target that has come back, here and at its peers.
+    Scenario Outline: a watch that is behind a peer's list does not remove a target that has come back: <reply>
+        Given a watcher that knows a target, and a peer's list at revision 30 that has it again since revision 25
+        When its watch returns "<reply>"
+        Then the watcher <result>
+
+        Examples:
+            | reply                                      | result             |
+            | removed, up to revision 22                 | uses the target    |
+            | removed, up to revision 30                 | uses the target    |
+            | removed and added, up to revision 35       | uses the target    |
+            | removed, up to revision 40                 | has no such target |
+
     Scenario: an instance that starts while the store is down gets its state from its peers
         Given a serving site
         When the store resets connections
--- a/features/steps/store_watcher_steps.ts
+++ b/features/steps/store_watcher_steps.ts
@@ -8,9 +8,15 @@
 import { VirtualClock } from "../../core/clock/mod.ts";
 import { createElectionRanking } from "../../core/serving/mod.ts";
 import { waitMilliseconds } from "../../network/mod.ts";
-import { StoreClient, StoreKind } from "../../platform/mod.ts";
-import { ServingState, StoreWatcher } from "../../serving/mod.ts";
-import { buildIdleMetrics, type SiteInstance, startServingSite } from "../../support/platform/mod.ts";
+import { decodeSettingsFile, StoreClient, type StoreEvents, StoreKind, type StoreObject } from "../../platform/mod.ts";
+import { ServingState, StoreWatcher, type StoreWatcherOptions } from "../../serving/mod.ts";
+import {
+    buildIdleMetrics,
+    buildTargetEntry,
+    formatSettingsText,
+    type SiteInstance,
+    startServingSite,
+} from "../../support/platform/mod.ts";
 import { DecisionLog, systemClock } from "../../telemetry/mod.ts";
 import { getSite, getTarget, siteContext } from "../support/site_context.ts";
 
@@ -61,6 +67,22 @@
     await waitForWatches(count, { withinMilliseconds });
 });
 
+function createStoreWatcher(
+    parts: Pick<StoreWatcherOptions, "store" | "state" | "clock" | "log">,
+    decideWatching: () => boolean,
+): StoreWatcher {
+    return new StoreWatcher({
+        ...parts,
+        metrics: buildIdleMetrics(),
+        random: () => 0.5,
+        decideWatching,
+        waitForPeerState: () => Promise.resolve(),
+        isFirstWatcher: () => false,
+        onWatchLost: () => undefined,
+        hasWatchingPeer: () => true,
+    });
+}
+
 Given("a watcher of the store whose watches are waiting", async function() {
     siteContext.site = await startServingSite();
     const [instance] = getSite().instances;
@@ -72,19 +94,8 @@
     const log = new DecisionLog({ name: "test", clock: systemClock, writeLine: () => true });
     const clock = new VirtualClock();
     const store = new StoreClient({ address: settings.storeAddress });
-    const storeWatcher = new StoreWatcher({
-        store,
-        state: new ServingState({ settings, clock, log }),
-        log,
-        metrics: buildIdleMetrics(),
-        clock,
-        random: () => 0.5,
-        decideWatching: () => watcher?.isElected === true,
-        waitForPeerState: () => Promise.resolve(),
-        isFirstWatcher: () => false,
-        onWatchLost: () => undefined,
-        hasWatchingPeer: () => true,
-    });
+    const state = new ServingState({ settings, clock, log });
+    const storeWatcher = createStoreWatcher({ store, state, clock, log }, () => watcher?.isElected === true);
     watcher = { storeWatcher, store, clock, isElected: true };
     storeWatcher.start();
     await waitForWatches(1, { withinMilliseconds: SETTLING_MILLISECONDS });
@@ -163,3 +174,67 @@
         }
     }
 });
+
+/** State of a watcher whose list of targets is ahead of its watch, and the function that ends its waiting watch. */
+let lateWatcher: { state: ServingState; answerWatch: (events: StoreEvents) => void; } | undefined;
+const TARGET_NAME = "ledger-1";
+
+function buildStoredTarget(revision: number): StoreObject {
+    const spec = buildTargetEntry({ service: "ledger", address: "127.0.0.1:1" });
+    return { name: TARGET_NAME, revision, spec };
+}
+
+/** Creates a client whose lists have one target, and whose watches wait until `answerWatch` is called. */
+function createScriptedStore(): { store: StoreClient; answerWatch: (events: StoreEvents) => void; } {
+    const waiting = new Map<string, (events: StoreEvents) => void>();
+    const store = {
+        era: 0,
+        listObjects: async (kind: string) => ({
+            kind: "ok",
+            value: { era: 0, revision: 10, objects: kind === StoreKind.targets ? [buildStoredTarget(5)] : [] },
+        }),
+        watchObjects: (kind: string) =>
+            new Promise(resolve => {
+                waiting.set(kind, value => resolve({ kind: "ok", value }));
+            }),
+    } as unknown as StoreClient;
+    return { store, answerWatch: events => waiting.get(StoreKind.targets)?.(events) };
+}
+
+Given(
+    "a watcher that knows a target, and a peer's list at revision 30 that has it again since revision 25",
+    async function() {
+        const settings = decodeSettingsFile(formatSettingsText({
+            caller: "127.0.0.1:1",
+            ready: "127.0.0.1:2",
+            peer: "127.0.0.1:3",
+            internalPort: 4,
+            store: "127.0.0.1:5",
+        }));
+        const log = new DecisionLog({ name: "test", clock: systemClock, writeLine: () => true });
+        const state = new ServingState({ settings, clock: systemClock, log });
+        const { store, answerWatch } = createScriptedStore();
+        const storeWatcher = createStoreWatcher({ store, state, clock: systemClock, log }, () => true);
+        storeWatcher.start();
+        await waitMilliseconds(20);
+        const known = state.directory.findTarget(TARGET_NAME);
+        assert.ok(known !== undefined);
+        const targets = [{ ...known, startedAt: known.startedAt + 1, revision: 25 }];
+        state.applySnapshot({ era: 0, revision: 30, changeRevision: 30, targets }, "peer other");
+        lateWatcher = { state, answerWatch };
+        storeWatcher.stop();
+    },
+);
+
+When(/^its watch returns "removed(| and added), up to revision (\d+)"$/, async function(part: string, to: string) {
+    const revision = Number(to);
+    const removal = { object: buildStoredTarget(5), isDeleted: true };
+    const addition = { object: buildStoredTarget(25), isDeleted: false };
+    lateWatcher?.answerWatch({ era: 0, revision, events: part === "" ? [removal] : [removal, addition] });
+    await waitMilliseconds(20);
+});
+
+Then(/^the watcher (uses the target|has no such target)$/, function(result: string) {
+    const isUsed = lateWatcher?.state.directory.findTarget(TARGET_NAME) !== undefined;
+    assert.equal(isUsed, result === "uses the target");
+});
--- a/serving/store_watcher.ts
+++ b/serving/store_watcher.ts
@@ -323,18 +323,18 @@
 
     #applyTargetEvents({ events, era, revision }: StoreEvents): void {
         const { directory } = this.#options.state;
-        if (era !== directory.era || revision <= directory.revision && events.length === 0) {
+        // A list received from a peer can be ahead of this watch; changes that it already includes must not be undone. A
+        // removal has no revision of its own: it is included if the whole reply is, or if its target has been added again.
+        if (era !== directory.era || revision <= directory.revision) {
             return;
         }
-        // A list received from a peer can be ahead of this watch; changes that it already includes must not be undone.
-        const newEvents = events.filter(event => event.isDeleted || event.object.revision > directory.revision);
-        const latest = new Map(newEvents.map(event => [event.object.name, event]));
-        const changed = [...latest.values()].filter(event => !event.isDeleted);
-        const removed = [...latest.values()].filter(event => event.isDeleted).map(event => event.object.name);
+        const latest = [...new Map(events.map(event => [event.object.name, event])).values()];
+        const changed = latest.filter(event => !event.isDeleted && event.object.revision > directory.revision);
+        const removed = latest.filter(event => event.isDeleted).map(event => event.object.name);
         const decoded = changed.map(event => ({ event, targets: this.#decodeTargets(event.object) }));
         const unusable = decoded.filter(({ targets }) => targets.length === 0).map(({ event }) => event.object.name);
         const from = directory.changeRevision;
-        const latestRevision = Math.max(from, ...[...latest.values()].map(event => event.object.revision));
+        const latestRevision = Math.max(from, ...latest.map(event => event.object.revision));
         // If a removal has no revision of its own, only the revision of the whole reply shows the change.
         const changeRevision = latestRevision > from ? latestRevision : revision;
         const changedTargets = decoded.flatMap(({ targets }) => targets);
