Break off streams of engines without end at the gateway

Cause: the client of engines gave all that came to its parser, without a bound on what completes no event, and read as fast as it came. A buffered stream was written token by token without waiting.

Evidence: of two new examples of engine.feature, the stream of comments had not ended after 25 s on, and the line ended the test process (out of memory).

Change: a stream is broken off after 256 KB without an event, its reading has the rate of StreamLimits, and buffered tokens are one write.

Why it works: what waits for its event has a bound, and the rest is events that the relay waits for.

--- a/features/contracts/engine.feature
+++ b/features/contracts/engine.feature
@@ -20,3 +20,5 @@
             | accepts the request and never responds | 0      | broken | sent          |
             | sends an upgrade that nobody requested | 0      | broken | sent          |
             | sends invalid lines and then a token   | 1      | done   | none          |
+            | sends comments without end             | 1      | broken | answering     |
+            | sends a line without end               | 1      | broken | answering     |
--- a/features/steps/gateway_client_steps.ts
+++ b/features/steps/gateway_client_steps.ts
@@ -22,6 +22,19 @@
     response.write(`id: ${index}\ndata: {}\n\n`);
 }
 
+/** Sends a token, and then a text again and again as fast as the connection takes it, until it is closed. */
+function sendWithoutEnd(response: ServerResponse, text: string): void {
+    response.writeHead(200, STREAM_HEADERS);
+    writeToken(response, 0);
+    const repeated = text.repeat(1024);
+    const send = (): void => {
+        if (!response.destroyed) {
+            response.write(repeated, () => setImmediate(send));
+        }
+    };
+    send();
+}
+
 /** How an engine responds, by the names in the scenario. For a name that is missing here no engine is started. */
 const ENGINE_RESPONSES: Record<string, (response: ServerResponse) => void> = {
     "sends two tokens and the end": response => {
@@ -50,6 +63,8 @@
     "accepts the request and never responds": () => undefined,
     "sends an upgrade that nobody requested": response =>
         void response.writeHead(101, { connection: "upgrade", upgrade: "other" }).end(),
+    "sends comments without end": response => sendWithoutEnd(response, ": keep-alive\n\n"),
+    "sends a line without end": response => sendWithoutEnd(response, "data data data "),
     "sends invalid lines and then a token": response => {
         response.writeHead(200, STREAM_HEADERS);
         response.write(": note\nnonsense\n\n");
@@ -97,7 +112,7 @@
 }
 
 When(
-    /^an engine (sends two tokens and the end|refuses the connection|refuses the request|refuses another generation|does not know the generation|fails|closes the connection after one token|ends the stream without the last event|stops sending after one token|accepts the request and never responds|sends an upgrade that nobody requested|sends invalid lines and then a token)$/,
+    /^an engine (sends two tokens and the end|refuses the connection|refuses the request|refuses another generation|does not know the generation|fails|closes the connection after one token|ends the stream without the last event|stops sending after one token|accepts the request and never responds|sends an upgrade that nobody requested|sends invalid lines and then a token|sends comments without end|sends a line without end)$/,
     async function(fault: string) {
         const [address = ""] = await findAddresses(1);
         const respond = ENGINE_RESPONSES[fault];
--- a/gateway/engine_client.ts
+++ b/gateway/engine_client.ts
@@ -6,8 +6,9 @@
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { type IncomingMessage, request as startRequest } from "node:http";
 import type { RoutedTarget } from "../core/inventory/mod.ts";
+import { EndlessStreamError, StreamLimits } from "../core/serving/mod.ts";
 import { AttemptProgress, findResponseDoubt } from "../core/verdict/mod.ts";
-import { observeRequestFailure, parseAddress } from "../network/mod.ts";
+import { observeRequestFailure, parseAddress, waitMilliseconds } from "../network/mod.ts";
 
 /** An event of an engine's stream: a token, or the end of the generation. */
 export type EngineEvent =
@@ -51,6 +52,8 @@
     signal: AbortSignal;
 }
 
+/** Bytes that may come without an event: comments, and an event that is not complete. */
+const MAX_IDLE_BYTES = 256 * 1024;
 /** Data of the event that ends a stream. */
 const DONE_DATA = "[DONE]";
 const STATUS_OK = 200;
@@ -85,15 +88,28 @@
     const events: EngineEvent[] = [];
     const parser = createParser({ onEvent: event => events.push(parseEvent(event, generation)) });
     const decoder = new TextDecoder();
+    const limits = new StreamLimits();
+    let idleBytes = 0;
+    let eventCount = 0;
     try {
         for await (const chunk of response as AsyncIterable<Buffer>) {
             parser.feed(decoder.decode(chunk, { stream: true }));
+            idleBytes = events.length > 0 ? 0 : idleBytes + chunk.length;
+            if (idleBytes > MAX_IDLE_BYTES) {
+                throw new EndlessStreamError(`${idleBytes} bytes came without an event`);
+            }
             for (const event of events.splice(0)) {
+                limits.recordEvent(true, eventCount);
+                eventCount += 1;
                 yield event;
                 if (event.kind === "done") {
                     return;
                 }
             }
+            const delay = limits.recordPart(chunk.length, performance.now());
+            if (delay > 0) {
+                await waitMilliseconds(delay);
+            }
         }
     }
     catch (error) {
--- a/gateway/response_sink.ts
+++ b/gateway/response_sink.ts
@@ -110,10 +110,8 @@
 
     finish(): void {
         this.#response.writeHead(200, STREAM_HEADERS);
-        for (const token of this.#tokens) {
-            this.#response.write(formatEvent(token));
-        }
-        this.#response.end("data: [DONE]\n\n");
+        // Each write would take several times the bytes of its token until the caller has read it.
+        this.#response.end(`${this.#tokens.map(formatEvent).join("")}data: [DONE]\n\n`);
     }
 
     fail(error: ServingError): void {
