--- a/features/steps/decision_steps.ts
+++ b/features/steps/decision_steps.ts
@@ -21,7 +21,6 @@
     RetryBudgetShare,
     RouteKind,
     RouteTable,
-    type ServingTarget,
     type TargetChange,
     TargetDirectory,
     TargetHealth,
@@ -34,20 +33,7 @@
     simulateTargetSelection,
     type TargetSelectionOutcome,
 } from "../../support/platform/target_selection_simulation.ts";
-
-function createTarget(id: string, changes: Partial<ServingTarget> = {}): ServingTarget {
-    return {
-        id,
-        service: "engines",
-        address: "127.0.0.1:1",
-        zone: "zone-a",
-        slots: 24,
-        isLeaving: false,
-        coldMilliseconds: 0,
-        startedAt: 1,
-        ...changes,
-    };
-}
+import { createTarget } from "../support/serving_target.ts";
 
 const ENGINE_LIMITS = {
     slots: 24,
--- a/features/steps/target_list_steps.ts
+++ b/features/steps/target_list_steps.ts
@@ -7,6 +7,7 @@
 import assert from "node:assert/strict";
 import { type ServingTarget, TargetDirectory } from "../../core/serving/mod.ts";
 import { parsePeerMessage, type StateMessage } from "../../serving/peer_messages.ts";
+import { createTarget } from "../support/serving_target.ts";
 
 const GRACE_MILLISECONDS = 2000;
 /** Revisions of the store: of all entries, of the removal, and of a later change of another kind. */
@@ -14,23 +15,8 @@
 const REMOVED_REVISION = 11;
 const LATER_REVISION = 20;
 
-function createTarget(id: string, changes: Partial<ServingTarget> = {}): ServingTarget {
-    return {
-        id,
-        service: "engines",
-        address: "127.0.0.1:1",
-        zone: "zone-a",
-        slots: 24,
-        isLeaving: false,
-        coldMilliseconds: 0,
-        startedAt: 1,
-        revision: LISTED_REVISION,
-        ...changes,
-    };
-}
-
 function createTargets(...ids: string[]): ServingTarget[] {
-    return ids.map(id => createTarget(id));
+    return ids.map(id => createTarget(id, { revision: LISTED_REVISION }));
 }
 
 function createDirectory(): TargetDirectory {
