--- a/core/serving/event_splitter.ts
+++ b/core/serving/event_splitter.ts
@@ -128,7 +128,7 @@
 
 const decoder = new TextDecoder();
 
-/** Checks whether an event is a single line with a comment, by far the most frequent one of a target that sends them without end. */
+/** Checks whether an event is a single comment line, which needs no decoding. */
 function isSingleComment(bytes: Uint8Array): boolean {
     return bytes[0] === COLON && bytes.indexOf(LINE_FEED) >= bytes.length - EVENT_END_BYTES;
 }
--- a/core/serving/target_directory.ts
+++ b/core/serving/target_directory.ts
@@ -9,8 +9,8 @@
  * Load pattern: the store is restored from a copy that is some seconds old, so that targets which have announced their
  * shutdown, or are gone, are listed as ready again until they or the operators have written their objects again.
  *
- * Load pattern: an instance that was paused takes this for an outage of the store and keeps a target that the others have
- * removed. They ask it for its list, since it has listed the store later than they have.
+ * Load pattern: an instance that was paused takes its pause for an outage of the store, and keeps a target that the others
+ * have removed. They ask it for its list, since it has listed the store later than they have.
  *
  * @module
  */
